--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+export PYTHONPATH = $(CURDIR)/src
+
+.PHONY: setup demo test bench capacity fuzz format check lock
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	touch $(VENV)/.ready
+
+demo: setup
+	$(BIN)/python examples/demo.py
+
+test: setup
+	$(BIN)/python -m pytest $(TESTS)
+
+fuzz: setup
+	$(BIN)/python -m pytest tests/test_fuzz.py --hypothesis-seed=$(or $(SEED),0) --fuzz-steps=$(or $(STEPS),2000)
+
+bench: setup
+	$(BIN)/python bench/run.py
+
+capacity: setup
+	$(BIN)/python bench/capacity.py
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+lock:
+	$(BIN)/pip-compile --quiet --strip-extras --extra dev --no-emit-index-url --no-emit-find-links --no-emit-trusted-host --output-file requirements.lock pyproject.toml
--- /dev/null
+++ b/src/galenahook/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/src/galenahook/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: their HTTP requests, admission and outcomes."""
--- /dev/null
+++ b/src/galenahook/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' side: sheets, changes, status and audit."""
--- /dev/null
+++ b/src/galenahook/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's side: health for the balancer and statsd metrics."""
--- /dev/null
+++ b/src/galenahook/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: what runs where and when."""
--- /dev/null
+++ b/src/galenahook/state.py
@@ -0,0 +1,109 @@
+"""The replicated state: what every replica holds after applying the log.
+
+Records are immutable and replaced on change, so a shallow copy of the maps is
+a consistent view from which a snapshot is written in small steps.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import msgspec
+
+from galenahook import commands
+from galenahook import configuration as configuration_lib
+from galenahook import messages
+from galenahook.callers import claims as claims_lib
+from galenahook.scheduling import tasks as tasks_lib
+
+SnapshotRecord = (
+    configuration_lib.ConfigurationRecord
+    | configuration_lib.ChangeRecord
+    | tasks_lib.TaskRecord
+    | tasks_lib.RunTimeRecord
+    | claims_lib.ClaimRecord
+)
+
+
+class State:
+    """The whole replicated state.
+
+    Attributes:
+      configuration: Sheet, availability zones, drains and change numbers.
+      tasks: Every task with its current attempt.
+      claims: Idempotency keys claimed.
+    """
+
+    __slots__ = ("claims", "configuration", "tasks")
+
+    def __init__(self) -> None:
+        self.configuration = configuration_lib.ConfigurationState()
+        self.tasks = tasks_lib.TaskTable()
+        self.claims = claims_lib.ClaimTable()
+
+    def apply(self, command: commands.Command) -> commands.Result:
+        """Applies one committed command and returns its result."""
+        match command:
+            case commands.ChangeConfiguration():
+                return self._change_configuration(command)
+            case commands.StartAttempts():
+                return self.tasks.start(command)
+            case commands.EndAttempts():
+                return self.tasks.end(command)
+            case commands.RecordCheckpoints():
+                return self.tasks.record_checkpoints(command)
+            case commands.EvictAttempts():
+                return self.tasks.evict(command)
+            case commands.ClaimKeys():
+                return self.claims.claim(command)
+            case _:
+                return commands.Done()
+
+    def _change_configuration(
+        self, command: commands.ChangeConfiguration
+    ) -> commands.Result:
+        before = self.configuration.current
+        result = self.configuration.change(command)
+        if self.configuration.current is not before:
+            self.tasks.follow(self.configuration.current, command.at_ms)
+        return result
+
+    def snapshot_records(self) -> Iterator[SnapshotRecord]:
+        """Returns the records of a consistent view taken now.
+
+        The iterator may be consumed slowly while commands are applied.
+        """
+        parts = (
+            self.configuration.snapshot_records(),
+            self.tasks.snapshot_records(),
+            self.claims.snapshot_records(),
+        )
+        return (record for part in parts for record in part)
+
+    def restore(self, records: Iterable[SnapshotRecord]) -> None:
+        """Replaces the whole state by the records of a snapshot."""
+        self.__init__()  # type: ignore[misc]
+        for record in records:
+            self.restore_record(record)
+
+    def restore_record(self, record: SnapshotRecord) -> None:
+        """Adds one record of a snapshot."""
+        match record:
+            case (
+                configuration_lib.ConfigurationRecord()
+                | configuration_lib.ChangeRecord()
+            ):
+                self.configuration.restore_record(record)
+            case tasks_lib.TaskRecord() | tasks_lib.RunTimeRecord():
+                self.tasks.restore_record(record)
+            case claims_lib.ClaimRecord():
+                self.claims.restore_record(record)
+
+
+def encode_record(record: SnapshotRecord) -> bytes:
+    """Encodes one record of a snapshot."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(data: bytes) -> SnapshotRecord:
+    """Decodes one record of a snapshot."""
+    return messages.decode(data, SnapshotRecord)  # type: ignore[arg-type]
--- /dev/null
+++ b/src/galenahook/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The upstreams' side: announcements, orders, routing and connections."""
