--- /dev/null
+++ b/bench/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for callers, upstreams and links, written from INTERFACES.md."""
--- /dev/null
+++ b/bench/fakes/worker.py
@@ -0,0 +1,506 @@
+"""A worker: runs tasks as timed work under leases.
+
+The command of a task tells what really happens, which may differ from what
+the sheet declares: `run_ms=800 fail=0 class=coating cores=2000 memory=512`.
+"""
+
+import argparse
+import dataclasses
+import itertools
+import random
+import secrets
+from typing import Any
+
+import curio
+
+from fakes import events as events_lib
+from fakes import vm as vm_lib
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import messages
+from galenahook import web
+
+ANNOUNCE_PERIOD_MS = 500
+ANNOUNCE_TIMEOUT_MS = 1_500
+REPORT_RETRY_MS = 200
+STEP_MS = 20
+DEFAULT_JOB_RUN_MS = 500
+KEPT_ANNOUNCEMENTS = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """An attempt that this worker holds."""
+
+    order: messages.StartOrder
+    run_ms: int
+    fails: bool
+    work_class: str
+    cores_milli: int
+    memory_mb: int
+    done_ms: float = 0.0
+    phase: str = "running"
+    percent: int = 100
+    checkpoints: int = 0
+    ran_until_ms: int = 0
+    handle: Any = None
+
+
+def parse_command(command: str) -> dict[str, str]:
+    """Returns the `name=value` words of a command."""
+    words = (word.partition("=") for word in command.split())
+    return {name: value for name, separator, value in words if separator}
+
+
+def progress_of_reference(reference: str) -> float:
+    """Returns the work in milliseconds that a checkpoint reference holds."""
+    return float(reference.rpartition("@")[2]) if "@" in reference else 0.0
+
+
+class FakeWorker:
+    """A worker as INTERFACES.md describes it.
+
+    Attributes:
+      name: Name announced.
+      events: Where everything is recorded.
+      attempts: Attempts held, by task.
+      fails_all: Fails everything it starts.
+      leaving: Announced as leaving.
+      silent: Answers nothing and announces nothing, while its tasks run.
+      usage_lag_ms: Age of the usage samples it announces.
+      stop_ms: Time that a stop takes.
+      checkpoint_ms: Time that a checkpoint takes.
+      lease_until_ms: End of its lease by its own monotonic clock.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        entries: list[str],
+        *,
+        capacity: messages.Resources | None = None,
+        availability_zone: str = "a",
+        rack: str = "",
+        vm: vm_lib.Vm | None = None,
+        listen: str = "127.0.0.1:0",
+        advertise: str = "",
+        events: events_lib.EventLog | None = None,
+        period_ms: int = ANNOUNCE_PERIOD_MS,
+    ) -> None:
+        self.name = name
+        self.entries = entries
+        self.capacity = capacity or messages.Resources(64_000, 250_000, 0)
+        self.availability_zone = availability_zone
+        self.rack = rack
+        self.vm = vm or vm_lib.Vm(name)
+        self.events = events or events_lib.EventLog()
+        self.period_ms = period_ms
+        self.attempts: dict[str, Attempt] = {}
+        self.fails_all = False
+        self.leaving = False
+        self.silent = False
+        self.usage_lag_ms = 1_000
+        self.stop_ms = 0
+        self.checkpoint_ms = 20
+        self.lease_until_ms = 0
+        self.incarnation = secrets.token_hex(8)
+        self.address = ""
+        self.advertise = advertise
+        self._listen = listen
+        self._clock = clock_lib.Clock()
+        self._client = web.ControlClient(self._clock, [])
+        self._sent: dict[int, int] = {}
+        self._sequence = itertools.count(1)
+        self._highest: dict[str, int] = {}
+        self._answers: dict[tuple[str, int], messages.StartReply] = {}
+        self._stopped: set[tuple[str, int]] = set()
+        self._entry = random.randrange(max(1, len(entries)))
+        self._changed = curio.Event()
+        self._group: curio.TaskGroup | None = None
+        self._dead = False
+
+    async def run(self) -> None:
+        """Announces and serves until cancelled, which ends all its work."""
+        sock = web.listen(self._listen)
+        server = web.Server(sock, self._handle, web.Limits())
+        self.address = server.address
+        self._listen = server.address
+        self.advertise = self.advertise or server.address
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                self._group = group
+                await group.spawn(server.run)
+                await group.spawn(self._announce_always)
+                await group.spawn(self._watch_lease)
+        finally:
+            self._die()
+            sock.close()
+
+    def _die(self) -> None:
+        self._dead = True
+        for attempt in list(self.attempts.values()):
+            if attempt.phase != "ended":
+                self._record("die", attempt)
+        self.attempts.clear()
+        self.vm.running.clear()
+
+    # --- Announcements ---
+
+    async def _announce_always(self) -> None:
+        while True:
+            self._changed.clear()
+            if not self.silent:
+                await self._announce()
+            await curio.ignore_after(
+                clock_lib.seconds(self.period_ms), self._changed.wait()
+            )
+
+    async def _announce(self) -> None:
+        sequence = next(self._sequence)
+        sent_ms = self._clock.monotonic_ms()
+        self._sent[sequence] = sent_ms
+        self._sent.pop(sequence - KEPT_ANNOUNCEMENTS, None)
+        try:
+            response = await self._client.post(
+                self._entry_address(),
+                "/v1/announce",
+                self._announcement(sequence, sent_ms),
+                ANNOUNCE_TIMEOUT_MS,
+            )
+            if response.status != 200:
+                raise errors.ExchangeError(str(response.status), True)
+            reply = messages.decode(response.body, messages.AnnouncementReply)
+        except (errors.ExchangeError, errors.InvalidInputError):
+            self._entry += 1
+            return
+        await self._take_reply(reply, sent_ms)
+
+    def _entry_address(self) -> str:
+        return self.entries[self._entry % len(self.entries)]
+
+    def _announcement(
+        self, sequence: int, sent_ms: int
+    ) -> messages.WorkerAnnouncement:
+        return messages.WorkerAnnouncement(
+            name=self.name,
+            incarnation=self.incarnation,
+            sequence=sequence,
+            sent_at_ms=sent_ms,
+            address=self.advertise,
+            availability_zone=self.availability_zone,
+            rack=self.rack,
+            vm=self.vm.name,
+            leaving=self.leaving,
+            capacity=self.capacity,
+            attempts=tuple(map(self._status, self.attempts.values())),
+        )
+
+    def _status(self, attempt: Attempt) -> messages.AttemptStatus:
+        usage = None
+        if attempt.done_ms >= self.usage_lag_ms and attempt.phase != "ended":
+            cores_milli = attempt.cores_milli * attempt.percent // 100
+            usage = messages.Resources(cores_milli, attempt.memory_mb, 0)
+        share = attempt.done_ms / attempt.run_ms if attempt.run_ms else 0
+        return messages.AttemptStatus(
+            task=attempt.order.task,
+            attempt=attempt.order.attempt,
+            phase=attempt.phase,
+            usage=usage,
+            sample_age_ms=self.usage_lag_ms if usage else 0,
+            throttle_percent=attempt.percent,
+            progress_percent=min(100, int(share * 100)),
+        )
+
+    async def _take_reply(
+        self, reply: messages.AnnouncementReply, sent_ms: int
+    ) -> None:
+        if self._clock.monotonic_ms() >= self.lease_until_ms:
+            await self._stop_everything()
+        if reply.lease_ms > 0:
+            end_ms = sent_ms + reply.lease_ms
+            self.lease_until_ms = max(self.lease_until_ms, end_ms)
+        for ref in reply.stop:
+            await self._stop(ref.task, ref.attempt, "told in a reply")
+
+    async def _watch_lease(self) -> None:
+        while True:
+            now_ms = self._clock.monotonic_ms()
+            if now_ms >= self.lease_until_ms:
+                await self._stop_everything()
+            left_ms = max(STEP_MS, self.lease_until_ms - now_ms)
+            await curio.sleep(clock_lib.seconds(min(left_ms, STEP_MS)))
+
+    async def _stop_everything(self) -> None:
+        for attempt in list(self.attempts.values()):
+            if attempt.phase != "ended":
+                await self._end_work(attempt, "expire", "lease over")
+
+    # --- Orders ---
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        if self._dead:
+            raise OSError("the worker died")
+        while self.silent:
+            await curio.sleep(clock_lib.seconds(STEP_MS))
+        try:
+            return await self._route(request)
+        except errors.InvalidInputError as error:
+            return web.refusal(400, str(error))
+
+    async def _route(self, request: web.Request) -> web.Response:
+        body = request.body
+        match request.method, request.target:
+            case "POST", "/v1/start":
+                order = messages.decode(body, messages.StartOrder)
+                return web.json_response(await self._take_start(order))
+            case "POST", "/v1/stop":
+                stop = messages.decode(body, messages.StopOrder)
+                await self._stop(stop.task, stop.attempt, "told")
+                return web.json_response(messages.StopReply(stopped=True))
+            case "POST", "/v1/checkpoint":
+                checkpoint = messages.decode(body, messages.CheckpointOrder)
+                return web.json_response(await self._checkpoint(checkpoint))
+            case "POST", "/v1/throttle":
+                throttle = messages.decode(body, messages.ThrottleOrder)
+                return web.json_response(self._throttle(throttle))
+            case _:
+                return web.refusal(404, "no such route")
+
+    async def _take_start(
+        self, order: messages.StartOrder
+    ) -> messages.StartReply:
+        key = (order.task, order.attempt)
+        if key in self._stopped:
+            return messages.StartReply(accepted=False, reason="stopped")
+        if key in self._answers:
+            return self._answers[key]
+        reason = self._reason_against(order)
+        reply = messages.StartReply(accepted=not reason, reason=reason)
+        if reason:
+            self.events.add(
+                "refuse",
+                self.name,
+                task=order.task,
+                attempt=order.attempt,
+                detail=reason,
+            )
+            return reply
+        self._answers[key] = reply
+        self._highest[order.task] = order.attempt
+        await self._begin(order)
+        return reply
+
+    def _reason_against(self, order: messages.StartOrder) -> str:
+        now_ms = self._clock.monotonic_ms()
+        sent_ms = self._sent.get(order.basis_sequence)
+        if order.incarnation != self.incarnation:
+            return "another incarnation"
+        if sent_ms is None or now_ms >= sent_ms + order.ttl_ms:
+            return "time to live is over"
+        if order.attempt <= self._highest.get(order.task, 0):
+            return "not above the highest attempt"
+        if now_ms >= self.lease_until_ms:
+            return "no lease"
+        if order.task in self.attempts:
+            return "another attempt is held"
+        return ""
+
+    async def _begin(self, order: messages.StartOrder) -> None:
+        attempt = self._attempt(order)
+        self.attempts[order.task] = attempt
+        if order.task.startswith("job/"):
+            self.vm.running[order.task] = vm_lib.Running(attempt.work_class)
+        self._record("start", attempt, order.checkpoint)
+        assert self._group is not None
+        attempt.handle = await curio.spawn(self._work, attempt, daemon=True)
+        await self._changed.set()
+
+    def _attempt(self, order: messages.StartOrder) -> Attempt:
+        words = parse_command(order.command)
+        is_job = order.task.startswith("job/")
+        default_ms = DEFAULT_JOB_RUN_MS if is_job else 0
+        return Attempt(
+            order=order,
+            run_ms=int(words.get("run_ms", default_ms)),
+            fails=self.fails_all or words.get("fail", "0") != "0",
+            work_class=words.get("class", ""),
+            cores_milli=int(words.get("cores", order.resources.cores_milli)),
+            memory_mb=int(words.get("memory", order.resources.memory_mb)),
+            done_ms=progress_of_reference(order.checkpoint),
+        )
+
+    async def _work(self, attempt: Attempt) -> None:
+        last_ms = self._clock.monotonic_ms()
+        attempt.ran_until_ms = last_ms
+        while not attempt.run_ms or attempt.done_ms < attempt.run_ms:
+            await curio.sleep(clock_lib.seconds(STEP_MS))
+            now_ms = self._clock.monotonic_ms()
+            if now_ms >= self.lease_until_ms:
+                await curio.sleep(clock_lib.seconds(STEP_MS))
+                continue
+            attempt.done_ms += (now_ms - last_ms) * attempt.percent / 100
+            last_ms = now_ms
+            attempt.ran_until_ms = now_ms
+            if attempt.fails:
+                break
+        await self._finish(attempt)
+
+    async def _finish(self, attempt: Attempt) -> None:
+        run_ms = int(attempt.done_ms)
+        attempt.phase = "ended"
+        self.vm.running.pop(attempt.order.task, None)
+        outcome: messages.Outcome
+        if attempt.fails:
+            self._record("fail", attempt)
+            outcome = messages.Failed(run_ms=run_ms, reason="exit status 1")
+        else:
+            self._record("complete", attempt)
+            outcome = messages.Completed(run_ms=run_ms)
+        await self._changed.set()
+        await self._report(attempt, outcome)
+
+    async def _report(
+        self, attempt: Attempt, outcome: messages.Outcome
+    ) -> None:
+        report = messages.AttemptReport(
+            worker=self.name,
+            incarnation=self.incarnation,
+            task=attempt.order.task,
+            attempt=attempt.order.attempt,
+            outcome=outcome,
+        )
+        for index in itertools.count(self._entry):
+            while self.silent:
+                await curio.sleep(clock_lib.seconds(STEP_MS))
+            reply = await self._post_report(report, index)
+            if reply is not None and reply.acknowledged:
+                break
+            await curio.sleep(clock_lib.seconds(REPORT_RETRY_MS))
+        detail = "current" if reply and reply.current else "out of date"
+        self._record("acknowledge", attempt, detail)
+        if self.attempts.get(attempt.order.task) is attempt:
+            del self.attempts[attempt.order.task]
+        await self._changed.set()
+
+    async def _post_report(
+        self, report: messages.AttemptReport, index: int
+    ) -> messages.ReportReply | None:
+        address = self.entries[index % len(self.entries)]
+        try:
+            response = await self._client.post(
+                address, "/v1/report", report, 2 * ANNOUNCE_TIMEOUT_MS
+            )
+            if response.status != 200:
+                return None
+            return messages.decode(response.body, messages.ReportReply)
+        except (errors.ExchangeError, errors.InvalidInputError):
+            return None
+
+    async def _stop(self, task: str, number: int, reason: str) -> None:
+        self._stopped.add((task, number))
+        self._highest[task] = max(number, self._highest.get(task, 0))
+        attempt = self.attempts.get(task)
+        if attempt is None or attempt.order.attempt != number:
+            return
+        if attempt.phase != "ended":
+            if self.stop_ms:
+                await curio.sleep(clock_lib.seconds(self.stop_ms))
+            await self._end_work(attempt, "stop", reason)
+
+    async def _end_work(self, attempt: Attempt, kind: str, reason: str) -> None:
+        if self.attempts.get(attempt.order.task) is not attempt:
+            return
+        if attempt.phase == "ended":
+            return
+        del self.attempts[attempt.order.task]
+        self.vm.running.pop(attempt.order.task, None)
+        await attempt.handle.cancel(blocking=False)
+        self._record(kind, attempt, reason)
+        await self._changed.set()
+
+    async def _checkpoint(
+        self, order: messages.CheckpointOrder
+    ) -> messages.CheckpointReply:
+        attempt = self.attempts.get(order.task)
+        if attempt is None or attempt.order.attempt != order.attempt:
+            return messages.CheckpointReply()
+        if attempt.phase == "ended":
+            return messages.CheckpointReply()
+        done_ms = attempt.done_ms
+        await curio.sleep(clock_lib.seconds(self.checkpoint_ms))
+        attempt.checkpoints += 1
+        reference = (
+            f"{order.task}#{order.attempt}.{attempt.checkpoints}@{done_ms:.0f}"
+        )
+        self._record("checkpoint", attempt, reference)
+        return messages.CheckpointReply(reference=reference)
+
+    def _throttle(
+        self, order: messages.ThrottleOrder
+    ) -> messages.ThrottleReply:
+        attempt = self.attempts.get(order.task)
+        if attempt is None or attempt.order.attempt != order.attempt:
+            return messages.ThrottleReply(applied=False)
+        attempt.percent = order.percent
+        running = self.vm.running.get(order.task)
+        if running is not None:
+            running.percent = order.percent
+        self._record("throttle", attempt, str(order.percent))
+        return messages.ThrottleReply(applied=True)
+
+    def _record(self, kind: str, attempt: Attempt, detail: str = "") -> None:
+        self.events.add(
+            kind,
+            self.name,
+            incarnation=self.incarnation,
+            vm=self.vm.name,
+            availability_zone=self.availability_zone,
+            task=attempt.order.task,
+            attempt=attempt.order.attempt,
+            cores_milli=attempt.order.resources.cores_milli,
+            memory_mb=attempt.order.resources.memory_mb,
+            ran_until_ms=attempt.ran_until_ms,
+            detail=detail,
+        )
+
+
+async def _run_many(arguments: argparse.Namespace) -> None:
+    log = events_lib.EventLog(arguments.events)
+    async with curio.TaskGroup() as group:
+        for index in range(arguments.count):
+            zone = arguments.zones.split(",")[
+                index % len(arguments.zones.split(","))
+            ]
+            worker = FakeWorker(
+                f"{arguments.name}-{index}",
+                arguments.entries.split(","),
+                capacity=messages.Resources(arguments.cores, arguments.memory),
+                availability_zone=zone,
+                rack=f"{zone}-{index // arguments.rack_size}",
+                events=log,
+                listen=arguments.listen,
+                advertise=arguments.advertise,
+            )
+            worker.fails_all = arguments.fails_all
+            await group.spawn(worker.run)
+
+
+def main() -> None:
+    """Runs workers in this process until it is killed."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--entries", required=True, help="host:port,...")
+    parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--zones", default="a")
+    parser.add_argument("--rack-size", type=int, default=6)
+    parser.add_argument("--cores", type=int, default=64_000)
+    parser.add_argument("--memory", type=int, default=250_000)
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    parser.add_argument("--advertise", default="")
+    parser.add_argument("--events", default="")
+    parser.add_argument("--fails-all", action="store_true")
+    curio.run(_run_many, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
