Replicas: elections and a replicated log synced to the data folder

Cause: the seam led alone in memory. Change: Raft's published algorithm on curio: pre-vote, check-quorum, a leader lease counted from the sending of heartbeats, group commit in a thread, an identity of the data folder, founding only by empty folders that all agree.

--- /dev/null
+++ b/src/galenahook/replicas/applier.py
@@ -0,0 +1,37 @@
+"""Applies committed entries to the state, in order."""
+
+import curio
+
+from galenahook import commands
+from galenahook.replicas import core as core_lib
+
+_SLICE_MS = 10
+
+
+async def run(core: core_lib.Core) -> None:
+    """Applies entries as they are committed, until cancelled."""
+    while True:
+        if core.applied_index >= core.commit_index or core.installing:
+            await core.committed.wait()
+            continue
+        await _apply_slice(core)
+        await curio.sleep(0)
+
+
+async def _apply_slice(core: core_lib.Core) -> None:
+    end_ms = core.now_ms() + _SLICE_MS
+    while core.applied_index < core.commit_index and core.now_ms() < end_ms:
+        await _apply_next(core)
+
+
+async def _apply_next(core: core_lib.Core) -> None:
+    index = core.applied_index + 1
+    entry = core.log.entry_at(index)
+    result = core.state.apply(commands.decode_command(entry.data))
+    core.applied_index = index
+    waiter = core.waiters.pop(index, None)
+    if waiter is not None and waiter.term == entry.term:
+        waiter.result = result
+        await waiter.done.set()
+    if index == core.first_own_index:
+        await core.role_changed.notify()
--- /dev/null
+++ b/src/galenahook/replicas/follower.py
@@ -0,0 +1,112 @@
+"""The follower's side of replication."""
+
+import msgspec
+
+from galenahook.replicas import core as core_lib
+from galenahook.replicas import records
+from galenahook.replicas import wire
+
+
+async def handle_append(
+    core: core_lib.Core, request: wire.AppendRequest
+) -> wire.AppendReply:
+    """Takes a leader's heartbeat and entries.
+
+    The answer waits for the sync, but no longer than a heartbeat's period: a
+    slow disk must not look like a silent connection.
+
+    Raises:
+      errors.StorageError: The term could not be written.
+    """
+    if not await follow(core, request.leader, request.term):
+        return _refuse(core, 0)
+    if core.installing:
+        return _refuse(core, 0, installing=True)
+    if not _agrees(core, request.previous_index, request.previous_term):
+        hint = min(core.log.last_index, request.previous_index - 1)
+        return _refuse(core, hint)
+    await _take_entries(core, request)
+    received = request.previous_index + len(request.entries)
+    await core.advance_commit(min(request.commit_index, received))
+    await core.log.wait_synced(received, core.timing.heartbeat_period_ms)
+    if core.log.error is not None:
+        raise core.log.error
+    if core.term != request.term:
+        return _refuse(core, 0)
+    return wire.AppendReply(
+        folder=core.folder_id,
+        term=core.term,
+        accepted=True,
+        received=received,
+        synced=min(core.log.synced_index, received),
+    )
+
+
+async def follow(core: core_lib.Core, leader: str, term: int) -> bool:
+    """Follows a leader; returns False if its term is over.
+
+    Raises:
+      errors.StorageError: The term could not be written.
+    """
+    if term < core.term:
+        return False
+    await core.observe_term(term)
+    if term != core.term:
+        return False
+    core.leader_heard_ms = core.timer_ms = core.now_ms()
+    if core.role is not core_lib.Role.FOLLOWER or core.leader != leader:
+        await core.step_down(leader)
+    return core.term == term
+
+
+def _refuse(
+    core: core_lib.Core, hint: int, installing: bool = False
+) -> wire.AppendReply:
+    return wire.AppendReply(
+        folder=core.folder_id,
+        term=core.term,
+        accepted=False,
+        received=hint,
+        installing=installing,
+    )
+
+
+def _agrees(core: core_lib.Core, index: int, term: int) -> bool:
+    """Whether the log has that entry; a snapshot's entries are committed."""
+    if index <= max(core.log.base_index, core.snapshot_index):
+        return True
+    return core.log.term_at(index) == term
+
+
+async def _take_entries(
+    core: core_lib.Core, request: wire.AppendRequest
+) -> None:
+    entries = [
+        records.Entry(entry.term, bytes(entry.command))
+        for entry in request.entries
+    ]
+    first_index = request.previous_index + 1
+    skip = 0
+    for index, entry in enumerate(entries, first_index):
+        if not _is_known(core, index, entry.term):
+            break
+        skip += 1
+    new_entries = entries[skip:]
+    if not new_entries:
+        return
+    new_index = first_index + skip
+    if new_index <= core.log.last_index:
+        await core.replace_from(new_index, new_entries)
+    else:
+        await core.append(new_entries)
+
+
+def _is_known(core: core_lib.Core, index: int, term: int) -> bool:
+    if index <= core.log.base_index:
+        return True
+    return core.log.term_at(index) == term
+
+
+def to_wire(entry: records.Entry) -> wire.WireEntry:
+    """Returns an entry as it travels."""
+    return wire.WireEntry(term=entry.term, command=msgspec.Raw(entry.data))
--- /dev/null
+++ b/src/galenahook/replicas/founding.py
@@ -0,0 +1,131 @@
+"""Founding of a cluster, once, by empty data folders that all agree.
+
+The replica with the first name in the settings founds, and only while every
+configured replica answers that its folder is empty. One answer from a folder
+that belongs to a cluster, or one replica that does not answer, is enough to
+prevent it. So a replica that lost its disk never founds a second cluster
+beside the first: it waits until an operator admits it as a learner.
+
+The first entry of the log records the founding: the members with the
+identities of their folders.
+"""
+
+import contextlib
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
+from galenahook import messages
+from galenahook import web
+from galenahook.replicas import core as core_lib
+from galenahook.replicas import identity as identity_lib
+from galenahook.replicas import membership
+from galenahook.replicas import records
+from galenahook.replicas import transport
+from galenahook.replicas import wire
+
+_ASK_PERIOD_MS = 100
+_ASK_TIMEOUT_MS = 500
+FIRST_TERM = 1
+
+
+async def run(core: core_lib.Core) -> None:
+    """Founds the cluster if this replica is to do it and all others agree."""
+    while not core.cluster and core.error is None:
+        if core.name == min(core.settings.replicas):
+            with contextlib.suppress(errors.ExchangeError, errors.StorageError):
+                await _try_to_found(core)
+        await curio.sleep(clock_lib.seconds(_ASK_PERIOD_MS))
+
+
+async def _try_to_found(core: core_lib.Core) -> None:
+    by_name = {}
+    for name, address in sorted(core.settings.replicas.items()):
+        if name == core.name:
+            folder = core.folder_id
+        else:
+            folder = await _ask_for_empty_folder(core, address)
+        by_name[name] = membership.Member(name, address, folder)
+    members = membership.Members(1, by_name)
+    texts = members.command().members
+    cluster = identity_lib.new_identifier()
+    await join(core, cluster, texts)
+    for member in members.voters:
+        if member.name != core.name:
+            await _invite(core, member, texts)
+
+
+async def _ask_for_empty_folder(core: core_lib.Core, address: str) -> str:
+    request = web.Request(
+        "GET", transport.STATUS_TARGET, list(core.client.headers)
+    )
+    status = await transport.call(
+        core.client, address, request, wire.ReplicaStatus, _ASK_TIMEOUT_MS
+    )
+    if status.cluster or status.error:
+        raise errors.ExchangeError(f"{status.name} is not empty", True)
+    return status.folder
+
+
+async def _invite(
+    core: core_lib.Core, member: membership.Member, texts: tuple[str, ...]
+) -> None:
+    request = wire.FoundRequest(
+        cluster=core.cluster, to_folder=member.folder, members=texts
+    )
+    await transport.call(
+        core.client,
+        member.address,
+        transport.post(core.client, transport.FOUND_TARGET, request),
+        wire.FoundReply,
+        _ASK_TIMEOUT_MS,
+    )
+
+
+async def handle_found(
+    core: core_lib.Core, request: wire.FoundRequest
+) -> wire.FoundReply:
+    """Joins a new cluster if this folder is empty.
+
+    Raises:
+      errors.StorageError: The folder failed.
+    """
+    if not core.cluster:
+        await join(core, request.cluster, request.members)
+    return wire.FoundReply(accepted=core.cluster == request.cluster)
+
+
+async def join(
+    core: core_lib.Core, cluster: str, members: tuple[str, ...]
+) -> None:
+    """Binds the folder to a cluster whose log begins with these members.
+
+    Raises:
+      errors.StorageError: The folder failed.
+    """
+    if members and core.log.last_index == 0:
+        command = commands.ChangeMembers(members=members)
+        data = messages.encode(command)
+        await core.append([records.Entry(FIRST_TERM, data)])
+        await core.log.wait_synced(1, None)
+        if core.log.error is not None:
+            raise core.log.error
+        core.term = max(core.term, FIRST_TERM)
+    await adopt(core, cluster)
+
+
+async def adopt(core: core_lib.Core, cluster: str) -> None:
+    """Binds the folder to a cluster, for good.
+
+    Raises:
+      errors.StorageError: The folder failed.
+    """
+    try:
+        await core.save_ballot()
+        await curio.run_in_thread(core.folder.join, cluster)
+    except OSError as error:
+        await core.fail(errors.StorageError(str(error)))
+        raise errors.StorageError(str(error)) from error
+    await core.role_changed.notify()
--- a/src/galenahook/replicas/node.py
+++ b/src/galenahook/replicas/node.py
@@ -1,10 +1,33 @@
-"""One replica: the seam between the replicated state and its users.
+"""One replica: the seam between the replicated state and its users."""
 
-This form keeps its state in memory and leads alone.
-"""
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
 
+import curio
+
+from galenahook import clock as clock_lib
 from galenahook import commands
+from galenahook import defaults
+from galenahook import errors
+from galenahook import messages
+from galenahook import settings as settings_lib
 from galenahook import state as state_lib
+from galenahook import web
+from galenahook.replicas import applier
+from galenahook.replicas import core as core_lib
+from galenahook.replicas import election
+from galenahook.replicas import follower
+from galenahook.replicas import founding
+from galenahook.replicas import records
+from galenahook.replicas import replication
+from galenahook.replicas import status as status_lib
+from galenahook.replicas import storage
+from galenahook.replicas import transport
+from galenahook.replicas import wire
+
+_HTTP_CONFLICT = 409
+_HTTP_UNAVAILABLE = 503
 
 
 class Node:
@@ -12,15 +35,98 @@
 
     Attributes:
       name: Name of this replica.
-      state: State after every applied command. Readers must not change it.
+      core: What its tasks share.
     """
 
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.state = state_lib.State()
+    def __init__(
+        self,
+        settings: settings_lib.ReplicaSettings,
+        client: web.ControlClient,
+        clock: clock_lib.Clock,
+        disk: storage.Disk | None = None,
+    ) -> None:
+        self.name = settings.name
+        self.core = core_lib.Core(
+            settings, client, clock, disk or storage.Disk()
+        )
+        self._stopping = curio.Event()
+        self._routes: dict[str, tuple[type, Callable[..., Awaitable[Any]]]] = {
+            transport.APPEND_TARGET: (
+                wire.AppendRequest,
+                follower.handle_append,
+            ),
+            transport.VOTE_TARGET: (wire.VoteRequest, election.handle_vote),
+            transport.HAND_OVER_TARGET: (
+                wire.HandOver,
+                election.handle_hand_over,
+            ),
+            transport.FOUND_TARGET: (wire.FoundRequest, founding.handle_found),
+        }
+
+    @property
+    def state(self) -> state_lib.State:
+        """State after every applied command. Readers must not change it."""
+        return self.core.state
+
+    async def start(self) -> None:
+        """Opens the data folder and recovers the log.
+
+        Raises:
+          errors.CorruptLogError: A record before the log's tail is damaged.
+          errors.StorageError: The folder can't be used.
+        """
+        await curio.run_in_thread(self._open)
+
+    def _open(self) -> None:
+        core = self.core
+        core.folder.open(core.name)
+        core.log.open()
+        core.note_members(core.log.base_index + 1, core.log.entries)
+        core.term = max(core.folder.ballot.term, core.log.last_term)
+        if core.term == core.folder.ballot.term:
+            core.voted_for = core.folder.ballot.voted_for
+        core.leader_heard_ms = core.timer_ms = core.now_ms()
 
     async def run(self) -> None:
-        """Runs the replica until cancelled."""
+        """Runs the replica until it is stopped or cancelled."""
+        tasks = (
+            self._write_log,
+            self._watch_synced,
+            lambda: applier.run(self.core),
+            lambda: election.run(self.core),
+            lambda: replication.run(self.core),
+            lambda: founding.run(self.core),
+        )
+        group = curio.TaskGroup(wait=any)
+        async with group:
+            await group.spawn(self._stopping.wait)
+            for task in tasks:
+                await group.spawn(self._keep, task)
+        await curio.run_in_thread(self.core.log.close)
+        if group.exception is not None:
+            raise group.exception
+
+    async def _keep(self, task: Callable[[], Awaitable[None]]) -> None:
+        await task()
+        await self._stopping.wait()
+
+    async def _write_log(self) -> None:
+        await self.core.log.run()
+        if self.core.log.error is not None:
+            await self.core.fail(self.core.log.error)
+
+    async def _watch_synced(self) -> None:
+        core = self.core
+        while core.error is None:
+            await core.advance_leader_commit()
+            await core.log.wait_synced(core.log.synced_index + 1, None)
+
+    async def stop(self) -> None:
+        """Hands leadership over and ends `run`."""
+        await replication.hand_over(self.core)
+        await self._stopping.set()
+
+    # --- Use ------------------------------------------------------------------
 
     async def submit(self, command: commands.Command) -> commands.Result:
         """Commits a command, applies it and returns its result.
@@ -29,13 +135,33 @@
           errors.NotLeaderError: Certainly not committed.
           errors.NoQuorumError: Not known to be committed in time; it may yet
             be. The caller must resolve this by reading the state.
-          errors.StorageError: The data folder failed.
+          errors.StorageError: The data folder failed; certainly not committed.
         """
-        return self.state.apply(command)
+        core = self.core
+        if core.error is not None:
+            raise core.error
+        if not core.is_ready_leader():
+            raise errors.NotLeaderError(self.leader_name())
+        waiter = core_lib.Waiter(core.term)
+        index = core.log.last_index + 1
+        core.waiters[index] = waiter
+        data = commands.encode_command(command)
+        await core.append([records.Entry(core.term, data)])
+        for peer in list(core.peers.values()):
+            await peer.wake.notify()
+        try:
+            timeout = clock_lib.seconds(defaults.COMMIT_TIMEOUT_MS)
+            async with curio.timeout_after(timeout):
+                await waiter.done.wait()
+        except curio.TaskTimeout:
+            core.waiters.pop(index, None)
+        if waiter.result is None:
+            raise errors.NoQuorumError("not known to be committed in time")
+        return waiter.result
 
     def is_leader(self) -> bool:
         """Whether this replica leads and has applied all earlier terms."""
-        return True
+        return self.core.is_ready_leader()
 
     def may_act(self) -> bool:
         """Whether the leader's lease is valid at this moment.
@@ -43,12 +169,73 @@
         While true, no other replica can have been elected. Checked right
         before each message that gives work away.
         """
-        return True
+        return self.core.is_ready_leader() and self.core.lease_is_valid()
 
     def leader_name(self) -> str:
         """Name of the known leader, or an empty string."""
-        return self.name
+        return self.core.leader
 
     def term(self) -> int:
         """Current term; it rises with each election."""
-        return 1
+        return self.core.term
+
+    async def wait_for_leadership_change(self, known: bool) -> bool:
+        """Returns `is_leader()` as soon as it differs from what is known."""
+        while self.is_leader() == known:
+            await self.core.role_changed.wait()
+        return self.is_leader()
+
+    def status(self) -> wire.ReplicaStatus:
+        """Returns the state of this replica, for operators."""
+        return status_lib.of(self.core)
+
+    # --- Requests of other replicas -------------------------------------------
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers a request under `/v1/replicas/`."""
+        target = request.target.partition("?")[0]
+        if request.method == "GET" and target == transport.STATUS_TARGET:
+            return web.json_response(self.status())
+        route = self._routes.get(target)
+        if route is None or request.method != "POST":
+            return web.refusal(404, "no such route")
+        if self.core.error is not None:
+            return web.refusal(_HTTP_UNAVAILABLE, f"unable: {self.core.error}")
+        if self._stopping.is_set():
+            return web.refusal(_HTTP_UNAVAILABLE, "stopping")
+        message_type, handler = route
+        try:
+            message: Any = messages.decode(request.body, message_type)
+            refusal = await self._check_address(message)
+            if refusal is not None:
+                return refusal
+            return web.json_response(await handler(self.core, message))
+        except errors.InvalidInputError as error:
+            return web.refusal(400, str(error))
+        except errors.StorageError as error:
+            return web.refusal(_HTTP_UNAVAILABLE, f"unable: {error}")
+
+    async def _check_address(self, message: Any) -> web.Response | None:
+        """Refuses what is for another folder or from another cluster.
+
+        An empty folder joins the cluster of the first message that names its
+        identity, which only the members of that cluster know.
+        """
+        core = self.core
+        if message.to_folder != core.folder_id:
+            return web.refusal(
+                _HTTP_CONFLICT,
+                f"for data folder {message.to_folder}, but {core.name} has"
+                f" {core.folder_id}",
+            )
+        if isinstance(message, wire.FoundRequest):
+            return None
+        if not core.cluster:
+            await founding.adopt(core, message.cluster)
+        if message.cluster != core.cluster:
+            return web.refusal(
+                _HTTP_CONFLICT,
+                f"of cluster {message.cluster}, but {core.name} is in"
+                f" {core.cluster}",
+            )
+        return None
--- /dev/null
+++ b/src/galenahook/replicas/replication.py
@@ -0,0 +1,207 @@
+"""The leader's side of replication: one task for each peer.
+
+Heartbeats and entries share one kept connection, so the connection is known
+to work as long as heartbeats are answered. A connection that goes silent is
+replaced at once, since new ones may work.
+"""
+
+import curio
+
+from galenahook import errors
+from galenahook import web
+from galenahook.replicas import core as core_lib
+from galenahook.replicas import follower
+from galenahook.replicas import transfer
+from galenahook.replicas import transport
+from galenahook.replicas import wire
+
+_MAX_BATCH_BYTES = 256 * 1024
+# An answer takes up to one period when the follower waits for its disk.
+_SILENCE_PERIODS = 2
+_HAND_OVER_POLL_MS = 5
+
+
+async def run(core: core_lib.Core) -> None:
+    """Keeps one task for each peer while leading, until cancelled."""
+    tasks: dict[str, tuple[core_lib.Peer, curio.Task]] = {}
+    try:
+        while True:
+            await _adjust_tasks(core, tasks)
+            await _check_quorum(core)
+            leading = core.role is core_lib.Role.LEADER
+            period_ms = core.timing.heartbeat_period_ms if leading else None
+            await core.role_changed.wait(period_ms)
+    finally:
+        for _, task in tasks.values():
+            await task.cancel()
+
+
+async def _adjust_tasks(
+    core: core_lib.Core, tasks: dict[str, tuple[core_lib.Peer, curio.Task]]
+) -> None:
+    for name, (peer, task) in list(tasks.items()):
+        if core.peers.get(name) is not peer:
+            del tasks[name]
+            await task.cancel()
+    for name, peer in list(core.peers.items()):
+        if name not in tasks:
+            task = await curio.spawn(run_peer, core, peer, core.term)
+            tasks[name] = (peer, task)
+
+
+async def _check_quorum(core: core_lib.Core) -> None:
+    if core.role is not core_lib.Role.LEADER:
+        return
+    heard_ms = max(core.quorum_sent_ms() or 0, core.leader_since_ms)
+    if core.now_ms() - heard_ms > core.timing.election_timeout_max_ms:
+        await core.step_down("")
+
+
+async def run_peer(core: core_lib.Core, peer: core_lib.Peer, term: int) -> None:
+    """Replicates to one peer while this replica leads in that term."""
+    try:
+        while core.leads(term):
+            sent_ms = core.now_ms()
+            was_connected = peer.connection is not None
+            try:
+                await _exchange(core, peer)
+            except errors.ExchangeError as error:
+                peer.error = str(error)
+                await _drop_connection(peer)
+                if was_connected:
+                    continue
+            else:
+                peer.error = ""
+            await _wait_for_work(core, peer, sent_ms)
+    except errors.StorageError:
+        return
+    finally:
+        await _drop_connection(peer)
+
+
+async def _wait_for_work(
+    core: core_lib.Core, peer: core_lib.Peer, sent_ms: int
+) -> None:
+    if not peer.error and peer.next_index <= core.log.last_index:
+        return
+    elapsed_ms = core.now_ms() - sent_ms
+    period_ms = core.timing.heartbeat_period_ms
+    if peer.error:
+        await curio.sleep(max(period_ms - elapsed_ms, 1) / 1000)
+    else:
+        await peer.wake.wait(period_ms - elapsed_ms)
+
+
+async def _drop_connection(peer: core_lib.Peer) -> None:
+    connection, peer.connection = peer.connection, None
+    if connection is not None:
+        await connection.close()
+
+
+async def _exchange(core: core_lib.Core, peer: core_lib.Peer) -> None:
+    previous_index = peer.next_index - 1
+    previous_term = core.log.term_at(previous_index)
+    if previous_term is None:
+        await transfer.send_snapshot(core, peer)
+        return
+    entries = core.log.batch_from(peer.next_index, _MAX_BATCH_BYTES)
+    request = wire.AppendRequest(
+        cluster=core.cluster,
+        leader=core.name,
+        to_folder=peer.member.folder,
+        term=core.term,
+        previous_index=previous_index,
+        previous_term=previous_term,
+        commit_index=core.commit_index,
+        entries=tuple(follower.to_wire(entry) for entry in entries),
+    )
+    message = transport.post(core.client, transport.APPEND_TARGET, request)
+    connection = await connect(core, peer)
+    sent_ms = core.now_ms()
+    reply = await transport.exchange(
+        connection, message, wire.AppendReply, silence_timeout_ms(core)
+    )
+    if not connection.reusable:
+        await _drop_connection(peer)
+    await _take_reply(core, peer, request, reply, sent_ms)
+
+
+def silence_timeout_ms(core: core_lib.Core) -> int:
+    """Time without an answer after which a connection counts as silent."""
+    return core.timing.heartbeat_period_ms * _SILENCE_PERIODS
+
+
+async def connect(
+    core: core_lib.Core, peer: core_lib.Peer
+) -> web.ClientConnection:
+    """Returns the peer's kept connection, or opens one.
+
+    Raises:
+      errors.ExchangeError: It could not be opened.
+    """
+    if peer.connection is None:
+        peer.connection = await web.connect(
+            core.address_of(peer.member), silence_timeout_ms(core), core.clock
+        )
+    return peer.connection
+
+
+async def _take_reply(
+    core: core_lib.Core,
+    peer: core_lib.Peer,
+    request: wire.AppendRequest,
+    reply: wire.AppendReply,
+    sent_ms: int,
+) -> None:
+    if reply.folder != peer.member.folder:
+        raise errors.ExchangeError("answered for another data folder", True)
+    if reply.term > core.term:
+        await core.observe_term(reply.term)
+    if not core.leads(request.term) or reply.term != request.term:
+        return
+    peer.acknowledged_sent_ms = sent_ms
+    if reply.accepted:
+        peer.next_index = reply.received + 1
+        peer.synced_index = max(peer.synced_index, reply.synced)
+        await core.advance_leader_commit()
+    elif not reply.installing:
+        next_index = min(peer.next_index - 1, reply.received + 1)
+        peer.next_index = max(next_index, peer.synced_index + 1)
+
+
+async def hand_over(core: core_lib.Core) -> None:
+    """Gives leadership to the peer that is furthest, for a planned stop.
+
+    From the order to stand on, this replica never leads in that term again:
+    its successor need not wait for the end of its lease.
+    """
+    if core.role is not core_lib.Role.LEADER:
+        return
+    term = core.term
+    core.handing_over = True
+    await core.role_changed.notify()
+    voters = [peer for peer in core.peers.values() if peer.member.voter]
+    if not voters:
+        return
+    successor = max(voters, key=lambda peer: peer.synced_index)
+    end_ms = core.now_ms() + core.timing.election_timeout_max_ms
+    while core.leads(term) and successor.synced_index < core.log.last_index:
+        if core.now_ms() >= end_ms:
+            break
+        await curio.sleep(_HAND_OVER_POLL_MS / 1000)
+    if not core.leads(term):
+        return
+    request = wire.HandOver(
+        cluster=core.cluster, to_folder=successor.member.folder, term=term
+    )
+    await core.step_down("")
+    try:
+        await transport.call(
+            core.client,
+            core.address_of(successor.member),
+            transport.post(core.client, transport.HAND_OVER_TARGET, request),
+            wire.HandOverReply,
+            silence_timeout_ms(core),
+        )
+    except errors.ExchangeError:
+        return
