--- /dev/null
+++ b/src/galenahook/replicas/changes.py
@@ -0,0 +1,111 @@
+"""Changes of the group of replicas, one member at a time.
+
+A new replica is a learner first, so it delays no commit while it catches up.
+A replica that lost its disk is removed, added as a learner and promoted.
+"""
+
+import expression
+
+from galenahook import errors
+from galenahook import web
+from galenahook.replicas import core as core_lib
+from galenahook.replicas import membership
+from galenahook.replicas import transport
+from galenahook.replicas import wire
+
+_ASK_TIMEOUT_MS = 1_000
+# A learner this close to the leader catches up within one exchange.
+_PROMOTION_LAG_ENTRIES = 1_000
+
+Outcome = expression.Result[membership.Members, wire.MemberChangeRefused]
+
+
+def _refuse(reason: str) -> Outcome:
+    return expression.Error(wire.MemberChangeRefused(reason=reason))
+
+
+async def plan_learner(core: core_lib.Core, name: str, address: str) -> Outcome:
+    """Plans to admit a replica, which must run with an empty folder."""
+    if not _may_change(core):
+        return _refuse("a change of members is not committed yet")
+    if name in core.members.by_name:
+        return _refuse(f"{name} is a member; remove it first")
+    try:
+        status = await transport.call(
+            core.client,
+            address,
+            web.Request("GET", transport.STATUS_TARGET, core.client.headers),
+            wire.ReplicaStatus,
+            _ASK_TIMEOUT_MS,
+        )
+    except errors.ExchangeError as error:
+        return _refuse(f"{name} does not answer: {error}")
+    if status.name != name:
+        return _refuse(f"{address} is replica {status.name}, not {name}")
+    if status.error:
+        return _refuse(f"{name} is unable: {status.error}")
+    if status.cluster not in ("", core.cluster):
+        return _refuse(f"{name} is in another cluster, {status.cluster}")
+    learner = membership.Member(name, address, status.folder, voter=False)
+    return expression.Ok(_with(core.members, learner))
+
+
+def plan_promotion(core: core_lib.Core, name: str) -> Outcome:
+    """Plans to give a learner its vote, once it has caught up."""
+    if not _may_change(core):
+        return _refuse("a change of members is not committed yet")
+    member = core.members.by_name.get(name)
+    peer = core.peers.get(name)
+    if member is None or member.voter or peer is None:
+        return _refuse(f"{name} is no learner")
+    lag = core.log.last_index - peer.synced_index
+    if lag > _PROMOTION_LAG_ENTRIES:
+        return _refuse(f"{name} is {lag} entries behind")
+    if not _answers(core, name):
+        return _refuse(f"{name} does not answer: {peer.error}")
+    voter = membership.Member(name, member.address, member.folder, voter=True)
+    return expression.Ok(_with(core.members, voter))
+
+
+def plan_removal(core: core_lib.Core, name: str) -> Outcome:
+    """Plans to remove a member, if the others can go on without it."""
+    if not _may_change(core):
+        return _refuse("a change of members is not committed yet")
+    if name not in core.members.by_name:
+        return _refuse(f"{name} is no member")
+    rest = {
+        key: member
+        for key, member in core.members.by_name.items()
+        if key != name
+    }
+    members = membership.Members(core.members.index, rest)
+    if not members.voters:
+        return _refuse(f"{name} is the last voter")
+    answering = [m for m in members.voters if _answers(core, m.name)]
+    if len(answering) < members.quorum():
+        return _refuse(
+            f"without {name} a quorum is {members.quorum()}, but only"
+            f" {len(answering)} of the others answer"
+        )
+    return expression.Ok(members)
+
+
+def _may_change(core: core_lib.Core) -> bool:
+    return core.members.index <= core.commit_index
+
+
+def _answers(core: core_lib.Core, name: str) -> bool:
+    if name == core.name:
+        return True
+    peer = core.peers.get(name)
+    if peer is None or peer.acknowledged_sent_ms is None:
+        return False
+    silent_ms = core.now_ms() - peer.acknowledged_sent_ms
+    return silent_ms < core.timing.election_timeout_max_ms
+
+
+def _with(
+    members: membership.Members, member: membership.Member
+) -> membership.Members:
+    by_name = {**members.by_name, member.name: member}
+    return membership.Members(members.index, by_name)
--- a/src/galenahook/replicas/core.py
+++ b/src/galenahook/replicas/core.py
@@ -23,6 +23,7 @@
 from galenahook.replicas import log as log_lib
 from galenahook.replicas import membership
 from galenahook.replicas import notify
+from galenahook.replicas import peers as peers_lib
 from galenahook.replicas import records
 from galenahook.replicas import storage
 
@@ -38,28 +39,6 @@
     LEADER = "leader"
 
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """What a leader knows of another member.
-
-    Attributes:
-      member: The member.
-      next_index: Next index to send.
-      synced_index: Last index known to agree and to be on its disk.
-      acknowledged_sent_ms: When the last request that it answered was sent.
-      connection: Kept connection, or None.
-      error: Why it does not follow, or an empty string.
-    """
-
-    member: membership.Member
-    next_index: int
-    synced_index: int = 0
-    acknowledged_sent_ms: int | None = None
-    connection: web.ClientConnection | None = None
-    error: str = ""
-    wake: notify.Signal = dataclasses.field(default_factory=notify.Signal)
-
-
 @dataclasses.dataclass(slots=True)
 class Waiter:
     """A command whose submitter waits for its result."""
@@ -124,7 +103,7 @@
         self.leader_since_ms = 0
         self.handing_over = False
         self.installing = False
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, peers_lib.Peer] = {}
         self.waiters: dict[int, Waiter] = {}
         self.error: errors.StorageError | None = None
         self.members_history = [membership.Members()]
@@ -287,7 +266,7 @@
             peer = self.peers.get(member.name)
             if peer is None or peer.member.folder != member.folder:
                 next_index = self.log.last_index + 1
-                self.peers[member.name] = Peer(member, next_index)
+                self.peers[member.name] = peers_lib.Peer(member, next_index)
             else:
                 peer.member = member
 
@@ -308,7 +287,19 @@
     async def replace_from(
         self, index: int, entries: Sequence[records.Entry]
     ) -> None:
-        """Replaces a suffix of the log that disagrees with the leader's."""
+        """Replaces a suffix of the log that disagrees with the leader's.
+
+        Raises:
+          errors.StorageError: The suffix is committed, which no leader may
+            change.
+        """
+        if index <= self.commit_index:
+            await self.fail(
+                errors.StorageError(
+                    f"the leader disagrees at committed index {index}"
+                )
+            )
+            raise self.error or errors.StorageError("unable")
         while self.members_history[-1].index >= index:
             self.members_history.pop()
         self.note_members(index, entries)
@@ -325,6 +316,20 @@
             assert isinstance(command, commands.ChangeMembers)
             members = membership.from_command(command, index)
             self.members_history.append(members)
+            if self.role is Role.LEADER:
+                self.refresh_peers()
+
+    def members_at(self, index: int) -> membership.Members:
+        """Returns the group that was in force at an index."""
+        return next(
+            m for m in reversed(self.members_history) if m.index <= index
+        )
+
+    def forget_members_before(self, index: int) -> None:
+        """Forgets groups that were replaced up to an index."""
+        current = self.members_at(index)
+        while self.members_history[0] is not current:
+            self.members_history.pop(0)
 
     async def advance_commit(self, index: int) -> None:
         """Takes an index as committed."""
--- a/src/galenahook/replicas/founding.py
+++ b/src/galenahook/replicas/founding.py
@@ -123,6 +123,7 @@
       errors.StorageError: The folder failed.
     """
     try:
+        await core.log.create()
         await core.save_ballot()
         await curio.run_in_thread(core.folder.join, cluster)
     except OSError as error:
--- a/src/galenahook/replicas/log.py
+++ b/src/galenahook/replicas/log.py
@@ -22,6 +22,7 @@
 
 _MAX_RECORD_ENTRIES = 4_096
 _SEGMENT_PATTERN = "log-*.segment"
+_MARK_FILE = "synced"
 # Number of the segment, synced end in bytes; then a CRC-32.
 _SYNCED_MARK = struct.Struct("<QQ")
 _SYNCED_MARK_BYTES = _SYNCED_MARK.size + 4
@@ -74,6 +75,11 @@
         self._work = notify.Signal()
         self._synced = notify.Signal()
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the folder holds no segment yet."""
+        return not self._segments
+
     @property
     def last_index(self) -> int:
         """Index of the last entry."""
@@ -127,9 +133,10 @@
     def _read_segments(self, folder: pathlib.Path) -> None:
         mark_number, mark_end = self._open_mark(folder)
         paths = sorted(folder.glob(_SEGMENT_PATTERN))
+        self._check_mark(folder, mark_number, paths)
         last: records.Segment | None = None
         for path in paths:
-            number = int(path.stem.partition("-")[2])
+            number = _number_of(path)
             segment = records.read_segment(
                 path,
                 is_last=path == paths[-1],
@@ -144,6 +151,18 @@
             self._reopen_segment(last)
         self.synced_index = self.last_index
 
+    def _check_mark(
+        self,
+        folder: pathlib.Path,
+        number: int,
+        paths: Sequence[pathlib.Path],
+    ) -> None:
+        numbers = [_number_of(path) for path in paths]
+        if number and number not in numbers:
+            raise errors.CorruptLogError(
+                str(_path_of(folder, number)), 0, "the segment is missing"
+            )
+
     def _take_segment(self, number: int, segment: records.Segment) -> None:
         if segment.is_reset or not self._segments:
             self.entries.clear()
@@ -183,7 +202,7 @@
 
     def _open_mark(self, folder: pathlib.Path) -> tuple[int, int]:
         self._mark_descriptor = os.open(
-            folder / "synced", os.O_RDWR | os.O_CREAT, 0o600
+            folder / _MARK_FILE, os.O_RDWR | os.O_CREAT, 0o600
         )
         data = os.pread(self._mark_descriptor, _SYNCED_MARK_BYTES, 0)
         if len(data) != _SYNCED_MARK_BYTES:
@@ -219,16 +238,34 @@
         self._writing_to = min(self._writing_to, index - 1)
         await self.append(entries)
 
-    async def reset(self, index: int, term: int) -> None:
-        """Empties the log, which goes on after a snapshot's last index."""
+    def restart_after(self, index: int, term: int) -> None:
+        """Empties the log before `run` has begun."""
         self.entries.clear()
         self.base_index = index
         self.base_term = term
         self.synced_index = index
         self._writing_to = index
         self._reset = True
+
+    async def reset(self, index: int, term: int) -> None:
+        """Empties the log, which goes on after a snapshot's last index."""
+        self.restart_after(index, term)
         await self._work.notify()
 
+    async def create(self) -> None:
+        """Makes the first segment of an empty log, which is then never absent.
+
+        Raises:
+          errors.StorageError: The log could not be written.
+        """
+        if self.folder is None or self._descriptor >= 0:
+            return
+        await self.reset(0, 0)
+        while self._descriptor < 0 and self.error is None:
+            await self._synced.wait()
+        if self.error is not None:
+            raise self.error
+
     async def wait_synced(self, index: int, timeout_ms: float | None) -> None:
         """Waits until an index is on the disk, the log failed, or a timeout."""
         while self.synced_index < index and self.error is None:
@@ -320,7 +357,7 @@
     ) -> None:
         assert self.folder is not None
         number = self._segments[-1].number + 1 if self._segments else 1
-        path = self.folder / f"log-{number:012d}.segment"
+        path = _path_of(self.folder, number)
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         header = records.encode_segment_header(base_index, base_term, is_reset)
         self.disk.write(descriptor, header, 0)
@@ -336,3 +373,18 @@
         body = _SYNCED_MARK.pack(self._segments[-1].number, self._end)
         data = body + zlib.crc32(body).to_bytes(4, "little")
         os.pwrite(self._mark_descriptor, data, 0)
+
+
+def _path_of(folder: pathlib.Path, number: int) -> pathlib.Path:
+    return folder / f"log-{number:012d}.segment"
+
+
+def _number_of(path: pathlib.Path) -> int:
+    return int(path.stem.partition("-")[2])
+
+
+def delete(folder: pathlib.Path) -> None:
+    """Deletes the log of a folder that belongs to no cluster."""
+    for path in folder.glob(_SEGMENT_PATTERN):
+        path.unlink()
+    (folder / _MARK_FILE).unlink(missing_ok=True)
--- a/src/galenahook/replicas/membership.py
+++ b/src/galenahook/replicas/membership.py
@@ -73,9 +73,16 @@
 
 def from_command(command: commands.ChangeMembers, index: int) -> Members:
     """Returns the group that a command makes."""
+    return from_texts(command.members, command.learners, index)
+
+
+def from_texts(
+    voters: Iterable[str], learners: Iterable[str], index: int
+) -> Members:
+    """Returns the group of members in the form `name=host:port#folder`."""
     members = [
-        *(_parse(text, True) for text in command.members),
-        *(_parse(text, False) for text in command.learners),
+        *(_parse(text, True) for text in voters),
+        *(_parse(text, False) for text in learners),
     ]
     return Members(index, {member.name: member for member in members})
 
--- a/src/galenahook/replicas/node.py
+++ b/src/galenahook/replicas/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 from typing import Any
 
 import curio
@@ -15,17 +16,22 @@
 from galenahook import state as state_lib
 from galenahook import web
 from galenahook.replicas import applier
+from galenahook.replicas import changes
 from galenahook.replicas import core as core_lib
 from galenahook.replicas import election
 from galenahook.replicas import follower
 from galenahook.replicas import founding
 from galenahook.replicas import records
+from galenahook.replicas import recovery
 from galenahook.replicas import replication
+from galenahook.replicas import snapshot
 from galenahook.replicas import status as status_lib
 from galenahook.replicas import storage
+from galenahook.replicas import transfer
 from galenahook.replicas import transport
 from galenahook.replicas import wire
 
+_STOP_TIMEOUT_SECONDS = 2
 _HTTP_CONFLICT = 409
 _HTTP_UNAVAILABLE = 503
 
@@ -49,7 +55,9 @@
         self.core = core_lib.Core(
             settings, client, clock, disk or storage.Disk()
         )
+        self._receiver = transfer.Receiver()
         self._stopping = curio.Event()
+        self._ended = curio.Event()
         self._routes: dict[str, tuple[type, Callable[..., Awaitable[Any]]]] = {
             transport.APPEND_TARGET: (
                 wire.AppendRequest,
@@ -60,6 +68,10 @@
                 wire.HandOver,
                 election.handle_hand_over,
             ),
+            transport.SNAPSHOT_TARGET: (
+                wire.SnapshotChunk,
+                self._receiver.handle_chunk,
+            ),
             transport.FOUND_TARGET: (wire.FoundRequest, founding.handle_found),
         }
 
@@ -78,14 +90,7 @@
         await curio.run_in_thread(self._open)
 
     def _open(self) -> None:
-        core = self.core
-        core.folder.open(core.name)
-        core.log.open()
-        core.note_members(core.log.base_index + 1, core.log.entries)
-        core.term = max(core.folder.ballot.term, core.log.last_term)
-        if core.term == core.folder.ballot.term:
-            core.voted_for = core.folder.ballot.voted_for
-        core.leader_heard_ms = core.timer_ms = core.now_ms()
+        recovery.open_folder(self.core)
 
     async def run(self) -> None:
         """Runs the replica until it is stopped or cancelled."""
@@ -96,6 +101,7 @@
             lambda: election.run(self.core),
             lambda: replication.run(self.core),
             lambda: founding.run(self.core),
+            lambda: snapshot.run(self.core),
         )
         group = curio.TaskGroup(wait=any)
         async with group:
@@ -103,6 +109,7 @@
             for task in tasks:
                 await group.spawn(self._keep, task)
         await curio.run_in_thread(self.core.log.close)
+        await self._ended.set()
         if group.exception is not None:
             raise group.exception
 
@@ -125,6 +132,9 @@
         """Hands leadership over and ends `run`."""
         await replication.hand_over(self.core)
         await self._stopping.set()
+        with contextlib.suppress(curio.TaskTimeout):
+            async with curio.timeout_after(_STOP_TIMEOUT_SECONDS):
+                await self._ended.wait()
 
     # --- Use ------------------------------------------------------------------
 
@@ -138,10 +148,7 @@
           errors.StorageError: The data folder failed; certainly not committed.
         """
         core = self.core
-        if core.error is not None:
-            raise core.error
-        if not core.is_ready_leader():
-            raise errors.NotLeaderError(self.leader_name())
+        self._check_leads()
         waiter = core_lib.Waiter(core.term)
         index = core.log.last_index + 1
         core.waiters[index] = waiter
@@ -189,6 +196,52 @@
         """Returns the state of this replica, for operators."""
         return status_lib.of(self.core)
 
+    # --- Members --------------------------------------------------------------
+
+    async def add_learner(self, name: str, address: str) -> changes.Outcome:
+        """Admits a replica with an empty folder, without a vote yet.
+
+        Raises:
+          errors.GalenahookError: As `submit` does.
+        """
+        self._check_leads()
+        plan = await changes.plan_learner(self.core, name, address)
+        return await self._change_members(plan)
+
+    async def promote(self, name: str) -> changes.Outcome:
+        """Gives a learner that has caught up its vote.
+
+        Raises:
+          errors.GalenahookError: As `submit` does.
+        """
+        self._check_leads()
+        plan = changes.plan_promotion(self.core, name)
+        return await self._change_members(plan)
+
+    async def remove(self, name: str) -> changes.Outcome:
+        """Removes a member; a leader hands its leadership over instead.
+
+        Raises:
+          errors.GalenahookError: As `submit` does.
+        """
+        self._check_leads()
+        plan = changes.plan_removal(self.core, name)
+        if name == self.name and plan.is_ok():
+            await replication.hand_over(self.core)
+            raise errors.NotLeaderError(self.leader_name())
+        return await self._change_members(plan)
+
+    def _check_leads(self) -> None:
+        if self.core.error is not None:
+            raise self.core.error
+        if not self.core.is_ready_leader():
+            raise errors.NotLeaderError(self.leader_name())
+
+    async def _change_members(self, plan: changes.Outcome) -> changes.Outcome:
+        if plan.is_ok():
+            await self.submit(plan.ok.command())
+        return plan
+
     # --- Requests of other replicas -------------------------------------------
 
     async def handle(self, request: web.Request) -> web.Response:
--- a/src/galenahook/replicas/replication.py
+++ b/src/galenahook/replicas/replication.py
@@ -8,22 +8,20 @@
 import curio
 
 from galenahook import errors
-from galenahook import web
 from galenahook.replicas import core as core_lib
 from galenahook.replicas import follower
+from galenahook.replicas import peers as peers_lib
 from galenahook.replicas import transfer
 from galenahook.replicas import transport
 from galenahook.replicas import wire
 
 _MAX_BATCH_BYTES = 256 * 1024
-# An answer takes up to one period when the follower waits for its disk.
-_SILENCE_PERIODS = 2
 _HAND_OVER_POLL_MS = 5
 
 
 async def run(core: core_lib.Core) -> None:
     """Keeps one task for each peer while leading, until cancelled."""
-    tasks: dict[str, tuple[core_lib.Peer, curio.Task]] = {}
+    tasks: dict[str, tuple[peers_lib.Peer, curio.Task]] = {}
     try:
         while True:
             await _adjust_tasks(core, tasks)
@@ -37,7 +35,7 @@
 
 
 async def _adjust_tasks(
-    core: core_lib.Core, tasks: dict[str, tuple[core_lib.Peer, curio.Task]]
+    core: core_lib.Core, tasks: dict[str, tuple[peers_lib.Peer, curio.Task]]
 ) -> None:
     for name, (peer, task) in list(tasks.items()):
         if core.peers.get(name) is not peer:
@@ -57,7 +55,9 @@
         await core.step_down("")
 
 
-async def run_peer(core: core_lib.Core, peer: core_lib.Peer, term: int) -> None:
+async def run_peer(
+    core: core_lib.Core, peer: peers_lib.Peer, term: int
+) -> None:
     """Replicates to one peer while this replica leads in that term."""
     try:
         while core.leads(term):
@@ -67,7 +67,7 @@
                 await _exchange(core, peer)
             except errors.ExchangeError as error:
                 peer.error = str(error)
-                await _drop_connection(peer)
+                await peer.drop_connection()
                 if was_connected:
                     continue
             else:
@@ -76,34 +76,31 @@
     except errors.StorageError:
         return
     finally:
-        await _drop_connection(peer)
+        await peer.drop_connection()
+        peer.close_snapshot()
 
 
 async def _wait_for_work(
-    core: core_lib.Core, peer: core_lib.Peer, sent_ms: int
+    core: core_lib.Core, peer: peers_lib.Peer, sent_ms: int
 ) -> None:
-    if not peer.error and peer.next_index <= core.log.last_index:
+    is_held_up = bool(peer.error) or peer.installing
+    if not is_held_up and peer.next_index <= core.log.last_index:
         return
     elapsed_ms = core.now_ms() - sent_ms
     period_ms = core.timing.heartbeat_period_ms
-    if peer.error:
+    if is_held_up:
         await curio.sleep(max(period_ms - elapsed_ms, 1) / 1000)
     else:
         await peer.wake.wait(period_ms - elapsed_ms)
 
 
-async def _drop_connection(peer: core_lib.Peer) -> None:
-    connection, peer.connection = peer.connection, None
-    if connection is not None:
-        await connection.close()
-
-
-async def _exchange(core: core_lib.Core, peer: core_lib.Peer) -> None:
+async def _exchange(core: core_lib.Core, peer: peers_lib.Peer) -> None:
     previous_index = peer.next_index - 1
     previous_term = core.log.term_at(previous_index)
     if previous_term is None:
-        await transfer.send_snapshot(core, peer)
+        await transfer.send_chunk(core, peer)
         return
+    peer.close_snapshot()
     entries = core.log.batch_from(peer.next_index, _MAX_BATCH_BYTES)
     request = wire.AppendRequest(
         cluster=core.cluster,
@@ -116,50 +113,24 @@
         entries=tuple(follower.to_wire(entry) for entry in entries),
     )
     message = transport.post(core.client, transport.APPEND_TARGET, request)
-    connection = await connect(core, peer)
     sent_ms = core.now_ms()
-    reply = await transport.exchange(
-        connection, message, wire.AppendReply, silence_timeout_ms(core)
-    )
-    if not connection.reusable:
-        await _drop_connection(peer)
+    reply = await peers_lib.exchange(core, peer, message, wire.AppendReply)
     await _take_reply(core, peer, request, reply, sent_ms)
 
 
-def silence_timeout_ms(core: core_lib.Core) -> int:
-    """Time without an answer after which a connection counts as silent."""
-    return core.timing.heartbeat_period_ms * _SILENCE_PERIODS
-
-
-async def connect(
-    core: core_lib.Core, peer: core_lib.Peer
-) -> web.ClientConnection:
-    """Returns the peer's kept connection, or opens one.
-
-    Raises:
-      errors.ExchangeError: It could not be opened.
-    """
-    if peer.connection is None:
-        peer.connection = await web.connect(
-            core.address_of(peer.member), silence_timeout_ms(core), core.clock
-        )
-    return peer.connection
-
-
 async def _take_reply(
     core: core_lib.Core,
-    peer: core_lib.Peer,
+    peer: peers_lib.Peer,
     request: wire.AppendRequest,
     reply: wire.AppendReply,
     sent_ms: int,
 ) -> None:
-    if reply.folder != peer.member.folder:
-        raise errors.ExchangeError("answered for another data folder", True)
     if reply.term > core.term:
         await core.observe_term(reply.term)
     if not core.leads(request.term) or reply.term != request.term:
         return
     peer.acknowledged_sent_ms = sent_ms
+    peer.installing = reply.installing
     if reply.accepted:
         peer.next_index = reply.received + 1
         peer.synced_index = max(peer.synced_index, reply.synced)
@@ -201,7 +172,7 @@
             core.address_of(successor.member),
             transport.post(core.client, transport.HAND_OVER_TARGET, request),
             wire.HandOverReply,
-            silence_timeout_ms(core),
+            peers_lib.silence_timeout_ms(core),
         )
     except errors.ExchangeError:
         return
--- a/src/galenahook/replicas/status.py
+++ b/src/galenahook/replicas/status.py
@@ -1,6 +1,7 @@
 """What a replica tells operators about itself."""
 
 from galenahook.replicas import core as core_lib
+from galenahook.replicas import peers as peers_lib
 from galenahook.replicas import wire
 
 
@@ -38,7 +39,7 @@
     return core.role.value
 
 
-def _peer(core: core_lib.Core, peer: core_lib.Peer) -> wire.PeerStatus:
+def _peer(core: core_lib.Core, peer: peers_lib.Peer) -> wire.PeerStatus:
     sent_ms = peer.acknowledged_sent_ms
     return wire.PeerStatus(
         name=peer.member.name,
--- a/src/galenahook/replicas/wire.py
+++ b/src/galenahook/replicas/wire.py
@@ -118,6 +118,7 @@
       to_folder: Identity of the data folder that it is for.
       term: Term of the leader.
       index: Last index that the snapshot holds.
+      index_term: Term of that index.
       offset: Byte offset of this part.
       data: Bytes of the file.
       last: Whether the file ends here.
@@ -128,6 +129,7 @@
     to_folder: str
     term: int
     index: int
+    index_term: int
     offset: int
     data: bytes
     last: bool
@@ -140,11 +142,13 @@
       folder: Identity of the follower's data folder.
       term: Term of the follower.
       offset: Byte offset that it wants next.
+      complete: Whether it needs nothing more of this snapshot.
     """
 
     folder: str
     term: int
     offset: int
+    complete: bool = False
 
 
 class FoundRequest(messages.Message, frozen=True, kw_only=True):
