Replicas: tests of log, elections and recovery; a group of real replicas

Cause: found while writing them: a single replica's election task spun without yielding (a zero timeout while leading), so the loop never went on. Change: the wait while leading has a fixed bound; the log's write, the ballot and the joining of a cluster can't be abandoned by a cancelled task.

--- /dev/null
+++ b/bench/fakes/replica_group.py
@@ -0,0 +1,255 @@
+"""A group of real replicas in one process, on loopback ports."""
+
+import dataclasses
+import pathlib
+import shutil
+from typing import Any
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
+from galenahook import settings as settings_lib
+from galenahook import web
+from galenahook.replicas import node as node_lib
+from galenahook.replicas import storage
+
+# No client binds to it, so the ports stay free between starts.
+HOST = "127.0.0.11"
+POLL_MS = 5
+KEY = (b"x-galenahook-key", b"key of the site")
+FAST_TIMING = settings_lib.Timing(
+    heartbeat_period_ms=40,
+    election_timeout_min_ms=250,
+    election_timeout_max_ms=500,
+    leader_lease_ms=220,
+)
+
+
+class ReplicaGroupError(errors.GalenahookError):
+    """The group did not do in time what a test waits for."""
+
+
+class FailingDisk(storage.Disk):
+    """A disk that fails on demand.
+
+    Attributes:
+      full: Writes fail, as on a full disk.
+      broken: Syncs fail.
+    """
+
+    __slots__ = ("broken", "full")
+
+    def __init__(self) -> None:
+        self.full = False
+        self.broken = False
+
+    def write(self, descriptor: int, data: bytes, offset: int) -> None:
+        """Writes, or writes a part and fails."""
+        if self.full:
+            super().write(descriptor, data[: len(data) // 2], offset)
+            raise OSError(28, "No space left on device")
+        super().write(descriptor, data, offset)
+
+    def sync(self, descriptor: int) -> None:
+        """Syncs, or fails."""
+        if self.broken:
+            raise OSError(5, "Input/output error")
+        super().sync(descriptor)
+
+
+@dataclasses.dataclass(slots=True)
+class Replica:
+    """One replica of the group.
+
+    Attributes:
+      name: Its name.
+      address: Where it listens, the same after each start.
+      folder: Its data folder.
+      disk: Its disk.
+      node: The running node, or None.
+      server: Its listener while it runs, or None.
+      tasks: Its tasks while it runs.
+    """
+
+    name: str
+    address: str
+    folder: pathlib.Path
+    disk: FailingDisk = dataclasses.field(default_factory=FailingDisk)
+    node: node_lib.Node | None = None
+    server: web.Server | None = None
+    tasks: list[Any] = dataclasses.field(default_factory=list)
+
+
+class ReplicaGroup:
+    """Starts, kills and wipes replicas, and talks to their leader.
+
+    Attributes:
+      replicas: Replicas by name.
+      routes: Address by `(from, to)` where a relay stands on that link.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        names: str = "abc",
+        timing: settings_lib.Timing = FAST_TIMING,
+    ) -> None:
+        self.timing = timing
+        self.clock = clock_lib.Clock()
+        self.replicas: dict[str, Replica] = {}
+        self.routes: dict[tuple[str, str], str] = {}
+        for name in names:
+            self.add(name, folder / name)
+
+    def add(self, name: str, folder: pathlib.Path) -> Replica:
+        """Adds a replica, which is not started yet."""
+        sock = web.listen(f"{HOST}:0")
+        replica = Replica(name, web.bound_address(sock), folder)
+        sock.close()
+        self.replicas[name] = replica
+        return replica
+
+    def settings_of(self, name: str) -> settings_lib.ReplicaSettings:
+        """Returns the settings of a replica."""
+        replica = self.replicas[name]
+        return settings_lib.ReplicaSettings(
+            name=name,
+            site="test",
+            availability_zone="one",
+            peers=settings_lib.Listener(listen=replica.address),
+            platform=settings_lib.Listener(listen=f"{HOST}:0"),
+            replicas={
+                other.name: self.routes.get((name, other.name), other.address)
+                for other in self.replicas.values()
+            },
+            data_folder=str(replica.folder),
+            site_key_file="",
+            timing=self.timing,
+        )
+
+    async def start(self, *names: str) -> None:
+        """Starts replicas, or all of them."""
+        for name in names or self.replicas:
+            await self._start(self.replicas[name])
+
+    async def _start(self, replica: Replica) -> None:
+        client = web.ControlClient(self.clock, [KEY])
+        node = node_lib.Node(
+            self.settings_of(replica.name), client, self.clock, replica.disk
+        )
+        await node.start()
+        replica.node = node
+
+        async def handle(request: web.Request) -> web.Response:
+            if replica.node is not node:
+                raise ConnectionResetError("killed")
+            return await node.handle(request)
+
+        server = web.Server(
+            web.listen(replica.address), handle, web.CONTROL_LIMITS
+        )
+        replica.tasks = [
+            await curio.spawn(server.run, daemon=True),
+            await curio.spawn(node.run, daemon=True),
+        ]
+        replica.server = server
+
+    async def kill(self, *names: str) -> None:
+        """Ends replicas at once, as a VM that fails."""
+        for name in names:
+            replica = self.replicas[name]
+            replica.node = None
+            for task in replica.tasks:
+                await task.cancel()
+            if replica.server is not None:
+                await replica.server.close_listener()
+            replica.server = None
+            replica.tasks = []
+
+    async def stop(self, name: str) -> None:
+        """Stops a replica as planned."""
+        node = self.node(name)
+        await node.stop()
+        await self.kill(name)
+
+    def wipe(self, name: str) -> None:
+        """Loses the disk of a replica that is not running."""
+        shutil.rmtree(self.replicas[name].folder)
+
+    def node(self, name: str) -> node_lib.Node:
+        """Returns a running node."""
+        node = self.replicas[name].node
+        assert node is not None
+        return node
+
+    def nodes(self) -> list[node_lib.Node]:
+        """Returns the running nodes."""
+        nodes = [replica.node for replica in self.replicas.values()]
+        return [node for node in nodes if node is not None]
+
+    def leader(self) -> node_lib.Node | None:
+        """Returns the leader with a valid lease, if there is one."""
+        return next((node for node in self.nodes() if node.may_act()), None)
+
+    async def wait_for_leader(self, timeout_ms: int = 5_000) -> node_lib.Node:
+        """Returns the leader as soon as there is one."""
+        await self.wait_until(lambda: self.leader() is not None, timeout_ms)
+        leader = self.leader()
+        assert leader is not None
+        return leader
+
+    async def wait_until(self, condition: Any, timeout_ms: int = 5_000) -> None:
+        """Waits until a condition holds."""
+        end_ms = self.clock.monotonic_ms() + timeout_ms
+        while not condition():
+            if self.clock.monotonic_ms() > end_ms:
+                states = "\n".join(str(node.status()) for node in self.nodes())
+                raise ReplicaGroupError(f"not in time; replicas:\n{states}")
+            await curio.sleep(POLL_MS / 1000)
+
+    async def claim(self, key: str, timeout_ms: int = 5_000) -> bool:
+        """Claims a key at whichever replica leads, until it is committed."""
+        end_ms = self.clock.monotonic_ms() + timeout_ms
+        while True:
+            leader = await self.wait_for_leader(timeout_ms)
+            try:
+                result = await leader.submit(claim_of(key))
+            except (
+                errors.NotLeaderError,
+                errors.NoQuorumError,
+                errors.StorageError,
+            ):
+                if self.clock.monotonic_ms() > end_ms:
+                    raise
+                continue
+            assert isinstance(result, commands.KeysClaimed)
+            return result.granted[0]
+
+    async def claim_many(self, first: int, count: int) -> None:
+        """Claims numbered keys, many at once."""
+        leader = await self.wait_for_leader()
+        async with curio.TaskGroup() as group:
+            for number in range(first, first + count):
+                await group.spawn(leader.submit, claim_of(f"key-{number}"))
+        assert len(group.results) == count
+
+    async def close(self) -> None:
+        """Ends every replica."""
+        await self.kill(*self.replicas)
+
+
+def run(main: Any, timeout_ms: int = 30_000) -> None:
+    """Runs a test to its end, for a bounded time."""
+
+    async def bounded() -> None:
+        async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+            await main()
+
+    curio.run(bounded)
+
+
+def claim_of(key: str) -> commands.ClaimKeys:
+    """Returns a small command."""
+    return commands.ClaimKeys(entry="entry-1", keys=(key,), at_ms=0)
--- a/src/galenahook/replicas/core.py
+++ b/src/galenahook/replicas/core.py
@@ -223,7 +223,8 @@
             if ballot == self.folder.ballot:
                 return
             try:
-                await curio.run_in_thread(self.folder.save_ballot, ballot)
+                async with curio.disable_cancellation():
+                    await curio.run_in_thread(self.folder.save_ballot, ballot)
             except OSError as error:
                 await self.fail(errors.StorageError(str(error)))
                 raise self.error or error from error
--- a/src/galenahook/replicas/election.py
+++ b/src/galenahook/replicas/election.py
@@ -28,7 +28,7 @@
     timeout_ms = _random_timeout_ms(core)
     while core.error is None:
         if core.role is core_lib.Role.LEADER or not core.is_voter():
-            await core.role_changed.wait(timeout_ms)
+            await core.role_changed.wait(core.timing.election_timeout_min_ms)
             core.timer_ms = core.now_ms()
             timeout_ms = _random_timeout_ms(core)
             continue
--- a/src/galenahook/replicas/founding.py
+++ b/src/galenahook/replicas/founding.py
@@ -125,7 +125,8 @@
     try:
         await core.log.create()
         await core.save_ballot()
-        await curio.run_in_thread(core.folder.join, cluster)
+        async with curio.disable_cancellation():
+            await curio.run_in_thread(core.folder.join, cluster)
     except OSError as error:
         await core.fail(errors.StorageError(str(error)))
         raise errors.StorageError(str(error)) from error
--- a/src/galenahook/replicas/log.py
+++ b/src/galenahook/replicas/log.py
@@ -319,9 +319,10 @@
         base_term = self.term_at(first - 1) or 0
         started_ms = self._clock_ms()
         try:
-            await curio.run_in_thread(
-                self._write, first, base_term, batch, roll or reset, reset
-            )
+            async with curio.disable_cancellation():
+                await curio.run_in_thread(
+                    self._write, first, base_term, batch, roll or reset, reset
+                )
         except OSError as error:
             self.error = errors.StorageError(f"{self.folder}: {error}")
             return
--- a/src/galenahook/replicas/node.py
+++ b/src/galenahook/replicas/node.py
@@ -104,12 +104,14 @@
             lambda: snapshot.run(self.core),
         )
         group = curio.TaskGroup(wait=any)
-        async with group:
-            await group.spawn(self._stopping.wait)
-            for task in tasks:
-                await group.spawn(self._keep, task)
-        await curio.run_in_thread(self.core.log.close)
-        await self._ended.set()
+        try:
+            async with group:
+                await group.spawn(self._stopping.wait)
+                for task in tasks:
+                    await group.spawn(self._keep, task)
+        finally:
+            self.core.log.close()
+            await self._ended.set()
         if group.exception is not None:
             raise group.exception
 
--- a/src/galenahook/replicas/snapshot.py
+++ b/src/galenahook/replicas/snapshot.py
@@ -28,7 +28,7 @@
 MIN_ENTRIES = 10_000
 # A snapshot is due once the log has grown by this share of its records.
 _RECORDS_PER_ENTRY = 4
-_KEPT_ENTRIES = 2_000
+KEPT_ENTRIES = 2_000
 _CHECK_PERIOD_MS = 500
 _SLICE_RECORDS = 256
 _PATTERN = "snapshot-*.state"
@@ -104,7 +104,7 @@
         return count
     core.snapshot_index = header.index
     core.forget_members_before(header.index)
-    obsolete = core.log.compact(header.index, _KEPT_ENTRIES)
+    obsolete = core.log.compact(header.index, KEPT_ENTRIES)
     await curio.run_in_thread(_delete, obsolete)
     if folder is not None:
         await curio.run_in_thread(_delete_older, folder, header.index)
@@ -273,19 +273,25 @@
         header = messages.decode(data, Header)
         state = state_lib.State()
         count = 0
-        for kind, offset, data in parts:  # noqa: B007
+        for kind, offset, data in parts:
             if kind == _END_KIND:
-                break
+                _check_count(path, offset, data, count)
+                continue
             batch = messages.decode(data, list[state_lib.SnapshotRecord])
             for record in batch:
                 state.restore_record(record)
             count += len(batch)
             yield None
-        if messages.decode(data, _End).records != count:
-            raise errors.CorruptLogError(str(path), offset, "records missing")
     yield Loaded(header, state, count)
 
 
+def _check_count(
+    path: pathlib.Path, offset: int, data: bytes, count: int
+) -> None:
+    if messages.decode(data, _End).records != count:
+        raise errors.CorruptLogError(str(path), offset, "records missing")
+
+
 def _read_parts(
     path: pathlib.Path,
 ) -> Generator[tuple[int, int, bytes], None, None]:
--- a/src/galenahook/replicas/transfer.py
+++ b/src/galenahook/replicas/transfer.py
@@ -17,7 +17,7 @@
 from galenahook.replicas import transport
 from galenahook.replicas import wire
 
-_CHUNK_BYTES = 256 * 1024
+CHUNK_BYTES = 256 * 1024
 
 
 async def send_chunk(core: core_lib.Core, peer: peers_lib.Peer) -> None:
@@ -31,7 +31,7 @@
     if sending is None:
         sending = peer.sending = await _open_snapshot(core)
     data = await curio.run_in_thread(
-        os.pread, sending.descriptor, _CHUNK_BYTES, sending.offset
+        os.pread, sending.descriptor, CHUNK_BYTES, sending.offset
     )
     request = wire.SnapshotChunk(
         cluster=core.cluster,
--- /dev/null
+++ b/tests/test_replicas_election.py
@@ -0,0 +1,239 @@
+"""At most one replica may act at a time, and a new one soon takes over."""
+
+import curio
+import msgspec
+import pytest
+
+from fakes import replica_group
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
+from galenahook import web
+from galenahook.replicas import core as core_lib
+from galenahook.replicas import election
+from galenahook.replicas import membership
+from galenahook.replicas import peers
+from galenahook.replicas import records
+from galenahook.replicas import storage
+from galenahook.replicas import wire
+
+MEMBERS = ("a=127.0.0.1:1#fa", "b=127.0.0.1:2#fb", "c=127.0.0.1:3#fc")
+START_MS = 100_000
+
+
+class ManualClock(clock_lib.Clock):
+    def __init__(self):
+        self.now_ms = START_MS
+
+    def monotonic_ms(self):
+        return self.now_ms
+
+
+def make_core(tmp_path):
+    """Returns replica `a` in term 5 with a log that ends at (5, 10)."""
+    group = replica_group.ReplicaGroup(tmp_path)
+    clock = ManualClock()
+    core = core_lib.Core(
+        group.settings_of("a"),
+        web.ControlClient(clock, []),
+        clock,
+        storage.Disk(),
+    )
+    core.folder.open("a")
+    core.folder.identity = msgspec.structs.replace(
+        core.folder.identity, folder="fa", cluster="x"
+    )
+    core.term = 5
+    core.log.entries = [records.Entry(5, b'{"type":"noop"}')] * 10
+    core.log.synced_index = 10
+    core.members_history = [membership.from_texts(MEMBERS, (), 1)]
+    return core, clock
+
+
+def vote_request(**changes):
+    fields = {
+        "cluster": "x",
+        "candidate": "b",
+        "to_folder": "fa",
+        "term": 6,
+        "last_index": 10,
+        "last_term": 5,
+    }
+    return wire.VoteRequest(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    ("silent_ms", "voted_for", "changes", "granted"),
+    [
+        (250, "", {}, True),
+        (249, "", {}, False),
+        (249, "", {"handed_over": True}, True),
+        (249, "", {"handed_over": True, "term": 7}, False),
+        (249, "", {"pre_vote": True}, False),
+        (250, "", {"pre_vote": True}, True),
+        (250, "", {"term": 4}, False),
+        (250, "c", {"term": 5}, False),
+        (250, "b", {"term": 5}, True),
+        (250, "c", {"term": 6}, True),
+        (250, "", {"last_index": 9}, False),
+        (250, "", {"last_index": 20, "last_term": 4}, False),
+        (250, "", {"last_index": 1, "last_term": 6}, True),
+        (250, "", {"last_index": 9, "pre_vote": True}, False),
+    ],
+)
+def test_vote_is_granted_by_rule(
+    tmp_path, silent_ms, voted_for, changes, granted
+):
+    core, clock = make_core(tmp_path)
+    core.voted_for = voted_for
+    clock.now_ms += silent_ms
+    request = vote_request(**changes)
+    reply = curio.run(election.handle_vote, core, request)
+    assert reply.granted is granted
+    if granted and not request.pre_vote:
+        assert core.folder.ballot.term == request.term
+        assert core.folder.ballot.voted_for == "b"
+    if request.pre_vote:
+        assert core.term == 5
+
+
+def test_candidate_with_an_older_log_still_raises_the_term(tmp_path):
+    core, clock = make_core(tmp_path)
+    clock.now_ms += 250
+    request = vote_request(term=9, last_index=9)
+    reply = curio.run(election.handle_vote, core, request)
+    assert (reply.granted, reply.term) == (False, 9)
+
+
+@pytest.mark.parametrize(
+    ("sent_ms", "now_ms", "may_act"),
+    [
+        ({"b": 1_000, "c": 0}, 1_219, True),
+        ({"b": 1_000, "c": 0}, 1_220, False),
+        ({"b": 1_000, "c": 1_100}, 1_319, True),
+        ({"b": None, "c": None}, 1, False),
+        ({"b": None, "c": 1_000}, 1_100, True),
+    ],
+)
+def test_lease_counts_from_when_the_quorum_was_asked(
+    tmp_path, sent_ms, now_ms, may_act
+):
+    core, clock = make_core(tmp_path)
+    core.role = core_lib.Role.LEADER
+    for name, value in sent_ms.items():
+        peer = peers.Peer(core.members.by_name[name], 11)
+        if value is not None:
+            peer.acknowledged_sent_ms = START_MS + value
+        core.peers[name] = peer
+    clock.now_ms = START_MS + now_ms
+    assert core.lease_is_valid() is may_act
+
+
+def test_lease_ends_before_any_follower_votes(tmp_path):
+    core, _ = make_core(tmp_path)
+    core.timing = msgspec.structs.replace(core.timing, leader_lease_ms=10_000)
+    assert core.lease_ms() < core.timing.election_timeout_min_ms
+
+
+async def watch_leaders(group, stop, faults):
+    while not stop.is_set():
+        leaders = [node.name for node in group.nodes() if node.may_act()]
+        if len(leaders) > 1:
+            faults.append(leaders)
+        await curio.sleep(0.001)
+
+
+def test_killed_leader_is_replaced_within_three_seconds(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+    stop, faults = curio.Event(), []
+
+    async def main():
+        await group.start()
+        watch = await curio.spawn(watch_leaders, group, stop, faults)
+        for turn in range(3):
+            leader = await group.wait_for_leader()
+            assert await group.claim(f"before {turn}")
+            term = leader.term()
+            killed_ms = group.clock.monotonic_ms()
+            await group.kill(leader.name)
+            assert await group.claim(f"after {turn}")
+            assert group.clock.monotonic_ms() - killed_ms < 3_000
+            assert not await group.claim(f"before {turn}")
+            new_leader = await group.wait_for_leader()
+            assert new_leader.term() > term
+            await group.start(leader.name)
+        await stop.set()
+        await watch.join()
+        await group.close()
+
+    replica_group.run(main)
+    assert not faults
+
+
+def test_planned_stop_hands_leadership_over(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        started_ms = group.clock.monotonic_ms()
+        await group.stop(leader.name)
+        await group.wait_for_leader()
+        took_ms = group.clock.monotonic_ms() - started_ms
+        assert took_ms < group.timing.election_timeout_min_ms
+        assert await group.claim("after")
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_follower_refuses_and_names_the_leader(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        await group.wait_until(
+            lambda: all(n.leader_name() == leader.name for n in group.nodes())
+        )
+        follower = next(n for n in group.nodes() if n is not leader)
+        with pytest.raises(errors.NotLeaderError) as caught:
+            await follower.submit(commands.Noop())
+        assert caught.value.leader == leader.name
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_leader_without_a_quorum_stops_acting(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        others = [name for name in group.replicas if name != leader.name]
+        await group.kill(*others)
+        await group.wait_until(lambda: not leader.may_act(), 1_000)
+        with pytest.raises((errors.NoQuorumError, errors.NotLeaderError)):
+            await leader.submit(replica_group.claim_of("unsure"))
+        await group.wait_until(lambda: not leader.is_leader(), 2_000)
+        await group.start(*others)
+        assert await group.claim("later")
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_single_replica_leads_at_once_without_a_folder(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path, "a")
+    group.replicas["a"].folder = ""
+
+    async def main():
+        started_ms = group.clock.monotonic_ms()
+        await group.start()
+        assert await group.claim("only")
+        assert group.clock.monotonic_ms() - started_ms < 500
+        await group.close()
+
+    replica_group.run(main)
+    assert not list(tmp_path.iterdir())
--- /dev/null
+++ b/tests/test_replicas_log.py
@@ -0,0 +1,191 @@
+"""The log keeps what it synced, and tells a torn tail from real damage."""
+
+import curio
+import pytest
+
+from fakes import replica_group
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook.replicas import log as log_lib
+from galenahook.replicas import records
+from galenahook.replicas import storage
+
+
+def entries_of(*texts, term=1):
+    return [records.Entry(term, text.encode()) for text in texts]
+
+
+def texts_of(log):
+    return [entry.data.decode() for entry in log.entries]
+
+
+def open_log(folder, disk=None):
+    clock = clock_lib.Clock()
+    log = log_lib.Log(folder, disk or storage.Disk(), clock.monotonic_ms)
+    log.open()
+    return log
+
+
+async def write_batches(log, *batches):
+    task = await curio.spawn(log.run)
+    for batch in batches:
+        await log.wait_synced(await log.append(batch), None)
+    await task.cancel()
+    log.close()
+
+
+def write(folder, *batches, disk=None):
+    log = open_log(folder, disk)
+    curio.run(write_batches, log, *batches)
+    return log
+
+
+def only_segment(folder):
+    (path,) = folder.glob("log-*")
+    return path
+
+
+def three_records(folder):
+    """Writes three records and returns their offsets and the file's end."""
+    write(
+        folder, entries_of("one"), entries_of("two", "three"), entries_of("4")
+    )
+    segment = records.read_segment(only_segment(folder), True, 0)
+    return [record.offset for record in segment.records] + [segment.end]
+
+
+def forget_mark(folder):
+    """Leaves the mark as after a power loss, before it was written."""
+    (folder / "synced").unlink()
+
+
+def test_commands_appended_during_a_sync_share_the_next_one(tmp_path):
+    log = open_log(tmp_path)
+
+    async def main():
+        task = await curio.spawn(log.run)
+        for number in range(500):
+            await log.append(entries_of(f"entry {number}"))
+        await log.wait_synced(500, None)
+        await task.cancel()
+
+    curio.run(main)
+    assert log.syncs <= 3
+    log.close()
+    assert len(open_log(tmp_path).entries) == 500
+
+
+def test_torn_tail_is_cut_off_at_every_byte(tmp_path):
+    offsets = three_records(tmp_path)
+    path = only_segment(tmp_path)
+    whole = path.read_bytes()
+    for end in range(offsets[2], offsets[3]):
+        path.write_bytes(whole[:end])
+        forget_mark(tmp_path)
+        log = open_log(tmp_path)
+        assert texts_of(log) == ["one", "two", "three"]
+        log.close()
+        assert len(path.read_bytes()) == offsets[2]
+
+
+@pytest.mark.parametrize(
+    ("record", "shift"),
+    [(0, 1), (0, 16), (0, 22), (0, 30), (1, 2), (1, 20), (1, 40)],
+)
+def test_damage_before_the_tail_refuses_to_start(tmp_path, record, shift):
+    offsets = three_records(tmp_path)
+    path = only_segment(tmp_path)
+    data = bytearray(path.read_bytes())
+    data[offsets[record] + shift] ^= 0x10
+    path.write_bytes(data)
+    forget_mark(tmp_path)
+    with pytest.raises(errors.CorruptLogError) as caught:
+        open_log(tmp_path)
+    assert caught.value.path == str(path)
+    assert caught.value.offset == offsets[record]
+
+
+@pytest.mark.parametrize("cut", [0, 1, 20])
+def test_damage_to_a_synced_tail_refuses_to_start(tmp_path, cut):
+    offsets = three_records(tmp_path)
+    path = only_segment(tmp_path)
+    data = bytearray(path.read_bytes())
+    data[-1] ^= 0x10
+    path.write_bytes(data[: len(data) - cut])
+    with pytest.raises(errors.CorruptLogError) as caught:
+        open_log(tmp_path)
+    assert caught.value.offset == offsets[2]
+
+
+def test_missing_segment_refuses_to_start(tmp_path):
+    three_records(tmp_path)
+    only_segment(tmp_path).unlink()
+    with pytest.raises(errors.CorruptLogError):
+        open_log(tmp_path)
+
+
+def test_replaced_suffix_stays_replaced(tmp_path):
+    write(tmp_path, entries_of("one", "two", "three"))
+    log = open_log(tmp_path)
+
+    async def main():
+        task = await curio.spawn(log.run)
+        await log.replace_from(2, entries_of("other", term=2))
+        await log.wait_synced(2, None)
+        await task.cancel()
+
+    curio.run(main)
+    log.close()
+    again = open_log(tmp_path)
+    assert texts_of(again) == ["one", "other"]
+    assert again.last_term == 2
+
+
+def test_log_goes_on_after_segments_were_dropped(tmp_path):
+    log = open_log(tmp_path)
+
+    async def main():
+        task = await curio.spawn(log.run)
+        for number in range(1, 7):
+            if number in (3, 5):
+                log.start_segment()
+            index = await log.append(entries_of(str(number)))
+            await log.wait_synced(index, None)
+        await task.cancel()
+
+    curio.run(main)
+    for path in log.compact(4, keep=1):
+        path.unlink()
+    assert (log.base_index, texts_of(log)) == (3, ["4", "5", "6"])
+    log.close()
+    again = open_log(tmp_path)
+    assert (again.base_index, texts_of(again)) == (4, ["5", "6"])
+
+
+@pytest.mark.parametrize("fault", ["full", "broken"])
+def test_failed_disk_acknowledges_nothing_more(tmp_path, fault):
+    write(tmp_path, entries_of("kept"))
+    disk = replica_group.FailingDisk()
+    log = open_log(tmp_path, disk)
+    setattr(disk, fault, True)
+    curio.run(write_batches, log, entries_of("lost"))
+    assert log.synced_index == 1
+    assert log.error is not None
+    assert str(tmp_path) in str(log.error)
+    assert texts_of(open_log(tmp_path))[0] == "kept"
+
+
+def test_last_record_is_written_again_at_the_start(tmp_path):
+    """After a failed sync the kernel may hold what the disk does not."""
+    offsets = three_records(tmp_path)
+
+    class Spy(storage.Disk):
+        written: list[int] = []
+
+        def write(self, descriptor, data, offset):
+            self.written.append(offset)
+            super().write(descriptor, data, offset)
+
+    log = open_log(tmp_path, Spy())
+    assert Spy.written == [offsets[2]]
+    log.close()
--- /dev/null
+++ b/tests/test_replicas_recovery.py
@@ -0,0 +1,222 @@
+"""Restarts, lost disks, full disks and late replicas lose nothing accepted."""
+
+import curio
+import pytest
+
+from fakes import replica_group
+from galenahook import errors
+from galenahook.replicas import snapshot
+from galenahook.replicas import transfer
+
+
+def keys_of(node):
+    return set(node.state.claims.records)
+
+
+async def repair(group, name):
+    """Does what an operator does after a replica lost its disk."""
+    leader = await group.wait_for_leader()
+    assert (await leader.remove(name)).is_ok()
+    address = group.replicas[name].address
+    assert (await leader.add_learner(name, address)).is_ok()
+    end_ms = group.clock.monotonic_ms() + 5_000
+    while not (await leader.promote(name)).is_ok():
+        assert group.clock.monotonic_ms() < end_ms
+        await curio.sleep(0.02)
+
+
+async def other_than(group, *names):
+    """Returns a name that is none of these and does not lead."""
+    leader = await group.wait_for_leader()
+    taken = {leader.name, *names}
+    return next(name for name in group.replicas if name not in taken)
+
+
+def test_restart_of_all_replicas_keeps_everything(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        await group.claim_many(0, 200)
+        await group.kill("a", "b", "c")
+        await group.start()
+        await group.wait_for_leader()
+        for number in (0, 199):
+            assert not await group.claim(f"key-{number}")
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_lost_disk_does_not_vote_before_it_is_admitted(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        await group.claim_many(0, 20)
+        lost = await other_than(group)
+        await group.kill(lost)
+        group.wipe(lost)
+        await group.start(lost)
+        leader = await group.wait_for_leader()
+        rest = [n for n in group.replicas if n not in (lost, leader.name)]
+        await group.kill(*rest)
+        await group.wait_until(lambda: not leader.is_leader())
+        await curio.sleep(3 * group.timing.election_timeout_max_ms / 1000)
+        assert group.leader() is None
+        assert group.node(lost).status().role == "waiting"
+        assert group.node(lost).status().cluster == ""
+        await group.start(*rest)
+        await repair(group, lost)
+        await group.wait_until(lambda: len(keys_of(group.node(lost))) == 20)
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_two_losses_in_a_row_the_second_right_after_the_repair(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        await group.claim_many(0, 50)
+        first = await other_than(group)
+        await group.kill(first)
+        group.wipe(first)
+        await group.start(first)
+        await repair(group, first)
+        assert await group.claim("between")
+        second = (await group.wait_for_leader()).name
+        await group.kill(second)
+        group.wipe(second)
+        await group.start(second)
+        assert await group.claim("after")
+        assert not await group.claim("between")
+        await repair(group, second)
+        expected = {f"key-{n}" for n in range(50)} | {"between", "after"}
+        await group.wait_until(
+            lambda: all(keys_of(node) == expected for node in group.nodes())
+        )
+        clusters = {node.status().cluster for node in group.nodes()}
+        assert len(clusters) == 1
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_lost_disks_found_no_second_cluster(tmp_path):
+    """The founder and another lose their disks while the third is away."""
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        await group.claim_many(0, 5)
+        await group.kill("a", "b", "c")
+        group.wipe("a")
+        group.wipe("b")
+        await group.start("a", "b")
+        await curio.sleep(1)
+        assert [n.status().role for n in group.nodes()] == ["waiting"] * 2
+        await group.start("c")
+        await curio.sleep(1)
+        assert group.leader() is None
+        assert not group.node("a").status().cluster
+        assert not group.node("b").status().cluster
+        await group.close()
+
+    replica_group.run(main)
+
+
+@pytest.mark.parametrize("fault", ["full", "broken"])
+def test_leader_with_a_failed_disk_steps_down(tmp_path, fault):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        await group.claim_many(0, 20)
+        leader = await group.wait_for_leader()
+        disk = group.replicas[leader.name].disk
+        setattr(disk, fault, True)
+        with pytest.raises((errors.NoQuorumError, errors.StorageError)):
+            await leader.submit(replica_group.claim_of("in flight"))
+        assert not leader.is_leader()
+        assert leader.status().role == "unable"
+        assert str(tmp_path) in leader.status().error
+        with pytest.raises(errors.StorageError):
+            await leader.submit(replica_group.claim_of("refused"))
+        assert await group.claim("elsewhere")
+        setattr(disk, fault, False)
+        await group.kill(leader.name)
+        await group.start(leader.name)
+        expected = {f"key-{number}" for number in range(20)}
+        await group.wait_until(
+            lambda: expected | {"elsewhere"} <= keys_of(group.node(leader.name))
+        )
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_late_replica_gets_the_snapshot_in_chunks(tmp_path, monkeypatch):
+    monkeypatch.setattr(snapshot, "MIN_ENTRIES", 300)
+    monkeypatch.setattr(snapshot, "KEPT_ENTRIES", 50)
+    monkeypatch.setattr(transfer, "CHUNK_BYTES", 1_000)
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        late = await other_than(group)
+        await group.kill(late)
+        await group.claim_many(0, 1_000)
+        leader = await group.wait_for_leader()
+        await group.wait_until(lambda: leader.status().first_index > 500)
+        await group.start(late)
+        await group.claim_many(1_000, 100)
+        await group.wait_until(lambda: len(keys_of(group.node(late))) == 1_100)
+        assert group.node(late).status().snapshot_index > 0
+        await group.kill("a", "b", "c")
+        await group.start()
+        await group.wait_for_leader()
+        await group.wait_until(
+            lambda: all(len(keys_of(node)) == 1_100 for node in group.nodes())
+        )
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_removal_that_would_end_the_quorum_is_refused(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        down = await other_than(group)
+        up = await other_than(group, down)
+        await group.kill(down)
+        await group.wait_until(
+            lambda: any(
+                peer.name == down and peer.silent_ms > 500
+                for peer in leader.status().peers
+            )
+        )
+        refused = await leader.remove(up)
+        assert refused.is_error()
+        assert "quorum" in refused.error.reason
+        assert (await leader.remove(down)).is_ok()
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_folder_of_another_replica_is_refused(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start("a")
+        await group.close()
+        group.replicas["b"].folder = group.replicas["a"].folder
+        with pytest.raises(errors.StorageError):
+            await group.start("b")
+
+    replica_group.run(main)
