--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
-export PYTHONPATH = $(CURDIR)/src
+export PYTHONPATH = $(CURDIR)/src:$(CURDIR)/bench
 
 .PHONY: setup demo test bench capacity fuzz format check lock
 
@@ -13,7 +13,7 @@
 	touch $(VENV)/.ready
 
 demo: setup
-	$(BIN)/python examples/demo.py
+	$(BIN)/python examples/demo.py $(ARGUMENTS)
 
 test: setup
 	$(BIN)/python -m pytest $(TESTS)
@@ -22,10 +22,10 @@
 	$(BIN)/python -m pytest tests/test_fuzz.py --hypothesis-seed=$(or $(SEED),0) --fuzz-steps=$(or $(STEPS),2000)
 
 bench: setup
-	$(BIN)/python bench/run.py
+	$(BIN)/python -m run $(ARGUMENTS)
 
 capacity: setup
-	$(BIN)/python bench/capacity.py
+	$(BIN)/python -m capacity $(ARGUMENTS)
 
 format: setup
 	$(BIN)/ruff format .
--- /dev/null
+++ b/src/galenahook/entries.py
@@ -0,0 +1,72 @@
+"""The leader's view of the entries: their leases and revisions."""
+
+import dataclasses
+
+from galenahook import clock as clock_lib
+from galenahook import defaults
+from galenahook import messages
+
+
+@dataclasses.dataclass(slots=True)
+class EntryRecord:
+    """One entry as the leader knows it.
+
+    Attributes:
+      name: Name of the entry.
+      incarnation: Incarnation of its last update.
+      sequence: Sequence number of its last update.
+      availability_zone: Where it stands.
+      revision: Revision that it was last given.
+      lease_end_ms: Monotonic time after which it surely holds no lease.
+      leaving: Whether it drains.
+    """
+
+    name: str
+    incarnation: str
+    sequence: int
+    availability_zone: str
+    revision: int
+    lease_end_ms: int
+    leaving: bool
+
+
+class EntryRegistry:
+    """Every entry that has updated this leader.
+
+    Attributes:
+      records: Entries by name.
+      unknown_until_ms: Until then, entries that have not updated this leader
+        may hold leases from an earlier one.
+    """
+
+    def __init__(self, clock: clock_lib.Clock, lease_ms: int) -> None:
+        self.records: dict[str, EntryRecord] = {}
+        self._clock = clock
+        self._lease_ms = lease_ms
+        self.unknown_until_ms = self._lease_end_ms()
+
+    def renew(self, update: messages.EntryUpdate) -> None:
+        """Records an update that is about to be answered with a lease."""
+        self.records[update.entry] = EntryRecord(
+            name=update.entry,
+            incarnation=update.incarnation,
+            sequence=update.sequence,
+            availability_zone=update.availability_zone,
+            revision=update.revision,
+            lease_end_ms=self._lease_end_ms(),
+            leaving=update.leaving,
+        )
+
+    def in_force_everywhere(self, revision: int) -> bool:
+        """Whether no entry can still act on an earlier revision."""
+        now_ms = self._clock.monotonic_ms()
+        if now_ms < self.unknown_until_ms:
+            return False
+        return all(
+            record.revision >= revision or record.lease_end_ms <= now_ms
+            for record in self.records.values()
+        )
+
+    def _lease_end_ms(self) -> int:
+        margin_ms = self._lease_ms * defaults.CLOCK_RATE_MARGIN_PERCENT // 100
+        return self._clock.monotonic_ms() + self._lease_ms + margin_ms + 1
--- /dev/null
+++ b/src/galenahook/process.py
@@ -0,0 +1,86 @@
+"""What every daemon shares: the site's key and the run until a planned stop."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+from typing import Protocol
+
+import curio
+
+from galenahook import signals
+
+KEY_HEADER = b"x-galenahook-key"
+
+
+Part = Callable[[], Awaitable[None]]
+
+
+class Parts:
+    """The tasks of a daemon; when one of them fails, the daemon stops.
+
+    Attributes:
+      stop: Set to stop the daemon.
+      failure: First exception that ended a part, if any.
+    """
+
+    def __init__(self, stop: curio.Event) -> None:
+        self.stop = stop
+        self.failure: Exception | None = None
+        self._tasks: list[curio.Task] = []
+
+    async def start(self, *parts: Part) -> None:
+        """Starts each part as a task of its own."""
+        for part in parts:
+            task = await curio.spawn(self._run_part, part, daemon=True)
+            self._tasks.append(task)
+
+    async def _run_part(self, part: Part) -> None:
+        try:
+            await part()
+        except Exception as error:
+            self.failure = self.failure or error
+            await self.stop.set()
+
+    async def cancel(self) -> None:
+        """Cancels every part, the last one started first.
+
+        A failure that stopped the daemon is raised again here.
+        """
+        for task in reversed(self._tasks):
+            await task.cancel()
+        if self.failure is not None:
+            raise self.failure
+
+
+class Process(Protocol):
+    """A daemon."""
+
+    async def run(self, stop: curio.Event) -> None:
+        """Runs until `stop` is set, then stops gracefully and returns."""
+
+
+def read_key(path: str) -> bytes:
+    """Reads the key that the site's processes share."""
+    return pathlib.Path(path).read_bytes().strip()
+
+
+def run(process: Process) -> None:
+    """Runs a daemon until SIGTERM or SIGINT.
+
+    An exception of the daemon is raised again here.
+    """
+    curio.run(_run_until_signal, process)
+
+
+async def _run_until_signal(process: Process) -> None:
+    stop = curio.Event()
+    watcher = await curio.spawn(_set_on_signal, stop, daemon=True)
+    try:
+        await process.run(stop)
+    finally:
+        await watcher.cancel()
+
+
+async def _set_on_signal(stop: curio.Event) -> None:
+    await signals.wait_for_stop()
+    await stop.set()
--- /dev/null
+++ b/src/galenahook/replica.py
@@ -0,0 +1,172 @@
+"""The replica daemon: the log, the state and, while it leads, the leader."""
+
+import hmac
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import leader as leader_lib
+from galenahook import leader_client
+from galenahook import logs
+from galenahook import messages
+from galenahook import process
+from galenahook import settings as settings_lib
+from galenahook import web
+from galenahook.operators import handler as operators_handler
+from galenahook.platform import health as health_lib
+from galenahook.replicas import node as node_lib
+
+_LEADERSHIP_POLL_MS = 20
+
+
+class Replica:
+    """One replica process.
+
+    Attributes:
+      settings: Its settings.
+      node: Its part of the consensus.
+      leader: The leader of this term while this replica leads, else None.
+    """
+
+    def __init__(
+        self, settings: settings_lib.ReplicaSettings, clock: clock_lib.Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.key = process.read_key(settings.site_key_file)
+        self.client = web.ControlClient(clock, [(process.KEY_HEADER, self.key)])
+        self.node = node_lib.Node(settings, self.client, clock)
+        self.leader: leader_lib.Leader | None = None
+        self.peers_server = web.Server(
+            web.listen(settings.peers.listen),
+            self.handle,
+            web.CONTROL_LIMITS,
+        )
+        self.health = health_lib.Health(self._is_ready)
+        self.platform_server = web.Server(
+            web.listen(settings.platform.listen),
+            self.health.handle,
+            web.CONTROL_LIMITS,
+        )
+
+    async def run(self, stop: curio.Event) -> None:
+        """Runs until `stop` is set, then hands over and returns.
+
+        Raises:
+          errors.StorageError: The data folder can't be used.
+        """
+        await self.node.start()
+        parts = process.Parts(stop)
+        await parts.start(
+            self.node.run,
+            self._follow_leadership,
+            self.peers_server.run,
+            self.platform_server.run,
+        )
+        await stop.wait()
+        await self.node.stop()
+        await parts.cancel()
+        await self.client.close()
+
+    async def _follow_leadership(self) -> None:
+        while True:
+            await self._wait_until_leading(True)
+            leader = leader_lib.Leader(
+                self.node, self.client, self.settings.timing, self.clock
+            )
+            self.leader = leader
+            try:
+                await self._run_leader(leader)
+            finally:
+                self.leader = None
+
+    async def _run_leader(self, leader: leader_lib.Leader) -> None:
+        ended = curio.Event()
+        parts = process.Parts(ended)
+        await parts.start(leader.run, self._end_when_deposed(ended))
+        try:
+            await ended.wait()
+        finally:
+            await parts.cancel()
+
+    def _end_when_deposed(self, ended: curio.Event) -> process.Part:
+        async def watch() -> None:
+            await self._wait_until_leading(False)
+            await ended.set()
+
+        return watch
+
+    async def _wait_until_leading(self, wanted: bool) -> None:
+        term = self.node.term()
+        while self.node.is_leader() is not wanted:
+            if not wanted and self.node.term() != term:
+                return
+            await curio.sleep(clock_lib.seconds(_LEADERSHIP_POLL_MS))
+
+    def _is_ready(self) -> bool:
+        return bool(self.node.leader_name())
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers a request of an entry or of another replica."""
+        if not hmac.compare_digest(
+            request.header(process.KEY_HEADER), self.key
+        ):
+            return web.refusal(403, "the site's shared key is missing")
+        if request.target.startswith("/v1/replicas/"):
+            return await self.node.handle(request)
+        leader = self.leader
+        if leader is None or not self.node.is_leader():
+            return self._not_leader()
+        try:
+            return await self._handle_as_leader(leader, request)
+        except errors.InvalidInputError as error:
+            return web.json_response(
+                messages.Refusal(
+                    reason="invalid message", findings=tuple(error.findings)
+                ),
+                400,
+            )
+        except errors.NotLeaderError:
+            return self._not_leader()
+        except (errors.NoQuorumError, errors.StorageError) as error:
+            return web.refusal(leader_client.STATUS_NO_QUORUM, str(error))
+
+    async def _handle_as_leader(
+        self, leader: leader_lib.Leader, request: web.Request
+    ) -> web.Response:
+        match request.target:
+            case "/v1/entry/update":
+                update = messages.decode(request.body, messages.EntryUpdate)
+                return web.json_response(await leader.update(update))
+            case "/v1/entry/report":
+                report = messages.decode(request.body, messages.AttemptReport)
+                return web.json_response(await leader.report(report))
+            case "/v1/entry/claim":
+                claim = messages.decode(request.body, messages.ClaimKeys)
+                return web.json_response(await leader.claim(claim))
+            case target if target.startswith("/v1/operators/"):
+                operators = operators_handler.OperatorHandler(
+                    leader, self.settings, self.clock
+                )
+                return await operators.handle(request)
+            case _:
+                return web.refusal(404, "no such route")
+
+    def _not_leader(self) -> web.Response:
+        name = self.node.leader_name()
+        known = "" if name == self.settings.name else name
+        return web.json_response(
+            messages.NotLeader(leader=known),
+            leader_client.STATUS_NOT_LEADER,
+        )
+
+
+def run(settings: settings_lib.ReplicaSettings) -> None:
+    """Runs a replica until SIGTERM or SIGINT.
+
+    Raises:
+      errors.StorageError: The data folder can't be used.
+    """
+    logs.start(settings.name, settings.log_file)
+    process.run(Replica(settings, clock_lib.Clock()))
