--- /dev/null
+++ b/src/galenahook/callers/handler.py
@@ -0,0 +1,222 @@
+"""Handles callers' requests from their arrival to their outcome."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import messages
+from galenahook import web
+from galenahook.callers import admission as admission_lib
+from galenahook.callers import attempts
+from galenahook.callers import calls
+from galenahook.callers import claimant as claimant_lib
+from galenahook.platform import metrics as metrics_lib
+from galenahook.upstreams import routing
+from galenahook.upstreams import view as view_lib
+
+MAX_ATTEMPTS = 3
+PUMP_PERIOD_MS = 20
+REAP_PERIOD_MS = 1_000
+
+
+class Outcome(enum.Enum):
+    """What the caller is told about its request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class CallerHandler:
+    """Handles the requests of callers at one entry.
+
+    Attributes:
+      view: The entry's lease, configuration and slots.
+      router: Chooses executors.
+      admission: Queues of the services.
+    """
+
+    def __init__(
+        self,
+        view: view_lib.EntryView,
+        router: routing.Router,
+        claim_keys: claimant_lib.ClaimFunction,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self.view = view
+        self.router = router
+        self.admission = admission_lib.Admission(router, clock)
+        self._attempter = attempts.Attempter(router, clock)
+        self._claimant = claimant_lib.Claimant(claim_keys)
+        self._clock = clock
+        self._metrics = metrics
+        self._handled = 0
+        self._pump_started = False
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers one request; never raises an ordinary exception."""
+        await self._start_pump()
+        self._handled += 1
+        identifier = (
+            f"{self.view.name}-{self.view.incarnation[:8]}-{self._handled}"
+        )
+        started_ms = self._clock.monotonic_ms()
+        parsed = calls.parse(request, identifier, self._clock)
+        if parsed.is_error():
+            response = _refuse(400, parsed.error)
+        else:
+            response = await self._handle_safely(parsed.ok)
+        response.headers.append(
+            (calls.REQUEST_HEADER, identifier.encode("ascii"))
+        )
+        elapsed_ms = self._clock.monotonic_ms() - started_ms
+        self._count(response, elapsed_ms)
+        return response
+
+    def _count(self, response: web.Response, elapsed_ms: int) -> None:
+        outcome = response.header(calls.OUTCOME_HEADER).decode("ascii")
+        self._metrics.increment(f"requests.{outcome}")
+        self._metrics.timing(f"requests.{outcome}_ms", elapsed_ms)
+
+    async def _handle_safely(self, call: calls.Call) -> web.Response:
+        try:
+            return await self._route(call)
+        except Exception:  # A fault of ours must still tell the outcome.
+            self._metrics.increment("requests.faults")
+            return _failure(call, 500, "internal error")
+
+    async def _route(self, call: calls.Call) -> web.Response:
+        if not self.view.may_start():
+            return _refuse(503, "this entry holds no lease")
+        routes = self.view.configuration.routes
+        route = calls.find_route(call.request.target, routes)
+        if route is None:
+            return _refuse(404, "no service has this route")
+        demand = self.view.demand(route.service)
+        demand.add()
+        try:
+            return await self._admit(call, route)
+        finally:
+            demand.remove()
+
+    async def _admit(
+        self, call: calls.Call, route: messages.ServiceRoute
+    ) -> web.Response:
+        entered = await self.admission.enter(call, route)
+        if entered.is_error():
+            return _refuse(entered.error.status, entered.error.reason)
+        place = entered.ok
+        if call.key:
+            refusal = await self._claim(call, place)
+            if refusal is not None:
+                return refusal
+        return await self._run(call, route, place)
+
+    async def _claim(
+        self, call: calls.Call, place: admission_lib.Place
+    ) -> web.Response | None:
+        key = f"{place.route.service}:{call.key}"
+        try:
+            granted = await self._claimant.claim(key)
+        except errors.GalenahookError as error:
+            self.admission.leave(place)
+            return _refuse(503, f"the key could not be claimed: {error}")
+        except BaseException:
+            self.admission.leave(place)
+            raise
+        if not granted:
+            self.admission.leave(place)
+            return _refuse(409, "duplicate")
+        return None
+
+    async def _run(
+        self,
+        call: calls.Call,
+        route: messages.ServiceRoute,
+        place: admission_lib.Place,
+    ) -> web.Response:
+        self.router.earn_retry(route.service)
+        reason = ""
+        for number in range(1, MAX_ATTEMPTS + 1):
+            waited = await self.admission.wait(place)
+            if waited.is_error():
+                return _failure(call, 503, waited.error.reason)
+            executor = waited.ok
+            result = await self._attempt(call, executor)
+            match result:
+                case attempts.Answered(response=response):
+                    return _answer(response)
+                case attempts.Unsent(reason=reason):
+                    pass
+                case attempts.Uncertain(reason=reason):
+                    if not call.repeatable:
+                        return _failure(call, 504, reason)
+            if number == MAX_ATTEMPTS:
+                break
+            if not self.router.spend_retry(route.service):
+                reason = f"{reason}; no retry left in the budget"
+                break
+            place = self.admission.enter_again(place, executor)
+        return _failure(call, 502, reason)
+
+    async def _attempt(
+        self, call: calls.Call, executor: view_lib.Executor
+    ) -> attempts.Result:
+        try:
+            return await self._attempter.attempt(call, executor)
+        finally:
+            await self.admission.dispatch(executor.address.service)
+
+    async def _start_pump(self) -> None:
+        if not self._pump_started:
+            self._pump_started = True
+            await curio.spawn(
+                self._every, PUMP_PERIOD_MS, self._pump, daemon=True
+            )
+            await curio.spawn(
+                self._every, REAP_PERIOD_MS, self._reap, daemon=True
+            )
+
+    async def _every(
+        self, period_ms: int, action: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await curio.sleep(clock_lib.seconds(period_ms))
+            await action()
+
+    async def _pump(self) -> None:
+        """Hands out slots that came with new grants or after an ejection."""
+        if self.admission.waiting:
+            await self.admission.dispatch_all()
+
+    async def _reap(self) -> None:
+        await self.router.pool.reap()
+
+
+def _answer(response: web.Response) -> web.Response:
+    headers = calls.end_to_end(response.headers)
+    answer = web.Response(response.status, headers, response.body)
+    return _with_outcome(answer, Outcome.ANSWERED)
+
+
+def _refuse(status: int, reason: str) -> web.Response:
+    return _with_outcome(web.refusal(status, reason), Outcome.NOT_RUN)
+
+
+def _failure(call: calls.Call, status: int, reason: str) -> web.Response:
+    """Builds the answer of a request that failed after its admission."""
+    if call.may_have_run:
+        status = 504 if status == 503 else status
+        return _with_outcome(web.refusal(status, reason), Outcome.UNKNOWN)
+    return _refuse(503, reason)
+
+
+def _with_outcome(response: web.Response, outcome: Outcome) -> web.Response:
+    value = outcome.value.encode("ascii")
+    response.headers.append((calls.OUTCOME_HEADER, value))
+    return response
--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -285,6 +285,8 @@
       held: Slots that the entry may use; it never exceeds them.
       busy: Requests in flight.
       wanted: Most slots wanted at once since the last update.
+      abandoned: Requests given up, since the entry started, that may still
+        run there; their slots are no longer among the held.
     """
 
     executor: str
@@ -292,6 +294,7 @@
     held: int
     busy: int
     wanted: int
+    abandoned: int = 0
 
 
 class EntryUpdate(Message, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/galenahook/upstreams/pool.py
@@ -0,0 +1,222 @@
+"""Pooled connections from an entry to executors.
+
+A connection carries one request at a time. Whatever is not a whole, clean
+exchange closes it. The connections that an executor may count as open never
+exceed what the slots held there pay for.
+"""
+
+import collections
+import dataclasses
+
+from galenahook import clock as clock_lib
+from galenahook import defaults
+from galenahook import errors
+from galenahook import web
+from galenahook.upstreams import view as view_lib
+
+IDLE_MS = 15_000
+IDLE_NOT_REPEATABLE_MS = 2_000
+CLOSED_LINGER_MS = 1_000
+SILENT_LINGER_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Idle:
+    """A connection that waits for its next request."""
+
+    connection: web.ClientConnection
+    since_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Closed:
+    """A closed connection that the executor may still count as open."""
+
+    until_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _ExecutorConnections:
+    """Connections to one incarnation of an executor."""
+
+    executor: view_lib.Executor
+    idle: collections.deque[_Idle] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    closed: list[_Closed] = dataclasses.field(default_factory=list)
+
+
+class ExecutorPool:
+    """Keeps connections to executors for reuse.
+
+    Attributes:
+      view: The entry's view, whose executors count their connections.
+    """
+
+    def __init__(
+        self, view: view_lib.EntryView, clock: clock_lib.Clock
+    ) -> None:
+        self.view = view
+        self._clock = clock
+        self._by_executor: dict[tuple[str, str], _ExecutorConnections] = {}
+
+    def has_room(self, executor: view_lib.Executor) -> bool:
+        """Whether one more request can have a connection of its own."""
+        connections = self._connections(executor)
+        self._forget_closed(connections)
+        if connections.idle:
+            return True
+        return executor.connections < _allowed_connections(executor)
+
+    async def take(
+        self, executor: view_lib.Executor, repeatable: bool, timeout_ms: int
+    ) -> web.ClientConnection:
+        """Returns an idle connection or opens a new one.
+
+        A request that is not repeatable gets only a connection that was used
+        moments ago, since one that went silent would leave it unknown.
+
+        Raises:
+          errors.ExchangeError: None can be had; nothing was sent.
+        """
+        connections = self._connections(executor)
+        idle_ms = IDLE_MS if repeatable else IDLE_NOT_REPEATABLE_MS
+        while connections.idle:
+            idle = connections.idle.pop()
+            if self._is_fresh(idle, idle_ms):
+                return idle.connection
+            await self._close(connections, idle.connection, CLOSED_LINGER_MS)
+        return await self.open(executor, timeout_ms)
+
+    async def open(
+        self, executor: view_lib.Executor, timeout_ms: int
+    ) -> web.ClientConnection:
+        """Opens a new connection.
+
+        Raises:
+          errors.ExchangeError: It can't be opened; nothing was sent.
+        """
+        connections = self._connections(executor)
+        self._forget_closed(connections)
+        address = executor.address.address
+        if executor.connections >= _allowed_connections(executor):
+            raise errors.ExchangeError(f"{address}: no connection left", False)
+        executor.connections += 1
+        try:
+            return await web.connect(
+                address,
+                min(timeout_ms, defaults.CONNECT_TIMEOUT_MS),
+                self._clock,
+            )
+        except errors.ExchangeError:
+            self._linger(connections, CLOSED_LINGER_MS)
+            raise
+        except BaseException:
+            self._linger(connections, CLOSED_LINGER_MS)
+            raise
+
+    async def put(
+        self, executor: view_lib.Executor, connection: web.ClientConnection
+    ) -> None:
+        """Takes a connection back after an exchange, or counts its end."""
+        connections = self._connections(executor)
+        if not connection.reusable:
+            await self._close(connections, connection, CLOSED_LINGER_MS)
+            return
+        idle = _Idle(connection, self._clock.monotonic_ms())
+        connections.idle.append(idle)
+
+    async def discard(
+        self, executor: view_lib.Executor, connection: web.ClientConnection
+    ) -> None:
+        """Closes a connection whose exchange did not end cleanly."""
+        connections = self._connections(executor)
+        await self._close(connections, connection, SILENT_LINGER_MS)
+
+    async def close_idle(
+        self, executor: view_lib.Executor, opened_before_ms: int
+    ) -> None:
+        """Closes idle connections that may have gone silent."""
+        connections = self._connections(executor)
+        kept: collections.deque[_Idle] = collections.deque()
+        suspects = []
+        for idle in connections.idle:
+            if idle.connection.opened_ms < opened_before_ms:
+                suspects.append(idle)
+            else:
+                kept.append(idle)
+        connections.idle = kept
+        for idle in suspects:
+            await self._close(connections, idle.connection, SILENT_LINGER_MS)
+
+    async def reap(self) -> None:
+        """Closes connections that are idle too long, too old or not paid."""
+        for key, connections in list(self._by_executor.items()):
+            self._forget_closed(connections)
+            await self._reap_idle(connections)
+            if connections.executor.connections == 0:
+                del self._by_executor[key]
+
+    async def _reap_idle(self, connections: _ExecutorConnections) -> None:
+        executor = connections.executor
+        while connections.idle:
+            oldest = connections.idle[0]
+            spare = len(connections.idle) + executor.busy > executor.granted
+            if self._is_fresh(oldest, IDLE_MS) and not spare:
+                return
+            connections.idle.popleft()
+            await self._close(connections, oldest.connection, CLOSED_LINGER_MS)
+
+    async def close(self) -> None:
+        """Closes every idle connection."""
+        for connections in self._by_executor.values():
+            while connections.idle:
+                await connections.idle.popleft().connection.close()
+
+    def _connections(self, executor: view_lib.Executor) -> _ExecutorConnections:
+        key = (executor.address.name, executor.address.incarnation)
+        connections = self._by_executor.get(key)
+        if connections is None:
+            connections = _ExecutorConnections(executor)
+            self._by_executor[key] = connections
+        return connections
+
+    def _is_fresh(self, idle: _Idle, idle_ms: int) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - idle.since_ms > idle_ms:
+            return False
+        age_ms = now_ms - idle.connection.opened_ms
+        return (
+            age_ms <= defaults.CONNECTION_MAX_AGE_MS
+            and idle.connection.is_quiet()
+        )
+
+    async def _close(
+        self,
+        connections: _ExecutorConnections,
+        connection: web.ClientConnection,
+        linger_ms: int,
+    ) -> None:
+        self._linger(connections, linger_ms)
+        await connection.close()
+
+    def _linger(
+        self, connections: _ExecutorConnections, linger_ms: int
+    ) -> None:
+        until_ms = self._clock.monotonic_ms() + linger_ms
+        connections.closed.append(_Closed(until_ms))
+
+    def _forget_closed(self, connections: _ExecutorConnections) -> None:
+        if not connections.closed:
+            return
+        now_ms = self._clock.monotonic_ms()
+        kept = [
+            closed for closed in connections.closed if closed.until_ms > now_ms
+        ]
+        connections.executor.connections -= len(connections.closed) - len(kept)
+        connections.closed = kept
+
+
+def _allowed_connections(executor: view_lib.Executor) -> int:
+    slots = max(executor.granted, executor.busy)
+    return slots * executor.connections_per_slot
--- /dev/null
+++ b/src/galenahook/upstreams/view.py
@@ -0,0 +1,251 @@
+"""What an entry knows: its lease, configuration, executors and slots."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from galenahook import clock as clock_lib
+from galenahook import messages
+
+_REVISION_UNKNOWN = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Executor:
+    """One incarnation of an executor, as this entry uses it.
+
+    Attributes:
+      address: Its latest address record.
+      granted: Slots that the last reply granted.
+      busy: Slots in use: requests in flight or about to be sent.
+      abandoned: Requests, counted since the entry started, that were given up
+        while they may still have been running there.
+      abandoned_reported: `abandoned` as the last update gave it.
+      connections: Connections that the executor may count as open.
+    """
+
+    address: messages.ExecutorAddress
+    granted: int = 0
+    busy: int = 0
+    abandoned: int = 0
+    abandoned_reported: int = 0
+    connections: int = 0
+
+    @property
+    def connections_per_slot(self) -> int:
+        """Connections that the holder of one slot may have open.
+
+        Half of what the executor accepts is left for connections that
+        lost entries have not closed.
+        """
+        slots = max(1, self.address.slots)
+        return max(1, self.address.connections // (2 * slots))
+
+    def slots_for_connections(self) -> int:
+        """Slots that must be held to cover the open connections."""
+        return -(-self.connections // self.connections_per_slot)
+
+
+@dataclasses.dataclass(slots=True)
+class Demand:
+    """Concurrency that one service's callers ask of this entry.
+
+    Attributes:
+      current: Requests waiting or in flight.
+      peak: Highest `current` since the last update.
+    """
+
+    current: int = 0
+    peak: int = 0
+
+    def add(self) -> None:
+        """Counts a request that arrived."""
+        self.current += 1
+        self.peak = max(self.peak, self.current)
+
+    def remove(self) -> None:
+        """Counts a request that ended."""
+        self.current -= 1
+
+
+class EntryView:
+    """An entry's lease, counted from when its update was sent.
+
+    Without a valid lease nothing new is started: the configuration may be out
+    of date and the slots may have gone to others.
+
+    Attributes:
+      name: Name of the entry.
+      incarnation: Random text, new with each start of the process.
+      availability_zone: Where the entry stands.
+      configuration: Configuration in force; its revision never goes back.
+      upstreams_version: Version of the executors' list.
+      executors: Current incarnation of each executor by name.
+      demands: Concurrency asked, by service.
+      changes: Rises whenever a reply was applied.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        availability_zone: str,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.availability_zone = availability_zone
+        self.configuration = messages.EntryConfiguration(
+            revision=_REVISION_UNKNOWN
+        )
+        self.upstreams_version = ""
+        self.executors: dict[str, Executor] = {}
+        self.demands: dict[str, Demand] = {}
+        self.changes = 0
+        self._clock = clock
+        self._retired: list[Executor] = []
+        self._by_service: dict[str, list[Executor]] = {}
+        self._lease_end_ms = 0
+        self._uses_taken_ms = 0
+
+    @property
+    def revision(self) -> int:
+        """Configuration revision in force here, 0 for none."""
+        return self.configuration.revision
+
+    def may_start(self) -> bool:
+        """Whether the entry holds a lease at this moment."""
+        return self._clock.monotonic_ms() < self._lease_end_ms
+
+    def lease_left_ms(self) -> int:
+        """Time left on the lease; 0 once it is over."""
+        return max(0, self._lease_end_ms - self._clock.monotonic_ms())
+
+    def apply_reply(
+        self, reply: messages.EntryUpdateReply, sent_at_ms: int
+    ) -> bool:
+        """Applies the leader's answer to the update sent at `sent_at_ms`.
+
+        An answer to an update older than the last one is ignored, since the
+        leader no longer counts on it. So is an older configuration.
+
+        Returns:
+          Whether the answer was applied.
+        """
+        if sent_at_ms < self._uses_taken_ms:
+            return False
+        new = reply.configuration
+        if new is not None and new.revision < self.revision:
+            return False
+        if new is not None:
+            self.configuration = new
+        if reply.executors is not None:
+            self._replace_executors(reply.executors)
+            self.upstreams_version = reply.upstreams_version
+        self._replace_grants(reply.grants)
+        lease_end_ms = sent_at_ms + reply.lease_ms
+        self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
+        self.changes += 1
+        return True
+
+    def _replace_executors(
+        self, addresses: tuple[messages.ExecutorAddress, ...]
+    ) -> None:
+        known = {
+            _key(executor.address): executor
+            for executor in (*self._retired, *self.executors.values())
+        }
+        self.executors = {}
+        for address in addresses:
+            executor = known.pop(_key(address), None) or Executor(address)
+            executor.address = address
+            self.executors[address.name] = executor
+        self._retired = list(known.values())
+        for executor in self._retired:
+            executor.granted = 0
+        self._by_service = {}
+        for executor in self.executors.values():
+            service = executor.address.service
+            self._by_service.setdefault(service, []).append(executor)
+
+    def _replace_grants(self, grants: tuple[messages.SlotGrant, ...]) -> None:
+        granted = {
+            (grant.executor, grant.incarnation): grant.slots for grant in grants
+        }
+        for executor in self.executors.values():
+            slots = granted.get(_key(executor.address), 0)
+            unreported = executor.abandoned - executor.abandoned_reported
+            executor.granted = max(0, slots - unreported)
+
+    def slot_uses(self) -> tuple[messages.SlotUse, ...]:
+        """Returns what the next update reports, and starts a new period.
+
+        Slots above the grant that are no longer needed are thereby returned.
+        """
+        self._uses_taken_ms = self._clock.monotonic_ms()
+        self._retired = [
+            executor for executor in self._retired if executor.busy > 0
+        ]
+        wanted = self._take_wanted()
+        uses = []
+        for executor in (*self.executors.values(), *self._retired):
+            use = self._slot_use(executor, wanted)
+            if use.held or use.wanted or use.abandoned:
+                uses.append(use)
+        return tuple(uses)
+
+    def _slot_use(
+        self, executor: Executor, wanted: dict[str, int]
+    ) -> messages.SlotUse:
+        address = executor.address
+        current = self.executors.get(address.name) is executor
+        executor.abandoned_reported = executor.abandoned
+        return messages.SlotUse(
+            executor=address.name,
+            incarnation=address.incarnation,
+            held=self.held(executor),
+            busy=executor.busy,
+            wanted=wanted.get(address.name, 0) if current else 0,
+            abandoned=executor.abandoned,
+        )
+
+    def held(self, executor: Executor) -> int:
+        """Returns the slots that this entry may be using there."""
+        if self.executors.get(executor.address.name) is not executor:
+            return executor.busy
+        granted = executor.granted if self.may_start() else 0
+        return max(granted, executor.busy, executor.slots_for_connections())
+
+    def _take_wanted(self) -> dict[str, int]:
+        """Splits each service's peak demand evenly over its executors."""
+        wanted = {}
+        for service, executors in self._by_service.items():
+            demand = self.demands.get(service)
+            if demand is None:
+                continue
+            peak = demand.peak
+            demand.peak = demand.current
+            share, rest = divmod(peak, len(executors))
+            for index, executor in enumerate(executors):
+                wanted[executor.address.name] = share + (index < rest)
+        return wanted
+
+    def executors_of(self, service: str) -> list[Executor]:
+        """Returns the current executors of a service."""
+        return self._by_service.get(service, [])
+
+    def usable_executors(self, service: str) -> Iterator[Executor]:
+        """Returns executors that may be given new requests now."""
+        out = self.configuration.availability_zones_out
+        for executor in self.executors_of(service):
+            if not executor.address.usable:
+                continue
+            if executor.address.availability_zone not in out:
+                yield executor
+
+    def demand(self, service: str) -> Demand:
+        """Returns the demand record of a service."""
+        return self.demands.setdefault(service, Demand())
+
+
+def _key(address: messages.ExecutorAddress) -> tuple[str, str]:
+    return (address.name, address.incarnation)
--- a/src/galenahook/web.py
+++ b/src/galenahook/web.py
@@ -9,10 +9,13 @@
 import contextlib
 import dataclasses
 import socket as std_socket
+import time
 from typing import Any
+from typing import NoReturn
 
 import curio
 import curio.io
+import curio.traps
 import h11
 
 from galenahook import clock as clock_lib
@@ -342,7 +345,7 @@
     async def exchange(
         self,
         request: Request,
-        timeout_ms: int,
+        timeout_ms: float,
         max_response_bytes: int = defaults.MAX_RESPONSE_BYTES,
     ) -> Response:
         """Sends a request and reads its whole response.
@@ -351,25 +354,59 @@
           errors.ExchangeError: No whole response arrived in time. The
             connection is closed.
         """
-        sent = False
+        deadline_ms = time.monotonic() * 1000 + timeout_ms
+        await self.send(request, timeout_ms)
+        left_ms = deadline_ms - time.monotonic() * 1000
+        return await self.receive(left_ms, max_response_bytes)
+
+    async def send(self, request: Request, timeout_ms: float) -> None:
+        """Sends a request, whose response must then be received.
+
+        Raises:
+          errors.ExchangeError: It was not sent whole. The connection is
+            closed.
+        """
         self.reusable = False
+        sent = False
         try:
+            data = self._encode(request)
+            sent = True
             async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
-                data = self._encode(request)
-                sent = True
                 await self._sock.sendall(data)
-                response = await self._read_response(max_response_bytes)
         except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
+            await self._fail(error, sent)
+        except BaseException:
             await self.close()
-            raise errors.ExchangeError(
-                f"{self.address}: {type(error).__name__}: {error}", sent
-            ) from error
+            raise
+
+    async def receive(
+        self,
+        timeout_ms: float,
+        max_response_bytes: int = defaults.MAX_RESPONSE_BYTES,
+    ) -> Response:
+        """Reads the whole response to the request sent.
+
+        Raises:
+          errors.ExchangeError: No whole response arrived in time. The
+            connection is closed.
+        """
+        try:
+            async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+                response = await self._read_response(max_response_bytes)
+        except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
+            await self._fail(error, sent=True)
         except BaseException:
             await self.close()
             raise
         await self._finish_cycle()
         return response
 
+    async def _fail(self, error: BaseException, sent: bool) -> NoReturn:
+        await self.close()
+        raise errors.ExchangeError(
+            f"{self.address}: {type(error).__name__}: {error}", sent
+        ) from error
+
     def _encode(self, request: Request) -> bytes:
         headers = [
             (name, value)
@@ -426,6 +463,26 @@
         else:
             await self.close()
 
+    def is_quiet(self) -> bool:
+        """Whether the peer has neither closed nor sent anything unasked."""
+        try:
+            flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+            self._sock._socket_recv(1, flags)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def wait_readable(self, timeout_ms: float) -> bool:
+        """Waits until the peer sends something; False after the timeout."""
+        try:
+            async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+                await curio.traps._read_wait(self._sock._fileno)
+        except curio.TaskTimeout:
+            return False
+        return True
+
     async def close(self) -> None:
         """Closes the connection; it is never reused."""
         self.reusable = False
