Split HTTP into a package; bound what a caller can cost

Cause: one module of 600 lines; a whole header of 64 KB passed the 16 KB bound when it came in one read; an exception in a handler closed the connection with no answer; a drain left idle connections open for a minute. Change: web/{http,server,stream,client,control}.py with the same names in web; 431/413 before the body is read, 500 with outcome unknown, idle connections are ended first when there are too many, a drain takes what the kernel accepted, answers without length or chunks are refused, probes and time-outs on sockets.

--- /dev/null
+++ b/src/galenahook/web/client.py
@@ -0,0 +1,213 @@
+"""One connection to a peer, which carries one exchange at a time."""
+
+import contextlib
+import socket as std_socket
+import time
+from typing import Any
+from typing import NoReturn
+
+import curio
+import curio.traps
+import h11
+
+from galenahook import clock as clock_lib
+from galenahook import defaults
+from galenahook import errors
+from galenahook.web import http
+
+
+class ClientConnection:
+    """One connection to a peer; carries one exchange at a time.
+
+    Attributes:
+      address: The peer's `host:port`.
+      reusable: Whether another exchange may follow on this connection.
+      opened_ms: Monotonic time of the connect.
+    """
+
+    def __init__(self, address: str, sock: Any, opened_ms: int) -> None:
+        self.address = address
+        self.reusable = True
+        self.opened_ms = opened_ms
+        self._sock = sock
+        self._connection = h11.Connection(h11.CLIENT)
+        self._method = ""
+
+    async def exchange(
+        self,
+        request: http.Request,
+        timeout_ms: float,
+        max_response_bytes: int = defaults.MAX_RESPONSE_BYTES,
+    ) -> http.Response:
+        """Sends a request and reads its whole response.
+
+        Raises:
+          errors.ExchangeError: No whole response arrived in time. The
+            connection is closed.
+        """
+        deadline_ms = time.monotonic() * 1000 + timeout_ms
+        await self.send(request, timeout_ms)
+        left_ms = deadline_ms - time.monotonic() * 1000
+        return await self.receive(left_ms, max_response_bytes)
+
+    async def send(self, request: http.Request, timeout_ms: float) -> None:
+        """Sends a request, whose response must then be received.
+
+        Raises:
+          errors.ExchangeError: It was not sent whole. The connection is
+            closed.
+        """
+        self.reusable = False
+        sent = False
+        try:
+            data = self._encode(request)
+            sent = True
+            async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+                await self._sock.sendall(data)
+        except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
+            await self._fail(error, sent)
+        except BaseException:
+            await self.close()
+            raise
+
+    async def receive(
+        self,
+        timeout_ms: float,
+        max_response_bytes: int = defaults.MAX_RESPONSE_BYTES,
+    ) -> http.Response:
+        """Reads the whole response to the request sent.
+
+        Raises:
+          errors.ExchangeError: No whole response arrived in time. The
+            connection is closed.
+        """
+        try:
+            async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+                response = await self._read_response(max_response_bytes)
+        except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
+            await self._fail(error, sent=True)
+        except BaseException:
+            await self.close()
+            raise
+        await self._finish_cycle()
+        return response
+
+    async def _fail(self, error: BaseException, sent: bool) -> NoReturn:
+        await self.close()
+        raise errors.ExchangeError(
+            f"{self.address}: {type(error).__name__}: {error}", sent
+        ) from error
+
+    def _encode(self, request: http.Request) -> bytes:
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if name not in http.FRAMING_HEADERS and name != b"host"
+        ]
+        self._method = request.method
+        headers.insert(0, (b"host", self.address.encode("ascii")))
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            length = str(len(request.body)).encode("ascii")
+            headers.append((b"content-length", length))
+        data = self._connection.send(
+            h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+        )
+        if request.body:
+            data += self._connection.send(h11.Data(data=request.body)) or b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        return data
+
+    async def _read_response(self, max_bytes: int) -> http.Response:
+        head: h11.Response | None = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await self._sock.recv(http.READ_BYTES)
+                self._connection.receive_data(data)
+            elif isinstance(event, h11.Response):
+                head = event
+                self._check_framing(head)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > max_bytes:
+                    raise h11.RemoteProtocolError("response body too large")
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return http.Response(
+                    head.status_code, list(head.headers), b"".join(parts)
+                )
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("closed before the response")
+
+    def _check_framing(self, head: h11.Response) -> None:
+        """Refuses a body that ends with the connection: it may be cut."""
+        if not http.may_have_body(self._method, head.status_code):
+            return
+        headers = list(head.headers)
+        length = http.find_header(headers, b"content-length")
+        coding = http.find_header(headers, b"transfer-encoding")
+        if not length and not coding:
+            raise h11.RemoteProtocolError("response body without its length")
+
+    async def _finish_cycle(self) -> None:
+        connection = self._connection
+        done = (
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+            and not connection.trailing_data[0]
+        )
+        if done:
+            connection.start_next_cycle()
+            self.reusable = True
+        else:
+            await self.close()
+
+    def is_quiet(self) -> bool:
+        """Whether the peer has neither closed nor sent anything unasked."""
+        try:
+            flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+            self._sock._socket_recv(1, flags)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def wait_readable(self, timeout_ms: float) -> bool:
+        """Waits until the peer sends something; False after the timeout."""
+        try:
+            async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+                await curio.traps._read_wait(self._sock._fileno)
+        except curio.TaskTimeout:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """Closes the connection; it is never reused."""
+        self.reusable = False
+        with contextlib.suppress(OSError):
+            await self._sock.close()
+
+
+async def connect(
+    address: str,
+    timeout_ms: int = defaults.CONNECT_TIMEOUT_MS,
+    clock: clock_lib.Clock | None = None,
+) -> ClientConnection:
+    """Opens a connection to a peer.
+
+    Raises:
+      errors.ExchangeError: It could not be opened; nothing was sent.
+    """
+    clock = clock or clock_lib.Clock()
+    try:
+        async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+            sock = await curio.open_connection(*http.parse_address(address))
+    except (OSError, ValueError, curio.TaskTimeout) as error:
+        raise errors.ExchangeError(f"{address}: {error!r}", False) from error
+    http.set_connection_options(sock)
+    return ClientConnection(address, sock, clock.monotonic_ms())
--- /dev/null
+++ b/src/galenahook/web/control.py
@@ -0,0 +1,106 @@
+"""Client for JSON messages between the system's own processes."""
+
+import dataclasses
+from typing import Any
+
+from galenahook import clock as clock_lib
+from galenahook import defaults
+from galenahook import errors
+from galenahook import messages
+from galenahook.web import client
+from galenahook.web import http
+
+IDLE_MS = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Idle:
+    """A connection that waits for its next exchange."""
+
+    connection: client.ClientConnection
+    since_ms: int
+
+
+class ControlClient:
+    """Exchanges JSON messages with the system's own processes and workers.
+
+    It keeps idle connections by address. An exchange that fails on a kept
+    connection is not repeated here; the caller decides.
+
+    Attributes:
+      headers: Sent with every request, such as the site's shared key.
+    """
+
+    def __init__(self, clock: clock_lib.Clock, headers: http.Headers) -> None:
+        self.clock = clock
+        self.headers = headers
+        self._idle: dict[str, list[_Idle]] = {}
+
+    async def post(
+        self,
+        address: str,
+        target: str,
+        message: Any,
+        timeout_ms: int = defaults.CONTROL_TIMEOUT_MS,
+    ) -> http.Response:
+        """Posts a message and returns the whole response.
+
+        Raises:
+          errors.ExchangeError: No whole response arrived in time.
+        """
+        body = messages.encode(message)
+        headers = [http.JSON_HEADER, *self.headers]
+        request = http.Request("POST", target, headers, body)
+        return await self.send(address, request, timeout_ms)
+
+    async def send(
+        self, address: str, request: http.Request, timeout_ms: int
+    ) -> http.Response:
+        """Sends a request and returns the whole response.
+
+        Raises:
+          errors.ExchangeError: No whole response arrived in time.
+        """
+        connection = await self._take(address, timeout_ms)
+        try:
+            response = await connection.exchange(
+                request, timeout_ms, defaults.MAX_CONTROL_BODY_BYTES
+            )
+        except errors.ExchangeError:
+            await self._close_idle(address)
+            raise
+        if connection.reusable:
+            idle = _Idle(connection, self.clock.monotonic_ms())
+            self._idle.setdefault(address, []).append(idle)
+        return response
+
+    async def _take(
+        self, address: str, timeout_ms: int
+    ) -> client.ClientConnection:
+        idle = self._idle.get(address, [])
+        while idle:
+            newest = idle.pop()
+            if self._is_fresh(newest):
+                return newest.connection
+            await newest.connection.close()
+        connect_ms = min(timeout_ms, defaults.CONNECT_TIMEOUT_MS)
+        return await client.connect(address, connect_ms, self.clock)
+
+    def _is_fresh(self, idle: _Idle) -> bool:
+        now_ms = self.clock.monotonic_ms()
+        return (
+            now_ms - idle.since_ms <= IDLE_MS
+            and now_ms - idle.connection.opened_ms
+            <= defaults.CONNECTION_MAX_AGE_MS
+            and idle.connection.is_quiet()
+        )
+
+    async def _close_idle(self, address: str) -> None:
+        """Closes connections that may have gone silent with another."""
+        for idle in self._idle.pop(address, []):
+            await idle.connection.close()
+
+    async def close(self) -> None:
+        """Closes every idle connection."""
+        for address in list(self._idle):
+            await self._close_idle(address)
--- /dev/null
+++ b/src/galenahook/web/server.py
@@ -0,0 +1,181 @@
+"""HTTP server: one listening socket, one task per connection."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import socket as std_socket
+from typing import Any
+
+import curio
+import curio.io
+
+from galenahook import clock as clock_lib
+from galenahook import defaults
+from galenahook import errors
+from galenahook.web import http
+from galenahook.web import stream as stream_lib
+
+ACCEPT_RETRY_MS = 50
+
+Limits = stream_lib.Limits
+CONTROL_LIMITS = Limits(max_body_bytes=defaults.MAX_CONTROL_BODY_BYTES)
+
+Handler = Callable[[http.Request], Awaitable[http.Response]]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Connection:
+    """One accepted connection.
+
+    Attributes:
+      sock: Its socket.
+      stream: Its requests and responses.
+      handling: Whether a request of it is being handled.
+    """
+
+    sock: Any
+    stream: stream_lib.ServerStream
+    handling: bool = False
+
+
+class Server:
+    """Serves one listening socket with one task per connection.
+
+    Attributes:
+      address: Address in use, as `host:port`.
+      in_flight: Requests being handled now.
+      draining: Once true, each connection ends after its current request.
+      limits: Bounds of sizes, times and connections.
+    """
+
+    def __init__(
+        self,
+        sock: std_socket.socket,
+        handler: Handler,
+        limits: Limits,
+    ) -> None:
+        self.address = http.bound_address(sock)
+        self.in_flight = 0
+        self.draining = False
+        self.limits = limits
+        self._handler = handler
+        self._sock = curio.io.Socket(sock)
+        self._connections: dict[_Connection, None] = {}
+
+    async def run(self) -> None:
+        """Accepts connections until cancelled or until the listener closes."""
+        while not self.draining:
+            try:
+                sock, peer = await self._sock.accept()
+            except OSError:
+                await curio.sleep(clock_lib.seconds(ACCEPT_RETRY_MS))
+                continue
+            await self._accept(sock, peer)
+
+    async def _accept(self, sock: Any, peer: tuple[str, int]) -> None:
+        if not self._make_room():
+            await sock.close()
+            return
+        peer_address = f"{peer[0]}:{peer[1]}"
+        stream = stream_lib.ServerStream(sock, self.limits, peer_address)
+        connection = _Connection(sock, stream)
+        self._connections[connection] = None
+        await curio.spawn(self._serve_connection, connection, daemon=True)
+
+    def _make_room(self) -> bool:
+        """Ends a connection without a request if there are too many.
+
+        The longest idle goes first, then the longest in sending a request.
+        """
+        if len(self._connections) < self.limits.max_connections:
+            return True
+        candidates = [
+            connection
+            for connection in self._connections
+            if not connection.handling
+        ]
+        if not candidates:
+            return False
+        oldest = next(
+            (item for item in candidates if item.stream.idle), candidates[0]
+        )
+        del self._connections[oldest]
+        _end_reading(oldest.sock)
+        return True
+
+    async def close_listener(self) -> None:
+        """Stops accepting and ends idle connections; requests go on."""
+        self.draining = True
+        await self._accept_waiting()
+        await self._sock.close()
+        for connection in self._connections:
+            if connection.stream.idle:
+                _end_reading(connection.sock)
+
+    async def _accept_waiting(self) -> None:
+        """Accepts what the kernel has accepted, which may carry requests."""
+        with contextlib.suppress(OSError):
+            while True:
+                sock, peer = self._sock._socket.accept()
+                await self._accept(curio.io.Socket(sock), peer)
+
+    async def _serve_connection(self, connection: _Connection) -> None:
+        sock = connection.sock
+        stream = connection.stream
+        try:
+            http.set_connection_options(sock)
+            while await self._serve_request(stream, connection):
+                stream.start_next_cycle()
+        except (OSError, errors.ProtocolError, curio.TaskTimeout):
+            pass
+        finally:
+            self._connections.pop(connection, None)
+            with contextlib.suppress(OSError):
+                await sock.close()
+
+    async def _serve_request(
+        self, stream: stream_lib.ServerStream, connection: _Connection
+    ) -> bool:
+        request = await self._read_request(stream)
+        if request is None:
+            return False
+        self.in_flight += 1
+        connection.handling = True
+        try:
+            response = await self._handle(request)
+            await stream.send_response(request, response, self.draining)
+        finally:
+            connection.handling = False
+            self.in_flight -= 1
+        self._move_to_end(connection)
+        return stream.reusable
+
+    def _move_to_end(self, connection: _Connection) -> None:
+        """Keeps connections in the order in which they were last used."""
+        if connection in self._connections:
+            del self._connections[connection]
+            self._connections[connection] = None
+
+    async def _read_request(
+        self, stream: stream_lib.ServerStream
+    ) -> http.Request | None:
+        try:
+            return await stream.read_request()
+        except stream_lib.BrokenRequestError as error:
+            await stream.refuse(error.status, str(error))
+            return None
+
+    async def _handle(self, request: http.Request) -> http.Response:
+        try:
+            return await self._handler(request)
+        except Exception:  # The peer gets an answer whatever went wrong.
+            response = http.refusal(500, "internal error")
+            response.headers.append((http.OUTCOME_HEADER, b"unknown"))
+            return response
+
+
+def _end_reading(sock: Any) -> None:
+    """Ends a connection after what it has already received."""
+    with contextlib.suppress(OSError):
+        sock._socket.shutdown(std_socket.SHUT_RD)
