Schedule tasks: registry of workers, rounds of decisions, starts and evictions

Cause: the leader had no scheduler. Tasks are started on workers with room, service instances are spread, unanswered starts stay reserved until their worker's announcements prove them absent, evicted work resumes from its committed checkpoint, reports are answered after commit.

The end of an attempt reads the job's row, so State passes the configuration in force; AttemptGone says whether the attempt began and whether its end is in doubt.

--- a/src/galenahook/commands.py
+++ b/src/galenahook/commands.py
@@ -236,7 +236,13 @@
 
 
 class AttemptFailed(messages.Message, frozen=True, kw_only=True, tag="failed"):
-    """The attempt failed; `on_worker` if it never began there."""
+    """The attempt failed.
+
+    Attributes:
+      run_ms: How long it ran.
+      reason: Why, for a person.
+      on_worker: The worker is to blame; it does not count against the task.
+    """
 
     run_ms: int
     reason: str
@@ -244,9 +250,17 @@
 
 
 class AttemptGone(messages.Message, frozen=True, kw_only=True, tag="gone"):
-    """The attempt is proven not to run any more: evicted or lost."""
+    """The attempt is proven not to run any more: evicted or lost.
+
+    Attributes:
+      reason: How it went, for a person.
+      began: False if it is proven that it never ran.
+      in_doubt: It may have run to its end with its report not heard.
+    """
 
     reason: str
+    began: bool = True
+    in_doubt: bool = False
 
 
 AttemptEndOutcome = AttemptCompleted | AttemptFailed | AttemptGone
--- /dev/null
+++ b/src/galenahook/scheduling/batch_order.py
@@ -0,0 +1,97 @@
+"""The order in which waiting work is considered.
+
+Services go first, then urgent jobs, then batch jobs by their latest start.
+Jobs that can't meet their deadline any more follow those that still can.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+from galenahook import commands
+from galenahook import configuration as configuration_lib
+from galenahook.scheduling import estimates
+from galenahook.scheduling import tasks as tasks_lib
+
+NO_DEADLINE_MS = 2**62
+PRIORITY_STEP_MS = 10_000
+
+
+class Rank(enum.IntEnum):
+    """Groups of waiting work, the first ones first."""
+
+    SERVICE = 0
+    URGENT = 1
+    ON_TIME = 2
+    LATE = 3
+    NO_DEADLINE = 4
+
+
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Turn:
+    """Place of an owner in the order; the smallest goes first.
+
+    Attributes:
+      rank: Group of work.
+      latest_start_ms: Wall time; each step of priority moves it ahead.
+      priority: Negative priority of the sheet.
+      owner: `job/NAME` or `service/NAME`.
+    """
+
+    rank: Rank
+    latest_start_ms: int
+    priority: int
+    owner: str
+
+
+def turns(
+    owners: Iterable[str],
+    current: configuration_lib.ConfigurationRecord,
+    run_times: dict[str, tasks_lib.RunTimeRecord],
+    now_ms: int,
+) -> list[Turn]:
+    """Returns owners with waiting tasks in the order of their turns.
+
+    Jobs whose earliest start has not come are left out.
+    """
+    found = []
+    for owner in owners:
+        name = owner.partition("/")[2]
+        if tasks_lib.is_service(owner):
+            service = current.services.get(name)
+            if service is not None:
+                turn = Turn(Rank.SERVICE, 0, -service.priority, owner)
+                found.append(turn)
+            continue
+        job = current.jobs.get(name)
+        if job is not None and job.earliest_ms <= now_ms:
+            found.append(_turn_of_job(owner, job, run_times, now_ms))
+    return sorted(found)
+
+
+def _turn_of_job(
+    owner: str,
+    job: commands.JobRow,
+    run_times: dict[str, tasks_lib.RunTimeRecord],
+    now_ms: int,
+) -> Turn:
+    latest_ms = latest_start_ms(job, run_times)
+    order_ms = latest_ms - job.priority * PRIORITY_STEP_MS
+    if job.urgent:
+        return Turn(Rank.URGENT, latest_ms, -job.priority, owner)
+    if not job.deadline_ms:
+        return Turn(Rank.NO_DEADLINE, latest_ms, -job.priority, owner)
+    shortest_ms = estimates.run_ms(job, run_times, estimates.SHORT_QUANTILE)
+    rank = Rank.ON_TIME
+    if now_ms + shortest_ms > job.deadline_ms:
+        rank = Rank.LATE
+    return Turn(rank, order_ms, -job.priority, owner)
+
+
+def latest_start_ms(
+    job: commands.JobRow, run_times: dict[str, tasks_lib.RunTimeRecord]
+) -> int:
+    """Returns the wall time by which a task should start."""
+    if not job.deadline_ms:
+        return NO_DEADLINE_MS
+    return job.deadline_ms - estimates.run_ms(job, run_times)
--- /dev/null
+++ b/src/galenahook/scheduling/quotas.py
@@ -0,0 +1,57 @@
+"""Quotas: what each team's tasks may reserve at once."""
+
+from galenahook import configuration as configuration_lib
+from galenahook import messages
+from galenahook.scheduling import tasks as tasks_lib
+
+
+def team_of(current: configuration_lib.ConfigurationRecord, owner: str) -> str:
+    """Returns the team of a job or service, or an empty string."""
+    name = owner.partition("/")[2]
+    if tasks_lib.is_service(owner):
+        service = current.services.get(name)
+        return service.team if service else ""
+    job = current.jobs.get(name)
+    return job.team if job else ""
+
+
+class TeamUse:
+    """What each team reserves, followed through a round of decisions."""
+
+    __slots__ = ("quotas", "use")
+
+    def __init__(
+        self,
+        current: configuration_lib.ConfigurationRecord,
+        table: tasks_lib.TaskTable,
+    ) -> None:
+        self.quotas = current.quotas
+        self.use: dict[str, tasks_lib.Reserved] = {}
+        if not self.quotas:
+            return
+        for owner, reserved in table.owner_reserved.items():
+            total = self._total(team_of(current, owner))
+            total.cores_milli += reserved.cores_milli
+            total.memory_mb += reserved.memory_mb
+            total.accelerators += reserved.accelerators
+
+    def _total(self, team: str) -> tasks_lib.Reserved:
+        return self.use.setdefault(team, tasks_lib.Reserved())
+
+    def allows(self, team: str, amount: messages.Resources) -> bool:
+        """Returns whether a team may reserve an amount more."""
+        quota = self.quotas.get(team)
+        if quota is None:
+            return True
+        used = self._total(team)
+        most = quota.resources
+        return (
+            used.cores_milli + amount.cores_milli <= most.cores_milli
+            and used.memory_mb + amount.memory_mb <= most.memory_mb
+            and used.accelerators + amount.accelerators <= most.accelerators
+        )
+
+    def take(self, team: str, amount: messages.Resources) -> None:
+        """Counts a start that was decided."""
+        if team in self.quotas:
+            self._total(team).add(amount, 1)
--- /dev/null
+++ b/src/galenahook/scheduling/removals.py
@@ -0,0 +1,39 @@
+"""Which attempts must leave their workers, and in what order.
+
+Latency-critical work leaves first, since its callers wait; batch work
+follows, checkpointed, in small numbers at once.
+"""
+
+from galenahook import commands
+from galenahook import messages
+from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import tasks as tasks_lib
+
+MAX_BATCH_AT_ONCE = 64
+
+
+def from_closed_workers(
+    context: context_lib.Context,
+) -> list[commands.EvictAttempts]:
+    """Returns marks for attempts on workers that are to be emptied."""
+    found = []
+    for name in context.tasks.held:
+        if context.is_closed(name):
+            found.append(name)
+    if not found:
+        return []
+    services: list[messages.AttemptRef] = []
+    batch: list[messages.AttemptRef] = []
+    for name in found:
+        for task in context.tasks.held[name]:
+            record = context.tasks.records[task]
+            if record.evicting:
+                continue
+            ref = messages.AttemptRef(task=task, attempt=record.attempt)
+            group = services if tasks_lib.is_service(task) else batch
+            group.append(ref)
+    room = max(0, MAX_BATCH_AT_ONCE - len(context.tasks.evicting))
+    chosen = (*services, *batch[:room])
+    if not chosen:
+        return []
+    return [commands.EvictAttempts(attempts=chosen, reason="worker closed")]
--- /dev/null
+++ b/src/galenahook/scheduling/retries.py
@@ -0,0 +1,24 @@
+"""Retries of failed attempts: when the next one may start, and how many."""
+
+import zlib
+
+BACKOFF_BASE_MS = 1_000
+BACKOFF_CAP_MS = 120_000
+MAX_FAILURES = 6
+MAX_FAILED_WORKERS = 3
+
+
+def backoff_ms(task: str, failures: int) -> int:
+    """Returns the wait after the given number of failures.
+
+    It doubles up to a cap. Its jitter, from half to the whole, follows from
+    the task's name, so that every replica computes the same.
+    """
+    ceiling_ms = min(BACKOFF_CAP_MS, BACKOFF_BASE_MS << min(failures - 1, 20))
+    seed = zlib.crc32(f"{task}:{failures}".encode())
+    return ceiling_ms // 2 + seed % (ceiling_ms // 2 + 1)
+
+
+def is_exhausted(failures: int, distinct_workers: int) -> bool:
+    """Returns whether the failures are the job's own fault."""
+    return failures >= MAX_FAILURES or distinct_workers >= MAX_FAILED_WORKERS
--- /dev/null
+++ b/src/galenahook/scheduling/scheduler.py
@@ -0,0 +1,206 @@
+"""The leader's loop: decides what runs where, and sees it through.
+
+Each round ends what is proven gone, marks what must move, and starts what
+waits. Orders to workers are sent by tasks of their own, so that a silent
+worker delays nobody.
+"""
+
+from collections.abc import Callable
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
+from galenahook import messages
+from galenahook import settings
+from galenahook.replicas import node as node_lib
+from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import decisions as decisions_lib
+from galenahook.scheduling import evictions as evictions_lib
+from galenahook.scheduling import losses
+from galenahook.scheduling import policy as policy_lib
+from galenahook.scheduling import quarantine as quarantine_lib
+from galenahook.scheduling import removals
+from galenahook.scheduling import starts as starts_lib
+from galenahook.scheduling import tails as tails_lib
+from galenahook.scheduling import tasks as tasks_lib
+from galenahook.upstreams import workers as workers_lib
+
+ROUND_PERIOD_MS = 100
+LEASE_CHECK_PERIOD_MS = 500
+
+
+class Scheduler:
+    """Places, moves and ends tasks while its node leads.
+
+    Attributes:
+      context: What the scheduler's parts share.
+      decisions: Chooses placements.
+      starts: Starts on their way.
+      evictions: Evictions under way.
+    """
+
+    def __init__(
+        self,
+        node: node_lib.Node,
+        workers: workers_lib.WorkerRegistry,
+        executors: tails_lib.TailSource,
+        client: context_lib.OrderClient,
+        clock: clock_lib.Clock,
+        timing: settings.Timing,
+        policy: Callable[[str], policy_lib.Policy] = policy_lib.for_objective,
+    ) -> None:
+        self.context = context_lib.Context(
+            node=node,
+            workers=workers,
+            client=client,
+            clock=clock,
+            timing=timing,
+            quarantine=quarantine_lib.Quarantine(clock),
+        )
+        self.executors = executors
+        self.policy = policy
+        self._wakeup = curio.Event()
+        self._term = -1
+        self._leases_checked_ms = 0
+        self._reset()
+
+    def _reset(self) -> None:
+        self.context.quarantine.clear()
+        self.starts = starts_lib.Starts(self.context)
+        self.evictions = evictions_lib.Evictions(self.context)
+        self.decisions = decisions_lib.Decisions(self.context, self.policy)
+
+    async def run(self) -> None:
+        """Runs rounds until cancelled; does nothing while not leading."""
+        while True:
+            try:
+                async with curio.timeout_after(
+                    clock_lib.seconds(ROUND_PERIOD_MS)
+                ):
+                    await self._wakeup.wait()
+            except curio.TaskTimeout:
+                pass
+            self._wakeup.clear()
+            node = self.context.node
+            if node.is_leader() and node.may_act():
+                await self.round()
+
+    async def notify(self) -> None:
+        """Makes the next round begin at once."""
+        await self._wakeup.set()
+
+    async def round(self) -> None:
+        """Runs one round of decisions."""
+        self._follow_term()
+        changed = self._take_changed()
+        await self.context.commit_ends(self._losses(changed))
+        await self.context.commit_ends(await self.starts.follow_up())
+        changed.update(self._take_changed())
+        self.decisions.refresh(changed)
+        await self._mark_removals()
+        await self.evictions.follow_up()
+        await self._start_waiting()
+
+    def _follow_term(self) -> None:
+        term = self.context.node.term()
+        if term != self._term:
+            self._term = term
+            self.context.workers.reset_for_term()
+            self._reset()
+
+    def _take_changed(self) -> set[str]:
+        changed = set(self.context.workers.changed)
+        self.context.workers.changed.clear()
+        return changed
+
+    def _losses(self, changed: set[str]) -> list[commands.AttemptEnd]:
+        ends = []
+        for name in sorted(changed):
+            ends.extend(
+                losses.missing_attempts(self.context, self.starts, name)
+            )
+        now_ms = self.context.clock.monotonic_ms()
+        if now_ms - self._leases_checked_ms >= LEASE_CHECK_PERIOD_MS:
+            self._leases_checked_ms = now_ms
+            ended = {end.task for end in ends}
+            expired = losses.expired_leases(self.context)
+            ends.extend(end for end in expired if end.task not in ended)
+        return ends
+
+    async def _mark_removals(self) -> None:
+        for command in removals.from_closed_workers(self.context):
+            await self.context.commit(command)
+
+    async def _start_waiting(self) -> None:
+        chosen = self.decisions.choose()
+        if not chosen:
+            return
+        result = await self.context.commit(
+            commands.StartAttempts(
+                starts=tuple(chosen), at_ms=self.context.clock.wall_ms()
+            )
+        )
+        self.context.workers.changed.update(start.worker for start in chosen)
+        if isinstance(result, commands.AttemptsApplied):
+            applied = zip(chosen, result.applied, strict=True)
+            await self.starts.begin(start for start, done in applied if done)
+
+    async def report(
+        self, report: messages.AttemptReport
+    ) -> messages.ReportReply:
+        """Takes a worker's report; answers only after it is committed.
+
+        Raises:
+          errors.NotLeaderError: Another replica leads; nothing was recorded.
+          errors.NoQuorumError: Not known to be recorded; the worker resends.
+          errors.StorageError: Not known to be recorded; the worker resends.
+        """
+        context = self.context
+        if not context.node.is_leader() or not context.node.may_act():
+            raise errors.NotLeaderError(context.node.leader_name())
+        record = context.tasks.records.get(report.task)
+        out_of_date = messages.ReportReply(acknowledged=True, current=False)
+        if record is None or not _is_from(record, report):
+            return out_of_date
+        end = self._end_of(report)
+        if not tasks_lib.may_end(record, end):
+            return out_of_date
+        result = await context.node.submit(
+            commands.EndAttempts(ends=(end,), at_ms=context.clock.wall_ms())
+        )
+        context.workers.changed.add(report.worker)
+        await self.notify()
+        applied = isinstance(result, commands.AttemptsApplied) and all(
+            result.applied
+        )
+        return messages.ReportReply(acknowledged=True, current=applied)
+
+    def _end_of(self, report: messages.AttemptReport) -> commands.AttemptEnd:
+        owner = tasks_lib.owner_of(report.task)
+        quarantine = self.context.quarantine
+        outcome: commands.AttemptEndOutcome
+        match report.outcome:
+            case messages.Completed(run_ms=run_ms):
+                quarantine.note_success(report.worker, owner)
+                outcome = commands.AttemptCompleted(run_ms=run_ms)
+            case messages.Failed(run_ms=run_ms, reason=reason):
+                blamed = quarantine.note_failure(report.worker, owner)
+                outcome = commands.AttemptFailed(
+                    run_ms=run_ms, reason=reason, on_worker=blamed
+                )
+        self.decisions.sizes.finish(report.task, owner)
+        return commands.AttemptEnd(
+            task=report.task, attempt=report.attempt, outcome=outcome
+        )
+
+
+def _is_from(
+    record: tasks_lib.TaskRecord, report: messages.AttemptReport
+) -> bool:
+    return (
+        record.worker == report.worker
+        and record.incarnation == report.incarnation
+        and record.attempt == report.attempt
+    )
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -48,7 +48,7 @@
             case commands.StartAttempts():
                 return self.tasks.start(command)
             case commands.EndAttempts():
-                return self.tasks.end(command)
+                return self.tasks.end(command, self.configuration.current)
             case commands.RecordCheckpoints():
                 return self.tasks.record_checkpoints(command)
             case commands.EvictAttempts():
