--- a/src/galenahook/commands.py
+++ b/src/galenahook/commands.py
@@ -79,12 +79,15 @@
 
     Attributes:
       objective: `tail` or `throughput`; chooses the weights of decisions.
+      availability_zones: Availability zones of the site; none if not listed,
+        and then operators may name any.
     """
 
     services: tuple[ServiceRow, ...] = ()
     jobs: tuple[JobRow, ...] = ()
     quotas: tuple[TeamQuota, ...] = ()
     objective: str = "tail"
+    availability_zones: tuple[str, ...] = ()
 
 
 # --- Changes of configuration ------------------------------------------------
@@ -93,7 +96,12 @@
 class ApplySheet(
     messages.Message, frozen=True, kw_only=True, tag="apply-sheet"
 ):
-    """Replaces the whole sheet; jobs no longer listed are cancelled."""
+    """Replaces the whole sheet.
+
+    A job that is no longer listed goes on to its end if any of its work has
+    begun, else it is withdrawn. Availability zones out, drains and
+    cancellations stay.
+    """
 
     sheet: Sheet
 
--- /dev/null
+++ b/src/galenahook/configuration_changes.py
@@ -0,0 +1,227 @@
+"""What each change does to a configuration, as plain functions."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import msgspec
+
+from galenahook import commands
+from galenahook import configuration_items as items_lib
+
+HasUnfinishedWork = Callable[[str], bool]
+
+
+def nothing_started(job: str) -> bool:
+    """Stands in where no job has begun."""
+    del job
+    return False
+
+
+def find_fault(
+    current: items_lib.ConfigurationRecord, change: commands.Change
+) -> str:
+    """Returns why a change can't be applied, or an empty string.
+
+    Only what depends on the configuration is looked at; `row_checks` has the
+    checks of the rows themselves.
+    """
+    match change:
+        case commands.PutService(service=row):
+            return _fault_of_team(current, row.team) or _fault_of_route(
+                current, row
+            )
+        case commands.PutJob(job=row):
+            return _fault_of_team(current, row.team)
+        case commands.RemoveService(name=name):
+            if name not in current.services:
+                return f"unknown service {name!r}"
+        case (
+            commands.AvailabilityZoneOut(availability_zone=name)
+            | commands.AvailabilityZoneIn(availability_zone=name)
+        ):
+            return _fault_of_availability_zone(current, name)
+        case commands.UndrainUpstream(name=name):
+            if name not in current.drained:
+                return f"upstream {name!r} is not drained"
+    return ""
+
+
+def _fault_of_team(current: items_lib.ConfigurationRecord, team: str) -> str:
+    if current.quotas and team not in current.quotas:
+        return f"unknown team {team!r}: it has no quota"
+    return ""
+
+
+def _fault_of_route(
+    current: items_lib.ConfigurationRecord, row: commands.ServiceRow
+) -> str:
+    for other in current.services.values():
+        if other.route == row.route and other.name != row.name:
+            return f"route {row.route!r} is service {other.name!r}'s"
+    return ""
+
+
+def _fault_of_availability_zone(
+    current: items_lib.ConfigurationRecord, name: str
+) -> str:
+    known = current.availability_zones | current.availability_zones_out
+    if not current.availability_zones or name in known:
+        return ""
+    return f"unknown availability zone {name!r}; known: " + ", ".join(
+        sorted(known)
+    )
+
+
+def apply_change(
+    current: items_lib.ConfigurationRecord,
+    change: commands.Change,
+    has_unfinished_work: HasUnfinishedWork = nothing_started,
+) -> items_lib.ConfigurationRecord:
+    """Returns the configuration after a change, with the revision unchanged."""
+    replace = msgspec.structs.replace
+    match change:
+        case commands.ApplySheet(sheet=sheet):
+            return _apply_sheet(current, sheet, has_unfinished_work)
+        case commands.PutService(service=row):
+            return replace(
+                current, services={**current.services, row.name: row}
+            )
+        case commands.RemoveService(name=name):
+            services = dict(current.services)
+            services.pop(name, None)
+            return replace(current, services=services)
+        case commands.PutJob(job=row):
+            return replace(
+                current,
+                jobs={**current.jobs, row.name: row},
+                cancelled=current.cancelled - {row.name},
+            )
+        case commands.CancelJobs(names=names):
+            known = {name for name in names if name in current.jobs}
+            return replace(current, cancelled=current.cancelled | known)
+        case commands.AvailabilityZoneOut(availability_zone=name):
+            out = current.availability_zones_out | {name}
+            return replace(current, availability_zones_out=out)
+        case commands.AvailabilityZoneIn(availability_zone=name):
+            out = current.availability_zones_out - {name}
+            return replace(current, availability_zones_out=out)
+        case commands.DrainUpstream(name=name):
+            return replace(current, drained=current.drained | {name})
+        case commands.UndrainUpstream(name=name):
+            return replace(current, drained=current.drained - {name})
+
+
+def _apply_sheet(
+    current: items_lib.ConfigurationRecord,
+    sheet: commands.Sheet,
+    has_unfinished_work: HasUnfinishedWork,
+) -> items_lib.ConfigurationRecord:
+    """Replaces the sheet; zones out, drains and cancellations stay."""
+    jobs = {row.name: row for row in sheet.jobs}
+    for name, row in current.jobs.items():
+        listed = name in jobs or name in current.cancelled
+        if not listed and has_unfinished_work(name):
+            jobs[name] = row
+    return msgspec.structs.replace(
+        current,
+        services={row.name: row for row in sheet.services},
+        jobs=jobs,
+        quotas={row.team: row for row in sheet.quotas},
+        objective=sheet.objective,
+        availability_zones=frozenset(sheet.availability_zones),
+        cancelled=current.cancelled & jobs.keys(),
+    )
+
+
+def changed_items(
+    before: items_lib.ConfigurationRecord,
+    after: items_lib.ConfigurationRecord,
+    change: commands.Change,
+) -> Iterator[items_lib.ItemChange]:
+    """Yields what a change did to each item, in a fixed order.
+
+    Only a whole sheet is compared row by row; the work of any other change
+    does not grow with the sheet.
+    """
+    match change:
+        case commands.ApplySheet():
+            yield from compare(before, after)
+        case commands.PutService(service=row):
+            yield _changed_service(before, after, row.name)
+        case commands.RemoveService(name=name):
+            yield _changed_service(before, after, name)
+        case commands.PutJob(job=row):
+            yield _changed_job(before, after, row.name)
+            yield from _changed_marks(before, after)
+        case _:
+            yield from _changed_marks(before, after)
+
+
+def compare(
+    before: items_lib.ConfigurationRecord, after: items_lib.ConfigurationRecord
+) -> Iterator[items_lib.ItemChange]:
+    """Yields every difference of two configurations."""
+    yield from items_lib.changed_setting(
+        "objective", before.objective, after.objective
+    )
+    yield from items_lib.changed_rows(
+        "service", items_lib.ServiceItem, before.services, after.services
+    )
+    yield from items_lib.changed_rows(
+        "job", items_lib.JobItem, before.jobs, after.jobs
+    )
+    yield from items_lib.changed_rows(
+        "quota", items_lib.QuotaItem, before.quotas, after.quotas
+    )
+    yield from _changed_marks(before, after)
+
+
+def _changed_service(
+    before: items_lib.ConfigurationRecord,
+    after: items_lib.ConfigurationRecord,
+    name: str,
+) -> items_lib.ItemChange:
+    old = before.services.get(name)
+    new = after.services.get(name)
+    return items_lib.ItemChange(
+        item=f"service {name}",
+        before=None if old is None else items_lib.ServiceItem(row=old),
+        after=None if new is None else items_lib.ServiceItem(row=new),
+    )
+
+
+def _changed_job(
+    before: items_lib.ConfigurationRecord,
+    after: items_lib.ConfigurationRecord,
+    name: str,
+) -> items_lib.ItemChange:
+    old = before.jobs.get(name)
+    new = after.jobs.get(name)
+    return items_lib.ItemChange(
+        item=f"job {name}",
+        before=None if old is None else items_lib.JobItem(row=old),
+        after=None if new is None else items_lib.JobItem(row=new),
+    )
+
+
+def _changed_marks(
+    before: items_lib.ConfigurationRecord, after: items_lib.ConfigurationRecord
+) -> Iterator[items_lib.ItemChange]:
+    yield from items_lib.changed_marks(
+        "availability zone",
+        "listed",
+        before.availability_zones,
+        after.availability_zones,
+    )
+    yield from items_lib.changed_marks(
+        "availability zone",
+        "out",
+        before.availability_zones_out,
+        after.availability_zones_out,
+    )
+    yield from items_lib.changed_marks(
+        "upstream", "drained", before.drained, after.drained
+    )
+    yield from items_lib.changed_marks(
+        "cancellation", "cancelled", before.cancelled, after.cancelled
+    )
--- /dev/null
+++ b/src/galenahook/configuration_items.py
@@ -0,0 +1,124 @@
+"""Items of the configuration, and what a change did to each of them."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from typing import Any
+
+from galenahook import commands
+from galenahook import messages
+
+
+class ServiceItem(
+    messages.Message, frozen=True, kw_only=True, tag="service-row"
+):
+    """A service of the configuration."""
+
+    row: commands.ServiceRow
+
+
+class JobItem(messages.Message, frozen=True, kw_only=True, tag="job-row"):
+    """A job of the configuration."""
+
+    row: commands.JobRow
+
+
+class QuotaItem(messages.Message, frozen=True, kw_only=True, tag="quota-row"):
+    """A team's quota."""
+
+    row: commands.TeamQuota
+
+
+class SettingItem(messages.Message, frozen=True, kw_only=True, tag="setting"):
+    """Anything else: an objective, or a mark such as `out` or `drained`."""
+
+    value: str
+
+
+RowItem = ServiceItem | JobItem | QuotaItem
+Item = RowItem | SettingItem
+
+
+class ConfigurationRecord(
+    messages.Message, frozen=True, kw_only=True, tag="configuration"
+):
+    """One revision of the configuration.
+
+    Attributes:
+      revision: Number of the last accepted change, 0 before the first.
+      services: Services by name.
+      jobs: Jobs by name.
+      quotas: Quotas by team.
+      objective: `tail` or `throughput`.
+      availability_zones: Availability zones of the site as the sheet lists
+        them; if it lists none, any name is taken for one.
+      availability_zones_out: Availability zones out of service.
+      drained: Upstreams that get no new work.
+      cancelled: Jobs that an operator cancelled.
+    """
+
+    revision: int = 0
+    services: dict[str, commands.ServiceRow] = {}
+    jobs: dict[str, commands.JobRow] = {}
+    quotas: dict[str, commands.TeamQuota] = {}
+    objective: str = "tail"
+    availability_zones: frozenset[str] = frozenset()
+    availability_zones_out: frozenset[str] = frozenset()
+    drained: frozenset[str] = frozenset()
+    cancelled: frozenset[str] = frozenset()
+
+
+class ItemChange(messages.Message, frozen=True, kw_only=True):
+    """What a change did to one item.
+
+    Attributes:
+      item: `service NAME`, `job NAME`, `quota TEAM`, `objective`,
+        `availability zone NAME`, `upstream NAME` or `cancellation NAME`.
+      before: Value before, None if there was none.
+      after: Value after, None if there is none.
+    """
+
+    item: str
+    before: Item | None = None
+    after: Item | None = None
+
+
+def changed_rows(
+    label: str,
+    item_type: type[RowItem],
+    before: Mapping[str, Any],
+    after: Mapping[str, Any],
+) -> Iterator[ItemChange]:
+    """Yields each row that differs, in the order of the names."""
+    for name in sorted(before.keys() | after.keys()):
+        old = before.get(name)
+        new = after.get(name)
+        if old == new:
+            continue
+        yield ItemChange(
+            item=f"{label} {name}",
+            before=None if old is None else item_type(row=old),
+            after=None if new is None else item_type(row=new),
+        )
+
+
+def changed_marks(
+    label: str, mark: str, before: frozenset[str], after: frozenset[str]
+) -> Iterator[ItemChange]:
+    """Yields each name that gained or lost a mark, in order."""
+    for name in sorted(before ^ after):
+        set_now = SettingItem(value=mark)
+        yield ItemChange(
+            item=f"{label} {name}",
+            before=set_now if name in before else None,
+            after=set_now if name in after else None,
+        )
+
+
+def changed_setting(item: str, before: str, after: str) -> Iterator[ItemChange]:
+    """Yields the change of one setting, if there is one."""
+    if before != after:
+        yield ItemChange(
+            item=item,
+            before=SettingItem(value=before),
+            after=SettingItem(value=after),
+        )
--- /dev/null
+++ b/src/galenahook/operators/exit_codes.py
@@ -0,0 +1,10 @@
+"""Exit codes of the command line; `docs/OPERATING.md` explains each."""
+
+OK = 0
+FAILURE = 1
+USAGE = 2
+INVALID = 3
+CONFLICT = 4
+NO_QUORUM = 5
+UNAUTHORIZED = 6
+TIMED_OUT = 7
--- /dev/null
+++ b/src/galenahook/row_checks.py
@@ -0,0 +1,108 @@
+"""Checks of single rows of the sheet, wherever they come from.
+
+A check returns `(field, fault)` pairs, to which the reader adds the place.
+"""
+
+from collections.abc import Iterator
+import re
+
+from galenahook import commands
+from galenahook import messages
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._@-]{0,79}")
+
+OBJECTIVES = ("tail", "throughput")
+
+MAX_PRIORITY = 100
+MAX_INSTANCES = 10_000
+MAX_TASKS = 100_000
+MAX_CORES_MILLI = 10_000_000
+MAX_MEMORY_MB = 100_000_000
+MAX_ACCELERATORS = 10_000
+MAX_RUN_MS = 31 * 24 * 3_600_000
+MAX_TAIL_TARGET_MS = 600_000
+MAX_COMMAND_CHARS = 4_096
+
+_ROUTE_PATTERN = re.compile(r"/[!-~]*")
+
+Fault = tuple[str, str]
+
+
+def check_service(row: commands.ServiceRow) -> Iterator[Fault]:
+    """Yields every fault of a service's row."""
+    yield from _check_owner(row.name, row.team, row.priority)
+    yield from _check_range("instances", row.instances, 1, MAX_INSTANCES)
+    yield from _check_size(row.resources)
+    yield from _check_range(
+        "tail_target_ms", row.tail_target_ms, 1, MAX_TAIL_TARGET_MS
+    )
+    yield from _check_command(row.command)
+    if not _ROUTE_PATTERN.fullmatch(row.route) or "?" in row.route:
+        yield "route", f"{row.route!r}: expected a path such as /prices"
+
+
+def check_job(row: commands.JobRow) -> Iterator[Fault]:
+    """Yields every fault of a job's row."""
+    yield from _check_owner(row.name, row.team, row.priority)
+    yield from _check_name("job_class", row.job_class)
+    yield from _check_range("tasks", row.tasks, 1, MAX_TASKS)
+    yield from _check_size(row.resources)
+    yield from _check_range("run_ms", row.run_ms, 1, MAX_RUN_MS)
+    yield from _check_command(row.command)
+    for field in ("deadline_ms", "earliest_ms"):
+        if getattr(row, field) < 0:
+            yield field, "must not be below 0"
+    if 0 < row.deadline_ms <= row.earliest_ms:
+        yield "deadline_ms", "must be after the earliest start"
+
+
+def check_quota(row: commands.TeamQuota) -> Iterator[Fault]:
+    """Yields every fault of a team's quota."""
+    yield from _check_name("team", row.team)
+    yield from _check_size(row.resources)
+
+
+def check_objective(objective: str) -> Iterator[Fault]:
+    """Yields the fault of an unknown objective."""
+    if objective not in OBJECTIVES:
+        yield "objective", f"{objective!r}: expected {' or '.join(OBJECTIVES)}"
+
+
+def check_availability_zone(name: str) -> Iterator[Fault]:
+    """Yields the fault of an availability zone's name."""
+    yield from _check_name("availability_zone", name)
+
+
+def _check_owner(name: str, team: str, priority: int) -> Iterator[Fault]:
+    yield from _check_name("name", name)
+    yield from _check_name("team", team)
+    yield from _check_range("priority", priority, 0, MAX_PRIORITY)
+
+
+def _check_name(field: str, name: str) -> Iterator[Fault]:
+    if not NAME_PATTERN.fullmatch(name):
+        yield (
+            field,
+            f"{name!r}: expected a letter or digit, then up to 79 letters,"
+            " digits, dots, dashes, underscores or @",
+        )
+
+
+def _check_range(
+    field: str, value: int, least: int, most: int
+) -> Iterator[Fault]:
+    if not least <= value <= most:
+        yield field, f"{value}: expected {least} to {most}"
+
+
+def _check_size(size: messages.Resources) -> Iterator[Fault]:
+    yield from _check_range("cores_milli", size.cores_milli, 1, MAX_CORES_MILLI)
+    yield from _check_range("memory_mb", size.memory_mb, 1, MAX_MEMORY_MB)
+    yield from _check_range(
+        "accelerators", size.accelerators, 0, MAX_ACCELERATORS
+    )
+
+
+def _check_command(command: str) -> Iterator[Fault]:
+    if len(command) > MAX_COMMAND_CHARS:
+        yield "command", f"longer than {MAX_COMMAND_CHARS} characters"
--- a/src/galenahook/settings.py
+++ b/src/galenahook/settings.py
@@ -1,15 +1,25 @@
 """Settings of a process: a JSON file, checked whole before anything starts."""
 
 import pathlib
+from typing import TypeVar
 
 import expression
 import msgspec
 
 from galenahook import defaults
-from galenahook import errors
 from galenahook import findings as findings_lib
+from galenahook import json_input
 from galenahook import messages
 
+_SettingsT = TypeVar("_SettingsT", bound=messages.Message)
+
+_PATH_FIELDS = (
+    "data_folder",
+    "log_file",
+    "operator_tokens_file",
+    "site_key_file",
+)
+
 
 class Listener(messages.Message, frozen=True, kw_only=True):
     """One listening address.
@@ -102,25 +112,76 @@
     timing: Timing = Timing()
 
 
+Settings = EntrySettings | ReplicaSettings
+
+
 def load_entry(
     path: str,
 ) -> expression.Result[EntrySettings, list[findings_lib.Finding]]:
     """Loads and checks an entry's settings."""
-    return _load(path, EntrySettings)
+    return load(path, EntrySettings)
 
 
 def load_replica(
     path: str,
 ) -> expression.Result[ReplicaSettings, list[findings_lib.Finding]]:
     """Loads and checks a replica's settings."""
-    return _load(path, ReplicaSettings)
+    return load(path, ReplicaSettings)
+
+
+def load(
+    path: str, settings_type: type[_SettingsT]
+) -> expression.Result[_SettingsT, list[findings_lib.Finding]]:
+    """Loads settings and checks them whole.
 
+    Files that the settings name are looked up from the settings' own folder.
 
-def _load(path: str, settings_type: type[msgspec.Struct]) -> expression.Result:
+    Returns:
+      The settings with absolute paths, or every finding with its JSON path.
+    """
     try:
         data = pathlib.Path(path).read_bytes()
-        return expression.Ok(messages.decode(data, settings_type))
     except OSError as error:
-        return expression.Error([findings_lib.Finding(path, str(error))])
-    except errors.InvalidInputError as error:
-        return expression.Error(error.findings)
+        finding = findings_lib.Finding(path, str(error.strerror))
+        return expression.Error([finding])
+    return json_input.decode(data, settings_type).bind(
+        lambda decoded: _check(_resolve_paths(decoded, path))
+    )
+
+
+def load_any(
+    path: str,
+) -> expression.Result[Settings, list[findings_lib.Finding]]:
+    """Loads the settings of either role; only a replica has `peers`."""
+    try:
+        document = msgspec.json.decode(pathlib.Path(path).read_bytes())
+    except (OSError, msgspec.MsgspecError, UnicodeDecodeError):
+        document = None
+    if isinstance(document, dict) and "peers" in document:
+        return load(path, ReplicaSettings)
+    return load(path, EntrySettings)
+
+
+def _resolve_paths(settings: _SettingsT, path: str) -> _SettingsT:
+    folder = pathlib.Path(path).resolve().parent
+    resolved = {
+        field: str(folder / getattr(settings, field))
+        for field in _PATH_FIELDS
+        if getattr(settings, field, "")
+    }
+    return msgspec.structs.replace(settings, **resolved)
+
+
+def _check(settings: _SettingsT) -> expression.Result:
+    # The checks need the types of this module.
+    from galenahook import settings_checks  # noqa: PLC0415
+
+    findings = findings_lib.Findings()
+    match settings:
+        case EntrySettings():
+            settings_checks.check_entry(settings, findings)
+        case ReplicaSettings():
+            settings_checks.check_replica(settings, findings)
+    if findings:
+        return expression.Error(findings.items)
+    return expression.Ok(settings)
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -16,8 +16,7 @@
 from galenahook.scheduling import tasks as tasks_lib
 
 SnapshotRecord = (
-    configuration_lib.ConfigurationRecord
-    | configuration_lib.ChangeRecord
+    configuration_lib.SnapshotRecord
     | tasks_lib.TaskRecord
     | tasks_lib.RunTimeRecord
     | claims_lib.ClaimRecord
@@ -62,11 +61,24 @@
         self, command: commands.ChangeConfiguration
     ) -> commands.Result:
         before = self.configuration.current
-        result = self.configuration.change(command)
+        result = self.configuration.change(command, self._has_unfinished_work)
         if self.configuration.current is not before:
             self.tasks.follow(self.configuration.current, command.at_ms)
         return result
 
+    def _has_unfinished_work(self, job: str) -> bool:
+        """Whether a job has begun and not ended, so that it must go on."""
+        row = self.configuration.current.jobs[job]
+        records = [
+            record
+            for index in range(row.tasks)
+            if (record := self.tasks.records.get(f"job/{job}/{index}"))
+        ]
+        return any(record.attempt for record in records) and any(
+            record.phase in (tasks_lib.Phase.PENDING, tasks_lib.Phase.HELD)
+            for record in records
+        )
+
     def snapshot_records(self) -> Iterator[SnapshotRecord]:
         """Returns the records of a consistent view taken now.
 
@@ -88,15 +100,12 @@
     def restore_record(self, record: SnapshotRecord) -> None:
         """Adds one record of a snapshot."""
         match record:
-            case (
-                configuration_lib.ConfigurationRecord()
-                | configuration_lib.ChangeRecord()
-            ):
-                self.configuration.restore_record(record)
             case tasks_lib.TaskRecord() | tasks_lib.RunTimeRecord():
                 self.tasks.restore_record(record)
             case claims_lib.ClaimRecord():
                 self.claims.restore_record(record)
+            case _:
+                self.configuration.restore_record(record)
 
 
 def encode_record(record: SnapshotRecord) -> bytes:
