--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -75,12 +75,12 @@
             self.dropped += len(lines)
 
 
-def start(log_file: str, process: str) -> LogWriter:
+def start(process: str, log_file: str) -> LogWriter:
     """Sends every message from now on to a file, or to standard error.
 
     Args:
-      log_file: File to append to; standard error if empty.
       process: Name of the process, written into each line.
+      log_file: File to append to; standard error if empty.
 
     Raises:
       OSError: The file can't be opened.
@@ -103,11 +103,21 @@
     writer.close()
 
 
-def write(message_type: str, **fields: Any) -> None:
+def info(message_type: str, **fields: Any) -> None:
     """Logs one event.
 
     Args:
-      message_type: What happened, as `subject.event`.
+      message_type: What happened, as `subject:event`.
       **fields: Its details; `request`, `job` and `task` carry identifiers.
     """
-    eliot.log_message(message_type, **fields)
+    eliot.log_message(message_type, level="info", **fields)
+
+
+def warning(message_type: str, **fields: Any) -> None:
+    """Logs an event that an operator may have to look into."""
+    eliot.log_message(message_type, level="warning", **fields)
+
+
+def error(message_type: str, **fields: Any) -> None:
+    """Logs a failure that the process can't mend by itself."""
+    eliot.log_message(message_type, level="error", **fields)
--- /dev/null
+++ b/src/galenahook/operators/handler.py
@@ -0,0 +1,268 @@
+"""The leader's side of operators: changes, questions and answers."""
+
+from typing import Any
+import urllib.parse
+
+import curio
+
+from galenahook import audit as audit_lib
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import configuration_changes as changes_lib
+from galenahook import errors
+from galenahook import findings as findings_lib
+from galenahook import logs
+from galenahook import messages
+from galenahook import settings as settings_lib
+from galenahook import web
+from galenahook.operators import change_checks
+from galenahook.operators import explanations
+from galenahook.operators import in_force as in_force_lib
+from galenahook.operators import sheet_difference
+from galenahook.operators import sheets
+from galenahook.operators import status as status_lib
+from galenahook.operators import wire
+
+_COMMIT_TIMEOUT_MS = 900
+_COMMIT_BYTES_PER_MS = 10_000
+_UPLOADED_FILE = "sheet"
+_MAX_NUMBER = 2**63 - 1
+
+
+class OperatorHandler:
+    """Answers operators' requests on the leader during one term.
+
+    Attributes:
+      leader: What the leader knows in this term.
+      audit: The trail of this replica.
+    """
+
+    def __init__(
+        self,
+        leader: Any,
+        settings: settings_lib.ReplicaSettings,
+        clock: clock_lib.Clock,
+        audit: audit_lib.AuditTrail | None = None,
+    ) -> None:
+        self.leader = leader
+        self.settings = settings
+        self.clock = clock
+        self.audit = audit or audit_lib.AuditTrail(settings.data_folder)
+        self.in_force = in_force_lib.InForce(leader, settings.timing, clock)
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers one request that an entry relayed.
+
+        Raises:
+          errors.NotLeaderError: This replica doesn't lead.
+        """
+        if not self.leader.node.may_act():
+            return web.refusal(503, "no quorum")
+        path, _, query = request.target.partition("?")
+        route = request.method, path.removeprefix(wire.LEADER_PREFIX)
+        try:
+            return await self._route(route, request, _parse_query(query))
+        except errors.InvalidInputError as error:
+            return _refuse(400, "invalid message", error.findings)
+        except (errors.NoQuorumError, curio.TaskTimeout):
+            return web.refusal(503, "no quorum")
+        except errors.StorageError as error:
+            return web.refusal(503, str(error))
+
+    async def _route(
+        self,
+        route: tuple[str, str],
+        request: web.Request,
+        query: dict[str, str],
+    ) -> web.Response:
+        match route:
+            case "POST", "/changes":
+                return await self._change(request)
+            case "POST", "/sheet/check":
+                return await self._check_sheet(request)
+            case "POST", "/sheet/diff":
+                return await self._diff_sheet(request)
+            case "GET", "/status":
+                return await self._status()
+            case "GET", "/jobs":
+                view = status_lib.take_view(self.leader, self.in_force)
+                reply = await curio.run_in_thread(status_lib.list_jobs, view)
+                return web.json_response(reply)
+            case "GET", "/explain":
+                return self._explain(query)
+            case "GET", "/audit":
+                return await self._audit(query)
+            case "GET", "/revision":
+                return web.json_response(self.in_force.revision())
+            case _:
+                return web.refusal(404, "no such route")
+
+    # --- Changes --------------------------------------------------------------
+
+    async def _change(self, request: web.Request) -> web.Response:
+        asked = messages.decode(request.body, wire.OperatorChange)
+        findings = _check_numbers(asked) + change_checks.check(asked.change)
+        if findings:
+            return _refuse(422, "invalid change", findings)
+        invalid = self._find_unknown(asked)
+        if invalid is not None:
+            return web.json_response(invalid, 422)
+        operator = request.header(wire.OPERATOR_HEADER).decode("utf-8")
+        timeout_ms = _COMMIT_TIMEOUT_MS + (
+            len(request.body) // _COMMIT_BYTES_PER_MS
+        )
+        async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+            result: commands.ChangeResult = await self.leader.node.submit(
+                commands.ChangeConfiguration(
+                    operator=operator,
+                    number=asked.number,
+                    base_revision=asked.base_revision,
+                    at_ms=self.clock.wall_ms(),
+                    change=asked.change,
+                )
+            )
+        await self._finish_change(request, operator, asked, result)
+        return web.json_response(result, _status_of(result))
+
+    def _find_unknown(
+        self, asked: wire.OperatorChange
+    ) -> commands.ChangeInvalid | None:
+        configuration = self.leader.node.state.configuration
+        if asked.number in configuration.changes:
+            # A resend is answered by its number, whatever is known by now.
+            return None
+        fault = change_checks.find_unknown(asked.change, self.leader)
+        if not fault:
+            return None
+        revision = configuration.current.revision
+        return commands.ChangeInvalid(revision=revision, reason=fault)
+
+    async def _finish_change(
+        self,
+        request: web.Request,
+        operator: str,
+        asked: wire.OperatorChange,
+        result: commands.ChangeResult,
+    ) -> None:
+        identifier = request.header(wire.REQUEST_HEADER).decode("latin-1")
+        logs.info(
+            "operator:change",
+            request=identifier,
+            operator=operator,
+            number=asked.number,
+            change=type(asked.change).__name__,
+            result=type(result).__name__,
+            revision=result.revision,
+        )
+        if not isinstance(result, commands.ChangeAccepted):
+            return
+        self.in_force.note(result.revision)
+        try:
+            await self.audit.write_through(self.leader.node.state.configuration)
+        except errors.StorageError as error:
+            # The change is committed; the trail catches up later.
+            logs.error("audit:write-failed", reason=str(error))
+
+    # --- Sheets ---------------------------------------------------------------
+
+    async def _check_sheet(self, request: web.Request) -> web.Response:
+        read = await curio.run_in_thread(_read_sheet, request)
+        findings = tuple(read.swap().default_value([]))
+        status = 422 if findings else 200
+        return web.json_response(wire.SheetFindings(findings=findings), status)
+
+    async def _diff_sheet(self, request: web.Request) -> web.Response:
+        read = await curio.run_in_thread(_read_sheet, request)
+        if read.is_error():
+            return _refuse(422, "invalid sheet", read.error)
+        difference = await curio.run_in_thread(self._diff, read.ok)
+        return web.json_response(difference)
+
+    def _diff(self, sheet: commands.Sheet) -> wire.SheetDifference:
+        state = self.leader.node.state
+        before = state.configuration.current
+        after = changes_lib.apply_change(
+            before,
+            commands.ApplySheet(sheet=sheet),
+            state.has_unfinished_work,
+        )
+        return sheet_difference.compare(before, after, sheet)
+
+    # --- Questions ------------------------------------------------------------
+
+    async def _status(self) -> web.Response:
+        view = status_lib.take_view(self.leader, self.in_force)
+        reply = await curio.run_in_thread(status_lib.build, view)
+        return web.json_response(reply)
+
+    def _explain(self, query: dict[str, str]) -> web.Response:
+        explained = explanations.explain(self.leader, query)
+        if explained is None:
+            return web.refusal(
+                400, "expected one of ?job=NAME, ?service=NAME or ?request=ID"
+            )
+        return web.json_response(explained, 200 if explained.known else 404)
+
+    async def _audit(self, query: dict[str, str]) -> web.Response:
+        configuration = self.leader.node.state.configuration
+        revision = configuration.current.revision
+        first = _number(query, "from", 1)
+        last = min(_number(query, "to", revision), revision)
+        await self.audit.write_through(configuration)
+        records = await self.audit.read(first, last)
+        next_revision = 0
+        if len(records) >= audit_lib.MAX_RECORDS_READ:
+            next_revision = audit_lib.last_revision_of(records[-1]) + 1
+        return web.json_response(
+            wire.AuditReply(
+                records=tuple(records),
+                next_revision=next_revision if next_revision <= last else 0,
+            )
+        )
+
+
+def _status_of(result: commands.ChangeResult) -> int:
+    match result:
+        case commands.ChangeAccepted():
+            return 200
+        case commands.ChangeConflict():
+            return 409
+        case commands.ChangeInvalid():
+            return 422
+
+
+def _read_sheet(request: web.Request) -> sheets.SheetResult:
+    content_type = request.header(b"content-type").lower()
+    if content_type.startswith(b"application/json"):
+        return sheets.read_json(request.body, _UPLOADED_FILE)
+    return sheets.read_csv(request.body, _UPLOADED_FILE)
+
+
+def _parse_query(query: str) -> dict[str, str]:
+    return dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+
+
+def _number(query: dict[str, str], name: str, default: int) -> int:
+    text = query.get(name, "")
+    if not text:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > 15:
+        finding = findings_lib.Finding(f"?{name}", "expected a revision")
+        raise errors.InvalidInputError([finding])
+    return int(text)
+
+
+def _check_numbers(asked: wire.OperatorChange) -> list[findings_lib.Finding]:
+    findings = findings_lib.Findings()
+    if not 0 < asked.number <= _MAX_NUMBER:
+        findings.add("$.number", f"expected 1 to {_MAX_NUMBER}")
+    if asked.base_revision < 0:
+        findings.add("$.base_revision", "must not be below 0")
+    return findings.items
+
+
+def _refuse(
+    status: int, reason: str, findings: list[findings_lib.Finding]
+) -> web.Response:
+    refusal = messages.Refusal(reason=reason, findings=tuple(findings))
+    return web.json_response(refusal, status)
--- /dev/null
+++ b/src/galenahook/operators/in_force.py
@@ -0,0 +1,63 @@
+"""From when on a revision is in force everywhere."""
+
+from typing import Any
+
+from galenahook import clock as clock_lib
+from galenahook import defaults
+from galenahook import settings as settings_lib
+from galenahook.operators import wire
+
+
+class InForce:
+    """Follows the revisions that this leader accepted.
+
+    A revision is in force once no entry can act on an earlier one, and no
+    start that was sent before it can still be taken by a worker.
+
+    Attributes:
+      leader: What the leader knows in this term.
+    """
+
+    def __init__(
+        self,
+        leader: Any,
+        timing: settings_lib.Timing,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.leader = leader
+        self._clock = clock
+        margin_ms = timing.start_ttl_ms * defaults.CLOCK_RATE_MARGIN_PERCENT
+        self._start_life_ms = timing.start_ttl_ms + margin_ms // 100 + 1
+        # What an earlier leader accepted counts from this one's election.
+        self._revision = leader.node.state.configuration.current.revision
+        self._noted_ms = clock.monotonic_ms()
+
+    def note(self, revision: int) -> None:
+        """Notes that a revision was accepted now."""
+        if revision > self._revision:
+            self._revision = revision
+            self._noted_ms = self._clock.monotonic_ms()
+
+    def revision(self) -> wire.RevisionReply:
+        """Returns the current revision and whether it is in force."""
+        revision = self.leader.node.state.configuration.current.revision
+        self.note(revision)
+        behind = self._entries_behind(revision)
+        starts_end_ms = self._noted_ms + self._start_life_ms
+        in_force = (
+            self.leader.entries.in_force_everywhere(revision)
+            and self._clock.monotonic_ms() >= starts_end_ms
+        )
+        return wire.RevisionReply(
+            revision=revision, in_force=in_force, behind=behind
+        )
+
+    def _entries_behind(self, revision: int) -> tuple[str, ...]:
+        now_ms = self._clock.monotonic_ms()
+        return tuple(
+            sorted(
+                record.name
+                for record in self.leader.entries.records.values()
+                if record.revision < revision and record.lease_end_ms > now_ms
+            )
+        )
--- /dev/null
+++ b/src/galenahook/operators/relay.py
@@ -0,0 +1,137 @@
+"""The entry's side of operators: who they are, and the way to the leader."""
+
+import secrets
+from typing import Protocol
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import logs
+from galenahook import secrets_files
+from galenahook import web
+from galenahook.operators import wire
+
+# An answer, or "no quorum", within this time; a large body gets more.
+ANSWER_TIMEOUT_MS = 950
+BODY_BYTES_PER_MS = 10_000
+
+_ATTEMPT_TIMEOUT_MS = 450
+_RETRY_PAUSE_MS = 50
+_REQUEST_ID_BYTES = 8
+_BEARER = b"bearer "
+
+_FORWARDED_HEADERS = (b"content-type",)
+
+_ROUTES = frozenset(
+    (
+        ("POST", wire.CHANGES_TARGET),
+        ("POST", wire.SHEET_CHECK_TARGET),
+        ("POST", wire.SHEET_DIFF_TARGET),
+        ("GET", wire.STATUS_TARGET),
+        ("GET", wire.EXPLAIN_TARGET),
+        ("GET", wire.JOBS_TARGET),
+        ("GET", wire.AUDIT_TARGET),
+        ("GET", wire.REVISION_TARGET),
+        ("POST", wire.REPLICAS_TARGET),
+    )
+)
+
+
+class Leader(Protocol):
+    """The part of `leader_client.LeaderClient` that the relay needs."""
+
+    async def send(self, request: web.Request, timeout_ms: int) -> web.Response:
+        """Sends one request to the leader and returns its response."""
+
+
+class OperatorRelay:
+    """Answers operators at an entry.
+
+    Attributes:
+      tokens: Token of each operator.
+    """
+
+    def __init__(
+        self, leader: Leader, tokens_file: str, clock: clock_lib.Clock
+    ) -> None:
+        """Reads the operators' tokens.
+
+        Raises:
+          errors.InvalidInputError: The tokens' file has faults.
+        """
+        loaded = secrets_files.load_operator_tokens(tokens_file)
+        if loaded.is_error():
+            raise errors.InvalidInputError(loaded.error)
+        self.tokens = loaded.ok
+        self._leader = leader
+        self._clock = clock
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Authenticates an operator and relays the request to the leader."""
+        operator = self.tokens.operator_of(_bearer_token(request))
+        if not operator:
+            return web.refusal(401, "unknown operator: bearer token needed")
+        path, _, query = request.target.partition("?")
+        if (request.method, path) not in _ROUTES:
+            return web.refusal(404, "no such route")
+        identifier = secrets.token_hex(_REQUEST_ID_BYTES)
+        relayed = web.Request(
+            request.method,
+            _leader_target(path, query),
+            _relayed_headers(request, operator, identifier),
+            request.body,
+        )
+        response = await self._send(relayed)
+        logs.info(
+            "operator:answered",
+            request=identifier,
+            operator=operator,
+            method=request.method,
+            path=path,
+            status=response.status,
+        )
+        return response
+
+    async def _send(self, request: web.Request) -> web.Response:
+        """Sends until answered; every operator's request is idempotent."""
+        extra_ms = len(request.body) // BODY_BYTES_PER_MS
+        end_ms = self._clock.monotonic_ms() + ANSWER_TIMEOUT_MS + extra_ms
+        headers = request.headers
+        while (left_ms := end_ms - self._clock.monotonic_ms()) > 0:
+            request.headers = list(headers)
+            attempt_ms = min(left_ms, _ATTEMPT_TIMEOUT_MS + extra_ms)
+            try:
+                response = await self._leader.send(request, attempt_ms)
+                if response.status != 503:
+                    return response
+            except (errors.NoQuorumError, errors.ExchangeError):
+                pass
+            pause_ms = min(_RETRY_PAUSE_MS, left_ms)
+            await curio.sleep(clock_lib.seconds(pause_ms))
+        return web.refusal(503, "no quorum")
+
+
+def _bearer_token(request: web.Request) -> bytes:
+    value = request.header(b"authorization")
+    if value[: len(_BEARER)].lower() != _BEARER:
+        return b""
+    return value[len(_BEARER) :].strip()
+
+
+def _leader_target(path: str, query: str) -> str:
+    target = wire.LEADER_PREFIX + path.removeprefix("/v1")
+    return f"{target}?{query}" if query else target
+
+
+def _relayed_headers(
+    request: web.Request, operator: str, identifier: str
+) -> web.Headers:
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if name in _FORWARDED_HEADERS
+    ]
+    headers.append((wire.OPERATOR_HEADER, operator.encode("utf-8")))
+    headers.append((wire.REQUEST_HEADER, identifier.encode("ascii")))
+    return headers
--- a/src/galenahook/operators/sheet_csv.py
+++ b/src/galenahook/operators/sheet_csv.py
@@ -94,7 +94,7 @@
 def read(
     data: bytes, file: str, findings: findings_lib.Findings
 ) -> sheet_rules.PlacedSheet:
-    """Reads a table; rows with faults are left out and reported."""
+    """Reads a table; a faulty cell is reported and stands as empty."""
     placed = sheet_rules.PlacedSheet()
     text = _decode(data, file, findings)
     if text is None:
@@ -265,10 +265,9 @@
         self.row = row
         self.calendar = calendar
         self.findings = findings
-        self._sound = True
 
     def read_into(self, placed: sheet_rules.PlacedSheet) -> None:
-        """Adds the row to the sheet unless it has a fault."""
+        """Adds the row to the sheet."""
         match self.row.cells["kind"]:
             case "zone":
                 self._add(placed.availability_zones, self._text("name"))
@@ -280,8 +279,7 @@
                 self._add(placed.jobs, self._job())
 
     def _add(self, rows: list[sheet_rules.PlacedRow], row: Any) -> None:
-        if self._sound:
-            rows.append(sheet_rules.PlacedRow(row, self.row.place_of))
+        rows.append(sheet_rules.PlacedRow(row, self.row.place_of))
 
     def _quota(self) -> commands.TeamQuota:
         return commands.TeamQuota(
@@ -351,12 +349,9 @@
     def _cell(self, column: str, empty: Any, parse: Callable) -> Any:
         text = self.row.cells.get(column, "")
         if not text:
-            # A missing cell has been reported with the row's columns.
-            self._sound &= column in _OPTIONAL
             return empty
         try:
             return parse(text)
         except ValueError as error:
             self.findings.add(self.row.place_of(column), str(error))
-            self._sound = False
             return empty
--- a/src/galenahook/operators/sheet_rules.py
+++ b/src/galenahook/operators/sheet_rules.py
@@ -59,7 +59,19 @@
 
 
 def check(placed: PlacedSheet, findings: findings_lib.Findings) -> None:
-    """Adds every fault of the rows and between the rows."""
+    """Adds every fault of the rows and between the rows.
+
+    A place that has a finding already gets no further one.
+    """
+    known = {finding.place for finding in findings.items}
+    found = findings_lib.Findings()
+    _check_all(placed, found)
+    findings.items.extend(
+        finding for finding in found.items if finding.place not in known
+    )
+
+
+def _check_all(placed: PlacedSheet, findings: findings_lib.Findings) -> None:
     for fault_field, fault in row_checks.check_objective(placed.objective):
         place = placed.objective_place or fault_field
         findings.add(place, fault)
@@ -70,7 +82,7 @@
         (placed.availability_zones, row_checks.check_availability_zone),
     ):
         for row in rows:
-            for field, fault in row_check(row.row):  # type: ignore[operator]
+            for field, fault in row_check(row.row):
                 findings.add(row.place_of(field), fault)
     _check_unique("name", "service", placed.services, findings)
     _check_unique("name", "job", placed.jobs, findings)
--- /dev/null
+++ b/src/galenahook/operators/status.py
@@ -0,0 +1,252 @@
+"""The state of the site, as operators see it."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+
+from galenahook import commands
+from galenahook import configuration as configuration_lib
+from galenahook.operators import change_checks
+from galenahook.operators import in_force as in_force_lib
+from galenahook.operators import wire
+from galenahook.scheduling import tasks as tasks_lib
+
+_MAX_NAMES = 50
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class View:
+    """A consistent view of what the leader knows, safe to read in a thread.
+
+    Attributes:
+      node_name: Name of the leader.
+      term: Its term.
+      current: Configuration.
+      revision: Its revision and whether it is in force.
+      records: Tasks by identifier.
+      workers: Workers heard of, by name.
+      silent: Workers that have not announced themselves lately.
+      executors: Executors heard of, by name.
+      entries: Entries heard of.
+      replicas: Replicas of the group.
+      availability_zones: Every name known.
+    """
+
+    node_name: str
+    term: int
+    current: configuration_lib.ConfigurationRecord
+    revision: wire.RevisionReply
+    records: Mapping[str, tasks_lib.TaskRecord]
+    workers: Mapping[str, Any]
+    silent: tuple[str, ...]
+    executors: Mapping[str, Any]
+    entries: tuple[wire.EntryStatus, ...]
+    replicas: tuple[wire.ReplicaLine, ...]
+    availability_zones: frozenset[str]
+
+
+def take_view(leader: Any, in_force: in_force_lib.InForce) -> View:
+    """Takes a view now; the rest may be done slowly."""
+    node = leader.node
+    revision = in_force.revision()
+    return View(
+        node_name=node.name,
+        term=node.term(),
+        current=node.state.configuration.current,
+        revision=revision,
+        records=dict(node.state.tasks.records),
+        workers=dict(leader.workers.workers),
+        silent=tuple(
+            sorted(
+                name
+                for name, worker in leader.workers.workers.items()
+                if leader.workers.is_silent(worker)
+            )
+        ),
+        executors=dict(leader.executors.executors),
+        entries=tuple(_entries(leader, revision)),
+        replicas=tuple(_replicas(node)),
+        availability_zones=frozenset(change_checks.availability_zones(leader)),
+    )
+
+
+def _entries(
+    leader: Any, revision: wire.RevisionReply
+) -> Iterator[wire.EntryStatus]:
+    for record in sorted(leader.entries.records.values(), key=_name):
+        yield wire.EntryStatus(
+            name=record.name,
+            availability_zone=record.availability_zone,
+            revision=record.revision,
+            leaving=record.leaving,
+            behind=record.name in revision.behind,
+        )
+
+
+def _name(record: Any) -> str:
+    return str(record.name)
+
+
+def _replicas(node: Any) -> Iterator[wire.ReplicaLine]:
+    status = node.status()
+    silent_ms = {peer.name: peer.silent_ms for peer in status.peers}
+    synced = {peer.name: peer.synced_index for peer in status.peers}
+    for voter, texts in ((True, status.members), (False, status.learners)):
+        for text in texts:
+            name, _, rest = text.partition("=")
+            is_leader = name == status.name
+            yield wire.ReplicaLine(
+                name=name,
+                address=rest.partition("#")[0],
+                voter=voter,
+                silent_ms=0 if is_leader else silent_ms.get(name, -1),
+                behind=0
+                if is_leader
+                else status.last_index - synced.get(name, 0),
+            )
+
+
+def build(view: View) -> wire.StatusReply:
+    """Builds the status from a view."""
+    current = view.current
+    phases = _count_phases(view)
+    return wire.StatusReply(
+        leader=view.node_name,
+        term=view.term,
+        revision=view.revision.revision,
+        in_force=view.revision.in_force,
+        objective=current.objective,
+        replicas=view.replicas,
+        entries=view.entries,
+        availability_zones=tuple(_availability_zones(view)),
+        services=tuple(_services(view, phases)),
+        jobs=_jobs(view, phases),
+        workers=len(view.workers),
+        executors=len(view.executors),
+        leaving=_leaving(view),
+        silent=view.silent[:_MAX_NAMES],
+        drained=tuple(sorted(current.drained))[:_MAX_NAMES],
+        short=tuple(_short(view, phases)),
+    )
+
+
+Phases = Mapping[str, Mapping[tasks_lib.Phase, int]]
+
+
+def _count_phases(view: View) -> Phases:
+    """Counts tasks by `service/NAME` or `job/NAME`, and by phase."""
+    counts: dict[str, dict[tasks_lib.Phase, int]] = {}
+    for task, record in view.records.items():
+        owner = task.rpartition("/")[0]
+        phases = counts.setdefault(owner, {})
+        phases[record.phase] = phases.get(record.phase, 0) + 1
+    return counts
+
+
+def _availability_zones(
+    view: View,
+) -> Iterator[wire.AvailabilityZoneStatus]:
+    zone_of = {
+        name: worker.announcement.availability_zone
+        for name, worker in view.workers.items()
+    }
+    held: dict[str, dict[str, int]] = {}
+    for task, record in view.records.items():
+        if record.phase is tasks_lib.Phase.HELD:
+            kind = task.partition("/")[0]
+            counts = held.setdefault(zone_of.get(record.worker, ""), {})
+            counts[kind] = counts.get(kind, 0) + 1
+    for name in sorted(view.availability_zones):
+        counts = held.get(name, {})
+        yield wire.AvailabilityZoneStatus(
+            name=name,
+            out=name in view.current.availability_zones_out,
+            workers=sum(zone == name for zone in zone_of.values()),
+            executors=sum(
+                executor.announcement.availability_zone == name
+                for executor in view.executors.values()
+            ),
+            service_tasks=counts.get("service", 0),
+            batch_tasks=counts.get("job", 0),
+        )
+
+
+def _services(view: View, phases: Phases) -> Iterator[wire.ServiceStatus]:
+    for name, row in sorted(view.current.services.items()):
+        counts = phases.get(f"service/{name}", {})
+        yield wire.ServiceStatus(
+            name=name,
+            instances=row.instances,
+            held=counts.get(tasks_lib.Phase.HELD, 0),
+            executors=sum(
+                executor.announcement.service == name
+                for executor in view.executors.values()
+            ),
+        )
+
+
+def _jobs(view: View, phases: Phases) -> wire.JobCounts:
+    totals = dict.fromkeys(tasks_lib.Phase, 0)
+    for name in view.current.jobs:
+        for phase, count in phases.get(f"job/{name}", {}).items():
+            totals[phase] += count
+    return wire.JobCounts(
+        jobs=len(view.current.jobs),
+        tasks_pending=totals[tasks_lib.Phase.PENDING],
+        tasks_held=totals[tasks_lib.Phase.HELD],
+        tasks_done=totals[tasks_lib.Phase.DONE],
+        tasks_failed=totals[tasks_lib.Phase.FAILED],
+        tasks_cancelled=totals[tasks_lib.Phase.CANCELLED],
+    )
+
+
+def list_jobs(view: View) -> wire.JobsReply:
+    """Lists the sheet's jobs, the earliest deadline first."""
+    phases = _count_phases(view)
+    rows = sorted(view.current.jobs.values(), key=_order_of_job)
+    return wire.JobsReply(jobs=tuple(_job(view, row, phases) for row in rows))
+
+
+def _order_of_job(row: commands.JobRow) -> tuple[bool, int, str]:
+    return row.deadline_ms == 0, row.deadline_ms, row.name
+
+
+def _job(view: View, row: commands.JobRow, phases: Phases) -> wire.JobStatus:
+    counts = phases.get(f"job/{row.name}", {})
+    return wire.JobStatus(
+        name=row.name,
+        team=row.team,
+        priority=row.priority,
+        deadline_ms=row.deadline_ms,
+        cancelled=row.name in view.current.cancelled,
+        pending=counts.get(tasks_lib.Phase.PENDING, 0),
+        held=counts.get(tasks_lib.Phase.HELD, 0),
+        done=counts.get(tasks_lib.Phase.DONE, 0),
+        failed=counts.get(tasks_lib.Phase.FAILED, 0),
+    )
+
+
+def _leaving(view: View) -> tuple[str, ...]:
+    upstreams = [*view.workers.items(), *view.executors.items()]
+    names = [name for name, item in upstreams if item.announcement.leaving]
+    return tuple(sorted(names))[:_MAX_NAMES]
+
+
+def _short(view: View, phases: Phases) -> Iterator[str]:
+    """Yields what is missing, for a person."""
+    for service in _services(view, phases):
+        if service.held < service.instances:
+            yield (
+                f"service {service.name}: {service.held} of"
+                f" {service.instances} instances are placed"
+            )
+        if not service.executors:
+            yield f"service {service.name}: no executor has announced itself"
+    for name in sorted(view.current.jobs):
+        failed = phases.get(f"job/{name}", {}).get(tasks_lib.Phase.FAILED, 0)
+        if failed:
+            yield f"job {name}: {failed} tasks failed for good"
+    for replica in view.replicas:
+        if replica.silent_ms < 0:
+            yield f"replica {replica.name}: not heard from in this term"
--- a/src/galenahook/operators/wire.py
+++ b/src/galenahook/operators/wire.py
@@ -3,6 +3,7 @@
 `docs/INTERFACES.md` gives the routes; changes themselves are in `commands`.
 """
 
+from galenahook import audit
 from galenahook import commands
 from galenahook import findings as findings_lib
 from galenahook import messages
@@ -14,13 +15,14 @@
 EXPLAIN_TARGET = "/v1/explain"
 AUDIT_TARGET = "/v1/audit"
 REVISION_TARGET = "/v1/revision"
+JOBS_TARGET = "/v1/jobs"
 REPLICAS_TARGET = "/v1/replicas"
 
 # What the entry puts before an operator's route on its way to the leader.
 LEADER_PREFIX = "/v1/operators"
 
 OPERATOR_HEADER = b"x-galenahook-operator"
-KEY_HEADER = b"x-galenahook-key"
+REQUEST_HEADER = b"x-galenahook-request"
 
 
 class OperatorChange(messages.Message, frozen=True, kw_only=True):
@@ -77,3 +79,172 @@
 
     revision: int
     rows: tuple[RowDifference, ...] = ()
+
+
+class AuditReply(messages.Message, frozen=True, kw_only=True):
+    """Accepted changes of a range of revisions, oldest first.
+
+    Attributes:
+      records: At most a thousand.
+      next_revision: Where to go on, 0 when the range is complete.
+    """
+
+    records: tuple[audit.AuditLine, ...]
+    next_revision: int = 0
+
+
+class ReplicaLine(messages.Message, frozen=True, kw_only=True):
+    """One replica of the group.
+
+    Attributes:
+      name: Name of the replica.
+      address: Address of its listener for peers.
+      voter: False for a learner.
+      silent_ms: Age of its last answer to the leader, -1 for none.
+      behind: Log entries that it has not synced yet.
+    """
+
+    name: str
+    address: str
+    voter: bool
+    silent_ms: int
+    behind: int
+
+
+class EntryStatus(messages.Message, frozen=True, kw_only=True):
+    """One entry.
+
+    Attributes:
+      name: Name of the entry.
+      availability_zone: Where it stands.
+      revision: Revision that it follows.
+      leaving: Whether it drains.
+      behind: Whether it may still act on an earlier revision.
+    """
+
+    name: str
+    availability_zone: str
+    revision: int
+    leaving: bool
+    behind: bool
+
+
+class AvailabilityZoneStatus(messages.Message, frozen=True, kw_only=True):
+    """One availability zone.
+
+    Attributes:
+      name: Name of the availability zone.
+      out: Whether operators took it out.
+      workers: Workers heard of there.
+      executors: Executors heard of there.
+      service_tasks: Service instances that hold a worker there.
+      batch_tasks: Batch tasks that hold a worker there.
+    """
+
+    name: str
+    out: bool
+    workers: int
+    executors: int
+    service_tasks: int
+    batch_tasks: int
+
+
+class ServiceStatus(messages.Message, frozen=True, kw_only=True):
+    """One service.
+
+    Attributes:
+      name: Name of the service.
+      instances: Instances wanted.
+      held: Instances that hold a worker.
+      executors: Executors that announced themselves for it.
+    """
+
+    name: str
+    instances: int
+    held: int
+    executors: int
+
+
+class JobCounts(messages.Message, frozen=True, kw_only=True):
+    """Jobs of the sheet, and their tasks by phase."""
+
+    jobs: int
+    tasks_pending: int
+    tasks_held: int
+    tasks_done: int
+    tasks_failed: int
+    tasks_cancelled: int
+
+
+class StatusReply(messages.Message, frozen=True, kw_only=True):
+    """The state of the site.
+
+    Attributes:
+      leader: Name of the leading replica.
+      term: Its term.
+      revision: Revision of the configuration.
+      in_force: Whether no process can still act on an earlier one.
+      objective: `tail` or `throughput`.
+      replicas: Replicas of the group.
+      entries: Entries heard of in this term.
+      availability_zones: Every availability zone known.
+      services: Services of the sheet.
+      jobs: Jobs of the sheet.
+      workers: Workers heard of.
+      executors: Executors heard of.
+      leaving: Upstreams that plan to stop.
+      silent: Workers not heard of lately.
+      drained: Upstreams that operators drained.
+      short: What is missing, for a person.
+    """
+
+    leader: str
+    term: int
+    revision: int
+    in_force: bool
+    objective: str
+    replicas: tuple[ReplicaLine, ...]
+    entries: tuple[EntryStatus, ...]
+    availability_zones: tuple[AvailabilityZoneStatus, ...]
+    services: tuple[ServiceStatus, ...]
+    jobs: JobCounts
+    workers: int
+    executors: int
+    leaving: tuple[str, ...]
+    silent: tuple[str, ...]
+    drained: tuple[str, ...]
+    short: tuple[str, ...]
+
+
+class Explanation(messages.Message, frozen=True, kw_only=True):
+    """Why something is as it is.
+
+    Attributes:
+      subject: What was asked about.
+      known: Whether the system knows it.
+      lines: The reasons, for a person.
+    """
+
+    subject: str
+    known: bool
+    lines: tuple[str, ...] = ()
+
+
+class JobStatus(messages.Message, frozen=True, kw_only=True):
+    """One job of the sheet, and its tasks by phase."""
+
+    name: str
+    team: str
+    priority: int
+    deadline_ms: int
+    cancelled: bool
+    pending: int
+    held: int
+    done: int
+    failed: int
+
+
+class JobsReply(messages.Message, frozen=True, kw_only=True):
+    """Every job of the sheet."""
+
+    jobs: tuple[JobStatus, ...]
--- a/src/galenahook/settings_checks.py
+++ b/src/galenahook/settings_checks.py
@@ -17,7 +17,8 @@
 # nothing starts in an availability zone that is out.
 IN_FORCE_BOUND_MS = 3_000
 
-_REPLICA_COUNTS = (1, 3, 5)
+# While a replica is replaced, the settings list the old and the new one.
+_MAX_REPLICAS = 9
 
 
 def check_entry(
@@ -150,8 +151,11 @@
 def _check_replicas(
     replicas: dict[str, str], findings: findings_lib.Findings
 ) -> None:
-    if len(replicas) not in _REPLICA_COUNTS:
-        findings.add("$.replicas", f"{len(replicas)} given; expected 1, 3 or 5")
+    if not 1 <= len(replicas) <= _MAX_REPLICAS:
+        findings.add(
+            "$.replicas",
+            f"{len(replicas)} given; expected 1 to {_MAX_REPLICAS}",
+        )
     seen: dict[str, str] = {}
     for name, address in replicas.items():
         place = f"$.replicas.{name}"
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -61,12 +61,12 @@
         self, command: commands.ChangeConfiguration
     ) -> commands.Result:
         before = self.configuration.current
-        result = self.configuration.change(command, self._has_unfinished_work)
+        result = self.configuration.change(command, self.has_unfinished_work)
         if self.configuration.current is not before:
             self.tasks.follow(self.configuration.current, command.at_ms)
         return result
 
-    def _has_unfinished_work(self, job: str) -> bool:
+    def has_unfinished_work(self, job: str) -> bool:
         """Whether a job has begun and not ended, so that it must go on."""
         row = self.configuration.current.jobs[job]
         records = [
