--- a/src/galenahook/cli.py
+++ b/src/galenahook/cli.py
@@ -250,8 +250,8 @@
     """A scheduler for colocated latency-critical and batch work.
 
     Daemons take `--settings F`. Operators' commands take `--client F`, a JSON
-    file with `entries` and `token_file`, or `--entry-address HOST:PORT`
-    and `--token-file F`; the environment's GALENAHOOK_CLIENT names the file too.
+    file with `entries` and `token_file`, or `--entry-address HOST:PORT` and
+    `--token-file F`; the environment's GALENAHOOK_CLIENT names the file too.
     Options go after the command. `--json` prints one JSON document.
 
     Exit codes: 0 done, 1 failure, 2 usage, 3 invalid input, 4 conflict,
@@ -504,6 +504,9 @@
 
 
 def _run(arguments: list[str]) -> None:
+    if arguments in (["--help"], ["-h"]):
+        # Without arguments `fire` shows the commands, with them the options.
+        arguments = []
     parsed: Any = fire.Fire(
         Galenahook,
         command=arguments,
