--- /dev/null
+++ b/bench/fakes/relay.py
@@ -0,0 +1,240 @@
+"""Relays that stand on a link and lose, hold, delay or repeat what passes.
+
+`TcpRelay` works on connections, as a network or a firewall does. `HttpRelay`
+works on whole messages.
+"""
+
+import dataclasses
+import enum
+import random
+from typing import Any
+
+import curio
+import curio.io
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import web
+
+READ_BYTES = 64 * 1024
+POLL_MS = 10
+FORWARD_TIMEOUT_MS = 30_000
+
+
+class Direction(enum.Flag):
+    """Directions of a link: `FORWARD` is towards the listening side."""
+
+    FORWARD = enum.auto()
+    BACKWARD = enum.auto()
+    BOTH = FORWARD | BACKWARD
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Link:
+    """One connection through a relay.
+
+    Attributes:
+      dead: Directions that pass nothing any more, without a close.
+    """
+
+    client: Any
+    server: Any
+    dead: Direction = Direction(0)
+
+
+class TcpRelay:
+    """Forwards connections from an address of its own to a target.
+
+    Attributes:
+      address: Address at which it listens.
+      target: Address to which it forwards.
+      held: Directions that wait; what waits passes after `release`.
+      refuse: Close new connections at once.
+      delay_ms: Added to each piece of data, in each direction.
+    """
+
+    def __init__(self, target: str, listen: str = "127.0.0.3:0") -> None:
+        self.target = target
+        self.held = Direction(0)
+        self.refuse = False
+        self.delay_ms = 0
+        self._sock = web.listen(listen)
+        self.address = web.bound_address(self._sock)
+        self._links: set[_Link] = set()
+
+    async def run(self) -> None:
+        """Forwards until cancelled."""
+        sock = curio.io.Socket(self._sock)
+        try:
+            while True:
+                client, _ = await sock.accept()
+                if self.refuse:
+                    await client.close()
+                    continue
+                await curio.spawn(self._connect, client, daemon=True)
+        finally:
+            await sock.close()
+            await self.cut()
+
+    async def cut(self) -> None:
+        """Closes every connection; new ones work."""
+        for link in list(self._links):
+            await _close(link)
+
+    def hold(self, directions: Direction = Direction.BOTH) -> None:
+        """Lets nothing pass, on old and new connections, until `release`."""
+        self.held = directions
+
+    def release(self) -> None:
+        """Lets pass again, with everything that waited."""
+        self.held = Direction(0)
+
+    def lose_track(self, directions: Direction = Direction.BOTH) -> None:
+        """Makes open connections silent for good, while new ones work."""
+        for link in self._links:
+            link.dead |= directions
+
+    def open_links(self) -> int:
+        """Returns the number of connections that are open."""
+        return len(self._links)
+
+    async def _connect(self, client: Any) -> None:
+        await self._wait_released(Direction.FORWARD)
+        host, port = web.parse_address(self.target)
+        try:
+            server = await curio.open_connection(host, port)
+        except OSError:
+            await client.close()
+            return
+        link = _Link(client, server)
+        self._links.add(link)
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(
+                    self._pump, link, client, server, Direction.FORWARD
+                )
+                await group.spawn(
+                    self._pump, link, server, client, Direction.BACKWARD
+                )
+        finally:
+            self._links.discard(link)
+            await _close(link)
+
+    async def _pump(
+        self, link: _Link, source: Any, sink: Any, direction: Direction
+    ) -> None:
+        while True:
+            try:
+                data = await source.recv(READ_BYTES)
+                if self.delay_ms:
+                    await curio.sleep(clock_lib.seconds(self.delay_ms))
+                await self._wait_released(direction)
+                if direction in link.dead:
+                    if not data:
+                        await curio.sleep(3600)
+                    continue
+                if not data:
+                    return
+                await sink.sendall(data)
+            except OSError:
+                return
+
+    async def _wait_released(self, direction: Direction) -> None:
+        while direction in self.held:
+            await curio.sleep(clock_lib.seconds(POLL_MS))
+
+
+async def _close(link: _Link) -> None:
+    for sock in (link.client, link.server):
+        try:
+            await sock.close()
+        except OSError:
+            continue
+
+
+@dataclasses.dataclass(slots=True)
+class MessageFaults:
+    """Shares of messages to which something happens, 0 to 1 each.
+
+    Attributes:
+      lose: The message never arrives.
+      lose_answer: It arrives, and its answer does not.
+      duplicate: It arrives twice; the second answer is returned.
+      late: Its sender gives up, and it arrives up to `late_ms` later.
+      late_ms: Longest delay of a late message.
+    """
+
+    lose: float = 0.0
+    lose_answer: float = 0.0
+    duplicate: float = 0.0
+    late: float = 0.0
+    late_ms: int = 3_000
+
+
+class HttpRelay:
+    """Forwards whole requests, with seeded faults.
+
+    Attributes:
+      address: Address at which it listens.
+      target: Address to which it forwards.
+      faults: What happens, to which share of messages.
+      counts: How often each fault happened.
+    """
+
+    def __init__(
+        self, target: str, seed: int = 0, listen: str = "127.0.0.3:0"
+    ) -> None:
+        self.target = target
+        self.faults = MessageFaults()
+        self.counts: dict[str, int] = {}
+        self._random = random.Random(seed)
+        self._client = web.ControlClient(clock_lib.Clock(), [])
+        self._server = web.Server(
+            web.listen(listen), self._handle, web.CONTROL_LIMITS
+        )
+        self.address = self._server.address
+
+    async def run(self) -> None:
+        """Forwards until cancelled."""
+        await self._server.run()
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        drawn = self._random.random()
+        for name in ("lose", "lose_answer", "duplicate", "late"):
+            share = getattr(self.faults, name)
+            if drawn < share:
+                self.counts[name] = self.counts.get(name, 0) + 1
+                return await self._fail(name, request)
+            drawn -= share
+        return await self._forward(request)
+
+    async def _fail(self, name: str, request: web.Request) -> web.Response:
+        match name:
+            case "lose_answer":
+                await self._forward(request)
+            case "duplicate":
+                await self._forward(request)
+                return await self._forward(request)
+            case "late":
+                delay_ms = self._random.uniform(0, self.faults.late_ms)
+                await curio.spawn(
+                    self._forward_late, request, delay_ms, daemon=True
+                )
+        raise ConnectionResetError(f"message fault: {name}")
+
+    async def _forward(self, request: web.Request) -> web.Response:
+        try:
+            return await self._client.send(
+                self.target, request, FORWARD_TIMEOUT_MS
+            )
+        except errors.ExchangeError as error:
+            raise ConnectionResetError(str(error)) from error
+
+    async def _forward_late(
+        self, request: web.Request, delay_ms: float
+    ) -> None:
+        await curio.sleep(clock_lib.seconds(delay_ms))
+        try:
+            await self._forward(request)
+        except OSError:
+            return
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,320 @@
+"""Stateful fuzzing of the replicated state against simple oracles.
+
+Each oracle knows only what operators, upstreams and callers were answered.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import msgspec
+
+import builders
+from galenahook import commands
+from galenahook import messages
+from galenahook import state as state_lib
+
+OPERATORS = ("ana", "bor")
+JOBS = ("plan", "rota")
+SERVICES = ("prices", "holds")
+ZONES = ("a", "b")
+WORKERS = ("w1", "w2")
+KEYS = tuple(f"prices:{index}" for index in range(4))
+
+_names = st.sampled_from(JOBS)
+_tasks = st.sampled_from(
+    [f"job/{name}/{index}" for name in JOBS for index in range(2)]
+    + [f"service/{name}/0" for name in SERVICES]
+)
+_jobs = st.builds(
+    lambda name, tasks, repeatable: builders.job(
+        name, tasks=tasks, repeatable=repeatable
+    ),
+    _names,
+    st.integers(1, 2),
+    st.booleans(),
+)
+_services = st.builds(builders.service, st.sampled_from(SERVICES))
+_changes = st.one_of(
+    st.builds(
+        lambda services, jobs: builders.apply_sheet(
+            tuple({row.name: row for row in services}.values()),
+            tuple({row.name: row for row in jobs}.values()),
+        ),
+        st.lists(_services, max_size=2),
+        st.lists(_jobs, max_size=2),
+    ),
+    st.builds(commands.PutJob, job=_jobs),
+    st.builds(commands.PutService, service=_services),
+    st.builds(commands.RemoveService, name=st.sampled_from(SERVICES)),
+    st.builds(
+        commands.CancelJobs,
+        names=st.lists(_names, min_size=1, max_size=2).map(tuple),
+    ),
+    st.builds(
+        commands.AvailabilityZoneOut, availability_zone=st.sampled_from(ZONES)
+    ),
+    st.builds(
+        commands.AvailabilityZoneIn, availability_zone=st.sampled_from(ZONES)
+    ),
+)
+_outcomes = st.one_of(
+    st.builds(commands.AttemptCompleted, run_ms=st.integers(0, 1_000)),
+    st.builds(
+        commands.AttemptFailed, run_ms=st.integers(0, 1_000), reason=st.just("")
+    ),
+    st.builds(commands.AttemptGone, reason=st.just("lost")),
+)
+
+
+class Replicas(stateful.RuleBasedStateMachine):
+    """Two replicas of the state; one is restored from snapshots at times."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.first = state_lib.State()
+        self.second = state_lib.State()
+        self.at_ms = builders.WALL_MS
+
+    def apply(self, command: commands.Command) -> commands.Result:
+        """Applies a command to both; they must answer alike."""
+        self.at_ms += 1_000
+        data = commands.encode_command(command)
+        first = self.first.apply(commands.decode_command(data))
+        second = self.second.apply(commands.decode_command(data))
+        assert first == second, (command, first, second)
+        return first
+
+    @stateful.rule()
+    def restart_second_from_snapshot(self) -> None:
+        records = [
+            state_lib.encode_record(record)
+            for record in self.second.snapshot_records()
+        ]
+        self.second = state_lib.State()
+        self.second.restore(map(state_lib.decode_record, records))
+
+    def teardown(self) -> None:
+        """Both hold the same records in the end."""
+        first = sorted(map(state_lib.encode_record, records_of(self.first)))
+        second = sorted(map(state_lib.encode_record, records_of(self.second)))
+        assert first == second
+
+
+def records_of(state: state_lib.State) -> list[state_lib.SnapshotRecord]:
+    """Returns every record of a state."""
+    return list(state.snapshot_records())
+
+
+class OperatorsRace(Replicas):
+    """Operators race with the same numbers, and resend at any time.
+
+    The oracle: a revision is given once and only rises; the same change gets
+    its first answer; a used number or an old base gets a conflict.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 0
+        self.accepted: dict[int, tuple[str, bytes, int]] = {}
+        self.sent: list[commands.ChangeConfiguration] = []
+
+    @stateful.rule(
+        change=_changes,
+        number=st.integers(1, 6),
+        operator=st.sampled_from(OPERATORS),
+        behind=st.integers(0, 2),
+    )
+    def change(
+        self,
+        change: commands.Change,
+        number: int,
+        operator: str,
+        behind: int,
+    ) -> None:
+        base = max(0, self.revision - behind)
+        command = builders.change(change, number, base, operator, self.at_ms)
+        self.sent.append(command)
+        self.judge(command)
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data())
+    def resend(self, data: st.DataObject) -> None:
+        self.judge(data.draw(st.sampled_from(self.sent)))
+
+    def judge(self, command: commands.ChangeConfiguration) -> None:
+        """Compares the answer with what an operator may expect."""
+        result = self.apply(command)
+        content = msgspec.json.encode(command.change)
+        earlier = self.accepted.get(command.number)
+        if earlier is not None:
+            if earlier[:2] == (command.operator, content):
+                assert result == commands.ChangeAccepted(revision=earlier[2])
+            else:
+                assert isinstance(result, commands.ChangeConflict)
+            return
+        if command.base_revision != self.revision:
+            assert isinstance(result, commands.ChangeConflict)
+            assert result.revision == self.revision
+            return
+        if isinstance(result, commands.ChangeInvalid):
+            assert result.revision == self.revision
+            return
+        assert result == commands.ChangeAccepted(revision=self.revision + 1)
+        self.revision += 1
+        self.accepted[command.number] = (
+            command.operator,
+            content,
+            self.revision,
+        )
+
+
+class Attempts(Replicas):
+    """Starts, ends, evictions and cancellations in any order, also repeated.
+
+    The oracle: a task has one attempt at a time, attempt numbers rise, only
+    the current attempt ends, and what is done, cancelled or removed never
+    starts again.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.current: dict[str, int] = {}
+        self.highest: dict[str, int] = {}
+        self.done: set[str] = set()
+        self.wanted: set[str] = set()
+        self.revision = 0
+        self.ends: list[commands.AttemptEnd] = []
+
+    @stateful.initialize()
+    def first_sheet(self) -> None:
+        rows = tuple(builders.job(name, tasks=2) for name in JOBS)
+        services = tuple(map(builders.service, SERVICES))
+        self.change(builders.apply_sheet(services, rows))
+
+    @stateful.rule(change=_changes)
+    def change(self, change: commands.Change) -> None:
+        command = builders.change(
+            change, self.revision + 1, self.revision, at_ms=self.at_ms
+        )
+        result = self.apply(command)
+        if not isinstance(result, commands.ChangeAccepted):
+            return
+        self.revision += 1
+        self.follow(change)
+
+    def follow(self, change: commands.Change) -> None:
+        """Keeps the set of tasks that operators want."""
+        match change:
+            case commands.ApplySheet(sheet=sheet):
+                jobs = {row.name: row for row in sheet.jobs}
+                names = {row.name for row in sheet.services}
+                self.wanted = {f"service/{name}/0" for name in names}
+                for row in jobs.values():
+                    self.want_job(row)
+            case commands.PutJob(job=row):
+                self.drop_job(row.name)
+                self.want_job(row)
+            case commands.PutService(service=row):
+                self.wanted.add(f"service/{row.name}/0")
+            case commands.RemoveService(name=name):
+                self.wanted.discard(f"service/{name}/0")
+            case commands.CancelJobs(names=names):
+                for name in names:
+                    self.drop_job(name)
+
+    def want_job(self, row: commands.JobRow) -> None:
+        """Adds the tasks of a job."""
+        self.wanted |= {f"job/{row.name}/{index}" for index in range(row.tasks)}
+
+    def drop_job(self, name: str) -> None:
+        """Removes the tasks of a job."""
+        self.wanted = {
+            task for task in self.wanted if not task.startswith(f"job/{name}/")
+        }
+
+    @stateful.rule(
+        task=_tasks,
+        ahead=st.sampled_from([1, 1, 1, 1, 0, 2]),
+        worker=st.sampled_from(WORKERS),
+    )
+    def start(self, task: str, ahead: int, worker: str) -> None:
+        attempt = self.highest.get(task, 0) + ahead
+        start = builders.attempt_start(task, attempt, worker=worker)
+        result = self.apply(builders.start_attempts(start, at_ms=self.at_ms))
+        assert isinstance(result, commands.AttemptsApplied)
+        if not result.applied[0]:
+            return
+        assert task not in self.current, "two attempts at once"
+        assert attempt > self.highest.get(task, 0), "an old attempt number"
+        assert task in self.wanted, "started though not in the sheet"
+        assert task not in self.done, "started after its work was done"
+        self.current[task] = attempt
+        self.highest[task] = attempt
+
+    @stateful.rule(
+        task=_tasks, behind=st.sampled_from([0, 0, 0, 1]), outcome=_outcomes
+    )
+    def end(
+        self, task: str, behind: int, outcome: commands.AttemptEndOutcome
+    ) -> None:
+        attempt = max(1, self.highest.get(task, 0) - behind)
+        end = commands.AttemptEnd(task=task, attempt=attempt, outcome=outcome)
+        self.ends.append(end)
+        self.judge_end(end)
+
+    @stateful.precondition(lambda self: self.ends)
+    @stateful.rule(data=st.data())
+    def end_again(self, data: st.DataObject) -> None:
+        self.judge_end(data.draw(st.sampled_from(self.ends)))
+
+    def judge_end(self, end: commands.AttemptEnd) -> None:
+        """Only the current attempt can end, and once."""
+        result = self.apply(builders.end_attempts(end, at_ms=self.at_ms))
+        assert isinstance(result, commands.AttemptsApplied)
+        is_current = self.current.get(end.task) == end.attempt
+        assert result.applied[0] == is_current
+        if not is_current:
+            return
+        del self.current[end.task]
+        completed = isinstance(end.outcome, commands.AttemptCompleted)
+        if completed and end.task.startswith("job/"):
+            self.done.add(end.task)
+
+    @stateful.rule(task=_tasks, behind=st.sampled_from([0, 0, 1]))
+    def evict(self, task: str, behind: int) -> None:
+        attempt = max(1, self.highest.get(task, 0) - behind)
+        refs = (messages.AttemptRef(task=task, attempt=attempt),)
+        self.apply(commands.EvictAttempts(attempts=refs, reason="tail"))
+
+
+class Claims(Replicas):
+    """Entries claim the same keys, also several times in one claim.
+
+    The oracle: a key is granted once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.granted: set[str] = set()
+
+    @stateful.rule(
+        entry=st.sampled_from(["e1", "e2"]),
+        keys=st.lists(st.sampled_from(KEYS), min_size=1, max_size=4).map(tuple),
+    )
+    def claim(self, entry: str, keys: tuple[str, ...]) -> None:
+        command = commands.ClaimKeys(entry=entry, keys=keys, at_ms=self.at_ms)
+        result = self.apply(command)
+        assert isinstance(result, commands.KeysClaimed)
+        assert len(result.granted) == len(keys)
+        for key, granted in zip(keys, result.granted, strict=True):
+            assert granted == (key not in self.granted), key
+            self.granted.add(key)
+
+
+TestOperatorsRace = OperatorsRace.TestCase
+TestAttempts = Attempts.TestCase
+TestClaims = Claims.TestCase
+
+
+def test_settings_are_those_of_the_profile():
+    assert hypothesis.settings.default.database is None
