Join the parts: the thin whole path runs as separate processes

Cause: names differed where the parts meet (tail samples, the scheduler's wake-up). Change: one name each; the leader notifies the scheduler once per update. Open: tests of the scheduling flow still build a replica in the old way.

--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -161,7 +161,7 @@
             return web.refusal(503, str(error))
 
     async def _announce(self, request: web.Request) -> web.Response:
-        announcement = messages.decode(
+        announcement: _UpstreamAnnouncement = messages.decode(
             request.body,
             _UpstreamAnnouncement,  # type: ignore[arg-type]
         )
--- a/src/galenahook/leader.py
+++ b/src/galenahook/leader.py
@@ -64,6 +64,7 @@
             self._announce(announcement)
             for announcement in update.announcements
         )
+        await self.scheduler.notify()
         current = self.node.state.configuration.current
         if not self.node.may_act() or update.revision > current.revision:
             raise errors.NotLeaderError(self.node.leader_name())
@@ -87,11 +88,9 @@
     ) -> messages.AnnouncementReply:
         match announcement:
             case messages.WorkerAnnouncement():
-                reply = self.workers.announce(
+                return self.workers.announce(
                     announcement, self.node.state.tasks
                 )
-                self.scheduler.wake()
-                return reply
             case messages.ExecutorAnnouncement():
                 return self.executors.announce(announcement)
 
