Decide by learned interference, control tails, make room, explain

Cause: placements ignored what stands beside a task, and nothing answered a bad tail, a wrong size, a failing worker or an impossible job.

Change: interference weights by (service, job class) from lagging samples, placement cost over a bucketed index, throttle then evict with hysteresis and a budget, room for urgent work and services, quarantine with probation, learned sizes, paced refill, explanations and status.

--- /dev/null
+++ b/src/galenahook/scheduling/colocation.py
@@ -0,0 +1,108 @@
+"""What stands together on each VM, now and when a sample was taken."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import tasks as tasks_lib
+
+KEPT_HISTORY = 32
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Mixture:
+    """Batch work on a VM from a moment on.
+
+    Attributes:
+      since_ms: Monotonic time of the change.
+      shares: Share of the VM's processors by job class.
+    """
+
+    since_ms: int
+    shares: dict[str, float]
+
+
+class Colocation:
+    """Services and batch work by worker.
+
+    Attributes:
+      context: What the scheduler's parts share.
+      services: Services with an executor on a VM, by name of the VM.
+      throttles: Share of its processors that a throttled task may use.
+    """
+
+    def __init__(self, context: context_lib.Context) -> None:
+        self.context = context
+        self.services: dict[str, set[str]] = {}
+        self.throttles: dict[str, int] = {}
+        self._history: dict[str, collections.deque[Mixture]] = {}
+        self._beside: dict[str, frozenset[str]] = {}
+        self._workers: dict[str, str] = {}
+
+    def refresh(self, names: Iterable[str]) -> None:
+        """Takes in that what these workers hold may have changed."""
+        now_ms = self.context.clock.monotonic_ms()
+        for name in names:
+            worker = self.context.workers.workers.get(name)
+            if worker is None:
+                self._history.pop(name, None)
+                continue
+            self._workers[worker.announcement.vm] = name
+            self._beside.pop(name, None)
+            shares = self._shares(name)
+            history = self._history.setdefault(
+                name, collections.deque(maxlen=KEPT_HISTORY)
+            )
+            if not history or history[-1].shares != shares:
+                history.append(Mixture(now_ms, shares))
+
+    def worker_on(self, vm: str) -> str:
+        """Returns the worker on a VM, or an empty string."""
+        return self._workers.get(vm, "")
+
+    def shares(self, worker: str) -> dict[str, float]:
+        """Returns the shares of job classes on a worker's VM now."""
+        history = self._history.get(worker)
+        return history[-1].shares if history else {}
+
+    def shares_at(self, worker: str, at_ms: int) -> dict[str, float]:
+        """Returns the shares of job classes at an earlier time."""
+        shares: dict[str, float] = {}
+        for mixture in self._history.get(worker, ()):
+            if mixture.since_ms > at_ms:
+                break
+            shares = mixture.shares
+        return shares
+
+    def services_beside(self, worker: str) -> frozenset[str]:
+        """Returns the services that stand on a worker's VM."""
+        known = self._beside.get(worker)
+        if known is not None:
+            return known
+        names = {
+            tasks_lib.name_of(task)
+            for task in self.context.tasks.held.get(worker, ())
+            if tasks_lib.is_service(task)
+        }
+        registered = self.context.workers.workers.get(worker)
+        if registered is not None:
+            names |= self.services.get(registered.announcement.vm, set())
+        found = frozenset(names)
+        self._beside[worker] = found
+        return found
+
+    def _shares(self, name: str) -> dict[str, float]:
+        worker = self.context.workers.workers[name]
+        capacity = max(1, worker.announcement.capacity.cores_milli)
+        jobs = self.context.configuration.jobs
+        shares: dict[str, float] = {}
+        for task in self.context.tasks.held.get(name, ()):
+            job = jobs.get(tasks_lib.name_of(task))
+            if job is None or tasks_lib.is_service(task):
+                continue
+            record = self.context.tasks.records[task]
+            percent = self.throttles.get(task, 100)
+            share = record.reserved.cores_milli * percent / 100 / capacity
+            shares[job.job_class] = shares.get(job.job_class, 0.0) + share
+        return shares
--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -7,34 +7,34 @@
 from galenahook import commands
 from galenahook import messages
 from galenahook.scheduling import batch_order
+from galenahook.scheduling import colocation as colocation_lib
 from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import costs
 from galenahook.scheduling import estimates
+from galenahook.scheduling import interference as interference_lib
 from galenahook.scheduling import placement
 from galenahook.scheduling import policy as policy_lib
+from galenahook.scheduling import preemption
 from galenahook.scheduling import quotas
+from galenahook.scheduling import refill as refill_lib
+from galenahook.scheduling import retries
 from galenahook.scheduling import tasks as tasks_lib
 
 MAX_STARTS_PER_ROUND = 100
 MAX_TASKS_LOOKED_AT = 64
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Need:
-    """What a waiting task asks of a worker.
+@dataclasses.dataclass(slots=True)
+class Choices:
+    """What one round decided.
 
     Attributes:
-      task: Task identifier.
-      owner: `job/NAME` or `service/NAME`.
-      team: Team that owns it.
-      resources: What is reserved for it.
-      avoid: Workers on which it failed.
+      starts: Attempts to start.
+      evictions: Marks of work that must make room first.
     """
 
-    task: str
-    owner: str
-    team: str
-    resources: messages.Resources
-    avoid: tuple[str, ...] = ()
+    starts: list[commands.AttemptStart]
+    evictions: list[commands.EvictAttempts]
 
 
 class Decisions:
@@ -44,6 +44,10 @@
       context: What the scheduler's parts share.
       index: Free room of workers that may be given work.
       sizes: Learned sizes.
+      colocation: What stands together on each VM.
+      model: Learned interference.
+      closed: Workers that are to be emptied.
+      refill: Paces starts in an availability zone that came back.
       blocked: Why owners wait, from the last round that considered them.
     """
 
@@ -57,26 +61,51 @@
         self.policy = policy
         self.index = placement.FreeIndex(seed)
         self.sizes = estimates.Sizes()
+        self.colocation = colocation_lib.Colocation(context)
+        self.model = interference_lib.InterferenceModel()
+        self.refill = refill_lib.Refill(context.clock)
         self.blocked: dict[str, str] = {}
-        self._closed_at = (frozenset[str](), frozenset[str]())
+        self.closed: set[str] = set()
+        self._drained: frozenset[str] = frozenset()
+        self._zones_out: frozenset[str] = frozenset()
         self._round_spread: dict[str, collections.Counter[str]] = {}
+        self._no_room_for: list[messages.Resources] = []
 
     def refresh(self, changed: set[str]) -> None:
-        """Brings the index up to date with workers that changed."""
+        """Brings the index up to date with workers that changed.
+
+        Workers that are to be emptied are gathered in `closed`.
+        """
         configuration = self.context.configuration
-        closed = (
-            configuration.availability_zones_out,
-            configuration.drained,
-        )
-        if closed != self._closed_at:
-            self._closed_at = closed
+        zones_out = configuration.availability_zones_out
+        if (zones_out, configuration.drained) != (
+            self._zones_out,
+            self._drained,
+        ):
+            self.refill.note_returned(self._zones_out - zones_out)
+            self._zones_out = zones_out
+            self._drained = configuration.drained
             changed = changed | set(self.context.workers.workers)
         for name in changed:
             self._refresh_one(name)
+        self.colocation.refresh(changed)
+        self._observe_usage(changed)
+
+    def _observe_usage(self, changed: set[str]) -> None:
+        for name in changed:
+            worker = self.context.workers.workers.get(name)
+            for task in worker.over if worker else ():
+                usage = worker.attempts[task].usage if worker else None
+                if usage is not None:
+                    self.sizes.observe(task, usage)
 
     def _refresh_one(self, name: str) -> None:
         context = self.context
         worker = context.workers.workers.get(name)
+        if context.is_closed(name):
+            self.closed.add(name)
+        else:
+            self.closed.discard(name)
         if worker is None or not context.may_start_on(name):
             self.index.remove(name)
             return
@@ -91,8 +120,8 @@
             )
         )
 
-    def choose(self) -> list[commands.AttemptStart]:
-        """Returns the starts of this round."""
+    def choose(self) -> Choices:
+        """Returns what this round decides."""
         context = self.context
         configuration = context.configuration
         policy = self.policy(configuration.objective)
@@ -103,73 +132,94 @@
             context.clock.wall_ms(),
         )
         teams = quotas.TeamUse(configuration, context.tasks)
-        chosen: list[commands.AttemptStart] = []
+        choices = Choices([], [])
         self.blocked.clear()
         self._round_spread.clear()
+        self._no_room_for.clear()
+        self.refill.begin_round()
         for turn in turns:
-            if len(chosen) >= MAX_STARTS_PER_ROUND:
+            if len(choices.starts) >= MAX_STARTS_PER_ROUND:
                 break
-            self._choose_for_owner(turn.owner, policy, teams, chosen)
-        return chosen
+            self._choose_for_owner(turn, policy, teams, choices)
+        return choices
 
     def _choose_for_owner(
         self,
-        owner: str,
+        turn: batch_order.Turn,
         policy: policy_lib.Policy,
         teams: quotas.TeamUse,
-        chosen: list[commands.AttemptStart],
+        choices: Choices,
     ) -> None:
+        owner = turn.owner
         for need in self._needs(owner):
-            if len(chosen) >= MAX_STARTS_PER_ROUND:
+            if len(choices.starts) >= MAX_STARTS_PER_ROUND:
                 return
             if not teams.allows(need.team, need.resources):
                 self.blocked[owner] = f"quota of team {need.team} is used up"
                 return
             slot = self._place(need, policy)
             if slot is None:
-                self.blocked[owner] = "no worker has room now"
+                self.blocked[owner] = self._why_no_room(need)
+                self._make_room(turn, need, policy, choices)
                 return
-            self.index.take(slot.worker, need.resources)
-            teams.take(need.team, need.resources)
-            spread = self._round_spread.setdefault(owner, collections.Counter())
-            spread[slot.worker] += 1
-            chosen.append(self._start(need, slot))
+            self._take(need, slot, teams)
+            choices.starts.append(self._start(need, slot))
 
-    def _needs(self, owner: str) -> list[Need]:
+    def _take(
+        self, need: costs.Need, slot: placement.Slot, teams: quotas.TeamUse
+    ) -> None:
+        self.index.take(slot.worker, need.resources)
+        self.refill.take(slot.availability_zone)
+        teams.take(need.team, need.resources)
+        spread = self._round_spread.setdefault(
+            need.owner, collections.Counter()
+        )
+        spread[slot.worker] += 1
+
+    def _needs(self, owner: str) -> list[costs.Need]:
+        """Returns what the first waiting tasks of an owner ask for."""
         context = self.context
-        configuration = context.configuration
-        name = owner.partition("/")[2]
-        row: commands.ServiceRow | commands.JobRow | None
-        if tasks_lib.is_service(owner):
-            row = configuration.services.get(name)
-        else:
-            row = configuration.jobs.get(name)
+        row = row_of(context, owner)
         if row is None:
             return []
-        size = self.sizes.reserve(owner, row.resources)
+        job_class = row.job_class if isinstance(row, commands.JobRow) else ""
+        size = self.sizes.reserve(size_key(row), row.resources)
         now_ms = context.clock.wall_ms()
-        needs = []
         waiting = context.tasks.waiting[owner]
+        needs = []
         for task, _ in zip(waiting, range(MAX_TASKS_LOOKED_AT), strict=False):
             record = context.tasks.records[task]
-            if record.not_before_ms > now_ms:
-                self.blocked[owner] = "waits after a failure"
+            if retries.is_waiting(record.not_before_ms, now_ms):
+                self.blocked[owner] = f"waits after a failure: {record.reason}"
                 continue
             needs.append(
-                Need(task, owner, row.team, size, record.failed_workers)
+                costs.Need(
+                    task,
+                    owner,
+                    row.team,
+                    job_class,
+                    self.sizes.reserve_again(task, size),
+                    record.failed_workers,
+                )
             )
+        if context.quarantine.is_owner_blamed(owner):
+            self.blocked[owner] = "its tasks fail on several workers"
+            return [] if owner in context.tasks.spread else needs[:1]
         return needs
 
     def _place(
-        self, need: Need, policy: policy_lib.Policy
+        self, need: costs.Need, policy: policy_lib.Policy
     ) -> placement.Slot | None:
-        def allowed(slot: placement.Slot) -> bool:
-            return slot.worker not in need.avoid and self.context.may_start_on(
-                slot.worker
-            )
-
-        slots = self.index.candidates(need.resources, allowed)
+        if any(
+            placement.fits(size, need.resources) for size in self._no_room_for
+        ):
+            return None
+        slots = self.index.candidates(
+            need.resources, lambda slot: self._is_allowed(need, slot)
+        )
         if not slots:
+            if not need.avoid:
+                self._no_room_for.append(need.resources)
             return None
         match policy:
             case policy_lib.FirstFit():
@@ -186,36 +236,96 @@
                     slots, key=lambda slot: self._cost(need, slot, policy)
                 )
 
+    def _is_allowed(self, need: costs.Need, slot: placement.Slot) -> bool:
+        context = self.context
+        name = slot.worker
+        if name in need.avoid or not context.may_start_on(name):
+            return False
+        if not self.refill.allows(slot.availability_zone, need.job_class == ""):
+            return False
+        return not (
+            context.quarantine.is_on_probation(name)
+            and (name in context.tasks.held or self._is_taken(name))
+        )
+
+    def _is_taken(self, worker: str) -> bool:
+        return any(worker in spread for spread in self._round_spread.values())
+
     def _cost(
-        self, need: Need, slot: placement.Slot, weights: policy_lib.Weighted
+        self,
+        need: costs.Need,
+        slot: placement.Slot,
+        weights: policy_lib.Weighted,
     ) -> float:
         cost = weights.packing * placement.leftover_share(need.resources, slot)
         zone = slot.availability_zone
         free = self.index.zone_free[zone]
         capacity = max(1, self.index.zone_capacity[zone])
         cost += weights.zone_balance * (1 - free / capacity)
+        cost += weights.tail * costs.tail_harm(
+            need, slot, self.colocation, self.model, self.context.configuration
+        )
         if tasks_lib.is_service(need.owner):
-            cost += weights.spread * self._crowding(need.owner, slot)
+            near = collections.Counter(
+                self.context.tasks.spread.get(need.owner, {})
+            )
+            near.update(self._round_spread.get(need.owner, {}))
+            cost += weights.spread * costs.crowding(near, slot, self.index)
         return cost
 
-    def _crowding(self, owner: str, slot: placement.Slot) -> float:
-        """Returns how many instances of a service are near a worker."""
-        crowding = 0.0
-        near = collections.Counter(self.context.tasks.spread.get(owner, {}))
-        near.update(self._round_spread.get(owner, {}))
-        for name, count in near.items():
-            other = self.index.slots.get(name)
-            if other is None:
-                continue
-            if name == slot.worker:
-                crowding += count
-            if other.availability_zone == slot.availability_zone:
-                crowding += 0.1 * count
-                if other.rack == slot.rack:
-                    crowding += 0.03 * count
-        return crowding
-
-    def _start(self, need: Need, slot: placement.Slot) -> commands.AttemptStart:
+    def _why_no_room(self, need: costs.Need) -> str:
+        """Returns why no worker takes a task."""
+        capacities = list(self.context.workers.capacities())
+        if any(placement.fits(need.resources, one) for one in capacities):
+            return "no worker has room now"
+        if not capacities:
+            return "no worker has announced itself"
+        largest = capacities[0]
+        for one in capacities:
+            largest = placement.larger(largest, one)
+        asked = need.resources
+        return (
+            f"unschedulable: a task takes {asked.cores_milli} thousandths of"
+            f" a core, {asked.memory_mb} MB and {asked.accelerators}"
+            f" accelerators, and no VM holds that; VMs offer at most"
+            f" {largest.cores_milli}, {largest.memory_mb} MB and"
+            f" {largest.accelerators}"
+        )
+
+    def _make_room(
+        self,
+        turn: batch_order.Turn,
+        need: costs.Need,
+        policy: policy_lib.Policy,
+        choices: Choices,
+    ) -> None:
+        if turn.rank > batch_order.Rank.URGENT:
+            return
+        if not isinstance(policy, policy_lib.Weighted):
+            return
+        if self._is_room_being_made(need.owner):
+            return
+        slots = [
+            slot
+            for slot in self.index.sample(preemption.MAX_WORKERS_LOOKED_AT)
+            if self._is_allowed(need, slot)
+        ]
+        reason = f"{preemption.ROOM_FOR}{need.owner}"
+        mark = preemption.make_room(self.context, slots, need.resources, reason)
+        if mark is not None:
+            choices.evictions.append(mark)
+
+    def _is_room_being_made(self, owner: str) -> bool:
+        reason = f"{preemption.ROOM_FOR}{owner}"
+        records = self.context.tasks.records
+        return any(
+            records[task].evicting == reason
+            for task in self.context.tasks.evicting
+        )
+
+    def _start(
+        self, need: costs.Need, slot: placement.Slot
+    ) -> commands.AttemptStart:
         record = self.context.tasks.records[need.task]
         worker = self.context.workers.workers[slot.worker]
         return commands.AttemptStart(
@@ -225,3 +335,20 @@
             incarnation=worker.announcement.incarnation,
             reserved=need.resources,
         )
+
+
+def row_of(
+    context: context_lib.Context, owner: str
+) -> commands.ServiceRow | commands.JobRow | None:
+    """Returns the row of the sheet for an owner."""
+    name = owner.partition("/")[2]
+    if tasks_lib.is_service(owner):
+        return context.configuration.services.get(name)
+    return context.configuration.jobs.get(name)
+
+
+def size_key(row: commands.ServiceRow | commands.JobRow) -> str:
+    """Returns under which name the sizes of a row's tasks are learned."""
+    if isinstance(row, commands.JobRow):
+        return f"class/{row.job_class}"
+    return f"service/{row.name}"
--- a/src/galenahook/scheduling/estimates.py
+++ b/src/galenahook/scheduling/estimates.py
@@ -64,8 +64,7 @@
 
     Attributes:
       samples: Uses by job class, or by owner for services.
-      peaks: Largest use seen of each attempt that runs above its reservation
-        or has ended its first samples.
+      peaks: Largest use of tasks that took more than they reserved.
     """
 
     def __init__(self) -> None:
@@ -73,15 +72,27 @@
         self.peaks: dict[str, messages.Resources] = {}
 
     def observe(self, task: str, usage: messages.Resources) -> None:
-        """Takes a usage sample of a running attempt."""
+        """Takes a sample of an attempt that uses more than it reserves."""
         known = self.peaks.get(task)
         self.peaks[task] = placement.larger(known, usage) if known else usage
 
-    def finish(self, task: str, key: str) -> None:
-        """Adds the largest use of an attempt that ended to its class."""
-        peak = self.peaks.pop(task, None)
-        if peak is not None:
-            self.samples.setdefault(key, SizeSamples()).add(peak)
+    def finish(self, task: str, key: str, reserved: messages.Resources) -> None:
+        """Adds the use of a task that ended to its class.
+
+        Args:
+          task: Task identifier.
+          key: Class or owner.
+          reserved: Counts as its use if it never took more.
+        """
+        peak = self.peaks.pop(task, reserved)
+        self.samples.setdefault(key, SizeSamples()).add(peak)
+
+    def reserve_again(
+        self, task: str, size: messages.Resources
+    ) -> messages.Resources:
+        """Returns a task's size, raised to what its last attempt used."""
+        peak = self.peaks.get(task)
+        return placement.larger(size, peak) if peak else size
 
     def reserve(
         self, key: str, declared: messages.Resources
--- /dev/null
+++ b/src/galenahook/scheduling/overload.py
@@ -0,0 +1,54 @@
+"""Relief of VMs whose tasks take more memory than the VM holds.
+
+Sizes that jobs declare are often far off. The batch task that takes the most
+above its reservation is evicted; its next attempt reserves what was learned.
+"""
+
+from collections.abc import Iterable
+
+from galenahook import commands
+from galenahook import messages
+from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import tasks as tasks_lib
+
+REASON = "its VM is short of memory"
+
+
+def relief(
+    context: context_lib.Context, changed: Iterable[str]
+) -> list[commands.EvictAttempts]:
+    """Returns marks for one task on each worker that is over its memory."""
+    refs = []
+    for name in sorted(changed):
+        worker = context.workers.workers.get(name)
+        if worker is None or not worker.excess.memory_mb:
+            continue
+        if context.workers.free(name, context.tasks).memory_mb >= 0:
+            continue
+        ref = _largest_excess(context, name)
+        if ref is not None:
+            refs.append(ref)
+    if not refs:
+        return []
+    return [commands.EvictAttempts(attempts=tuple(refs), reason=REASON)]
+
+
+def _largest_excess(
+    context: context_lib.Context, name: str
+) -> messages.AttemptRef | None:
+    worker = context.workers.workers[name]
+    best: tuple[int, messages.AttemptRef] | None = None
+    for task in context.tasks.held.get(name, ()):
+        record = context.tasks.records[task]
+        if record.evicting:
+            return None
+        status = worker.attempts.get(task)
+        if tasks_lib.is_service(task) or status is None or not status.usage:
+            continue
+        if not tasks_lib.is_repeatable(context.configuration, task):
+            continue
+        over_mb = status.usage.memory_mb - record.reserved.memory_mb
+        if over_mb > 0 and (best is None or over_mb > best[0]):
+            ref = messages.AttemptRef(task=task, attempt=record.attempt)
+            best = (over_mb, ref)
+    return best[1] if best else None
--- a/src/galenahook/scheduling/placement.py
+++ b/src/galenahook/scheduling/placement.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
 import dataclasses
 import random
 
@@ -163,6 +162,13 @@
                 break
         return found
 
+    def sample(self, count: int) -> list[Slot]:
+        """Returns some workers, all of them if there are no more."""
+        names = list(self.slots)
+        if len(names) > count:
+            names = self._random.sample(names, count)
+        return [self.slots[name] for name in names]
+
     def _first_fitting(
         self,
         order: list[int],
@@ -176,9 +182,6 @@
                     return [slot]
         return []
 
-    def __iter__(self) -> Iterator[Slot]:
-        return iter(self.slots.values())
-
 
 def bucket_of(cores_milli: int) -> int:
     """Returns the bucket of an amount of free processors.
--- a/src/galenahook/scheduling/quarantine.py
+++ b/src/galenahook/scheduling/quarantine.py
@@ -21,15 +21,14 @@
 
     Attributes:
       failures: Failures since the last success, by owner of the tasks.
-      closed_until_ms: Monotonic time when probation begins; 0 if open.
+      closed_until_ms: Monotonic time when probation begins; 0 if it was
+        never closed.
       closures: Times it was closed since its last success.
-      on_probation: Whether it may hold one attempt at a time only.
     """
 
     failures: dict[str, int] = dataclasses.field(default_factory=dict)
     closed_until_ms: int = 0
     closures: int = 0
-    on_probation: bool = False
 
 
 class Quarantine:
@@ -44,6 +43,7 @@
         self.clock = clock
         self.workers: dict[str, WorkerHealth] = {}
         self.owners: dict[str, set[str]] = {}
+        self._closed: set[str] = set()
 
     def note_failure(self, worker: str, owner: str) -> bool:
         """Counts a failure; returns whether the worker is to blame."""
@@ -54,8 +54,8 @@
             return False
         health = self.workers.setdefault(worker, WorkerHealth())
         health.failures[owner] = health.failures.get(owner, 0) + 1
-        if health.on_probation or _total(health) >= FAILURES_TO_CLOSE:
-            self._close(health)
+        if self.is_on_probation(worker) or _total(health) >= FAILURES_TO_CLOSE:
+            self._close(worker, health)
         return health.closed_until_ms > 0
 
     def note_success(self, worker: str, owner: str) -> None:
@@ -73,7 +73,7 @@
         if health is None:
             return
         health.failures.pop(f"{worker}: start not accepted", None)
-        if not health.failures and not health.closures:
+        if not health.failures and not self.is_closed(worker):
             del self.workers[worker]
 
     def is_owner_blamed(self, owner: str) -> bool:
@@ -81,20 +81,24 @@
         return len(self.owners.get(owner, ())) >= WORKERS_TO_BLAME_OWNER
 
     def is_closed(self, worker: str) -> bool:
-        """Returns whether a worker gets no work; ends its term if over."""
+        """Returns whether a worker gets no work."""
         health = self.workers.get(worker)
-        if health is None or not health.closed_until_ms:
+        if health is None:
             return False
-        if self.clock.monotonic_ms() < health.closed_until_ms:
-            return True
-        health.closed_until_ms = 0
-        health.on_probation = True
-        return False
+        return self.clock.monotonic_ms() < health.closed_until_ms
 
     def is_on_probation(self, worker: str) -> bool:
         """Returns whether a worker may hold one attempt only."""
         health = self.workers.get(worker)
-        return health is not None and health.on_probation
+        if health is None or not health.closed_until_ms:
+            return False
+        return self.clock.monotonic_ms() >= health.closed_until_ms
+
+    def take_reopened(self) -> set[str]:
+        """Returns workers that were closed and may get work again."""
+        reopened = {name for name in self._closed if not self.is_closed(name)}
+        self._closed -= reopened
+        return reopened
 
     def closed(self) -> tuple[str, ...]:
         """Returns the workers that get no work now."""
@@ -104,12 +108,13 @@
         """Forgets everything."""
         self.workers.clear()
         self.owners.clear()
+        self._closed.clear()
 
-    def _close(self, health: WorkerHealth) -> None:
+    def _close(self, worker: str, health: WorkerHealth) -> None:
         closed_ms = min(CLOSED_CAP_MS, CLOSED_BASE_MS << health.closures)
         health.closed_until_ms = self.clock.monotonic_ms() + closed_ms
         health.closures = min(health.closures + 1, 16)
-        health.on_probation = False
+        self._closed.add(worker)
 
     def _pardon(self, owner: str) -> None:
         for name, health in list(self.workers.items()):
--- a/src/galenahook/scheduling/removals.py
+++ b/src/galenahook/scheduling/removals.py
@@ -4,6 +4,8 @@
 follows, checkpointed, in small numbers at once.
 """
 
+from collections.abc import Iterable
+
 from galenahook import commands
 from galenahook import messages
 from galenahook.scheduling import context as context_lib
@@ -13,19 +15,13 @@
 
 
 def from_closed_workers(
-    context: context_lib.Context,
+    context: context_lib.Context, closed: Iterable[str]
 ) -> list[commands.EvictAttempts]:
     """Returns marks for attempts on workers that are to be emptied."""
-    found = []
-    for name in context.tasks.held:
-        if context.is_closed(name):
-            found.append(name)
-    if not found:
-        return []
     services: list[messages.AttemptRef] = []
     batch: list[messages.AttemptRef] = []
-    for name in found:
-        for task in context.tasks.held[name]:
+    for name in sorted(closed):
+        for task in context.tasks.held.get(name, ()):
             record = context.tasks.records[task]
             if record.evicting:
                 continue
--- a/src/galenahook/scheduling/retries.py
+++ b/src/galenahook/scheduling/retries.py
@@ -22,3 +22,11 @@
 def is_exhausted(failures: int, distinct_workers: int) -> bool:
     """Returns whether the failures are the job's own fault."""
     return failures >= MAX_FAILURES or distinct_workers >= MAX_FAILED_WORKERS
+
+
+def is_waiting(not_before_ms: int, now_ms: int) -> bool:
+    """Returns whether a task must still wait after a failure.
+
+    A time farther off than the cap comes from a wall clock that stepped.
+    """
+    return now_ms < not_before_ms <= now_ms + BACKOFF_CAP_MS
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -18,17 +18,22 @@
 from galenahook.scheduling import context as context_lib
 from galenahook.scheduling import decisions as decisions_lib
 from galenahook.scheduling import evictions as evictions_lib
+from galenahook.scheduling import explanations
 from galenahook.scheduling import losses
+from galenahook.scheduling import overload
 from galenahook.scheduling import policy as policy_lib
 from galenahook.scheduling import quarantine as quarantine_lib
 from galenahook.scheduling import removals
 from galenahook.scheduling import starts as starts_lib
+from galenahook.scheduling import tail_control as tail_control_lib
 from galenahook.scheduling import tails as tails_lib
 from galenahook.scheduling import tasks as tasks_lib
+from galenahook.scheduling import throttles as throttles_lib
 from galenahook.upstreams import workers as workers_lib
 
 ROUND_PERIOD_MS = 100
 LEASE_CHECK_PERIOD_MS = 500
+TAIL_PERIOD_MS = 250
 
 
 class Scheduler:
@@ -39,6 +44,8 @@
       decisions: Chooses placements.
       starts: Starts on their way.
       evictions: Evictions under way.
+      throttles: Throttles in force.
+      tail_control: Watches the tails of services.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
         self._wakeup = curio.Event()
         self._term = -1
         self._leases_checked_ms = 0
+        self._tails_read_ms = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -71,6 +79,11 @@
         self.starts = starts_lib.Starts(self.context)
         self.evictions = evictions_lib.Evictions(self.context)
         self.decisions = decisions_lib.Decisions(self.context, self.policy)
+        colocation = self.decisions.colocation
+        self.throttles = throttles_lib.Throttles(self.context, colocation)
+        self.tail_control = tail_control_lib.TailControl(
+            self.context, colocation, self.decisions.model
+        )
 
     async def run(self) -> None:
         """Runs rounds until cancelled; does nothing while not leading."""
@@ -98,8 +111,12 @@
         await self.context.commit_ends(self._losses(changed))
         await self.context.commit_ends(await self.starts.follow_up())
         changed.update(self._take_changed())
+        changed.update(self.context.quarantine.take_reopened())
         self.decisions.refresh(changed)
-        await self._mark_removals()
+        closed = self.decisions.closed
+        await self._mark(removals.from_closed_workers(self.context, closed))
+        await self._mark(overload.relief(self.context, changed))
+        await self._control_tails()
         await self.evictions.follow_up()
         await self._start_waiting()
 
@@ -129,12 +146,30 @@
             ends.extend(end for end in expired if end.task not in ended)
         return ends
 
-    async def _mark_removals(self) -> None:
-        for command in removals.from_closed_workers(self.context):
+    async def _mark(self, marks: list[commands.EvictAttempts]) -> None:
+        for command in marks:
             await self.context.commit(command)
 
+    async def _control_tails(self) -> None:
+        policy = self.policy(self.context.configuration.objective)
+        if not isinstance(policy, policy_lib.Weighted):
+            return
+        now_ms = self.context.clock.monotonic_ms()
+        if now_ms - self._tails_read_ms < TAIL_PERIOD_MS:
+            return
+        self._tails_read_ms = now_ms
+        actions = self.tail_control.observe(self.executors.tails(), policy)
+        for action in actions:
+            if isinstance(action, tail_control_lib.Throttle):
+                await self.throttles.set(action.task, action.percent)
+        mark = tail_control_lib.eviction_command(self.context.tasks, actions)
+        await self._mark([mark] if mark else [])
+        await self.throttles.follow_up()
+
     async def _start_waiting(self) -> None:
-        chosen = self.decisions.choose()
+        choices = self.decisions.choose()
+        await self._mark(choices.evictions)
+        chosen = choices.starts
         if not chosen:
             return
         result = await self.context.commit(
@@ -147,6 +182,20 @@
             applied = zip(chosen, result.applied, strict=True)
             await self.starts.begin(start for start, done in applied if done)
 
+    def explain(self, subject: str) -> explanations.Explanation:
+        """Explains why a job, a service or one of its tasks is as it is.
+
+        Args:
+          subject: `job/NAME`, `service/NAME` or a task identifier.
+        """
+        return explanations.explain(
+            self.context, self.decisions.blocked, subject
+        )
+
+    def status(self) -> explanations.SchedulingStatus:
+        """Returns what operators see of workers and tasks."""
+        return explanations.status(self.context, self.decisions.blocked)
+
     async def report(
         self, report: messages.AttemptReport
     ) -> messages.ReportReply:
@@ -190,7 +239,11 @@
                 outcome = commands.AttemptFailed(
                     run_ms=run_ms, reason=reason, on_worker=blamed
                 )
-        self.decisions.sizes.finish(report.task, owner)
+        row = decisions_lib.row_of(self.context, owner)
+        if row is not None:
+            key = decisions_lib.size_key(row)
+            reserved = self.context.tasks.records[report.task].reserved
+            self.decisions.sizes.finish(report.task, key, reserved)
         return commands.AttemptEnd(
             task=report.task, attempt=report.attempt, outcome=outcome
         )
--- /dev/null
+++ b/src/galenahook/scheduling/tail_control.py
@@ -0,0 +1,256 @@
+"""Control of the tail: what is done when a service's tail is over its target.
+
+The most harmful batch task on the VM is throttled first, checkpointed and
+evicted second; if no batch work may be touched, the service's instance moves.
+After each step the next waits for a sample taken later. What was throttled is
+given back in steps once the tail has been quiet for a while.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from galenahook import commands
+from galenahook import messages
+from galenahook.scheduling import colocation as colocation_lib
+from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import interference as interference_lib
+from galenahook.scheduling import policy as policy_lib
+from galenahook.scheduling import tails as tails_lib
+from galenahook.scheduling import tasks as tasks_lib
+
+SETTLE_MS = 300
+SAME_WINDOW_MS = 100
+BAD_WINDOWS = 2
+QUIET_WINDOWS = 4
+MAX_QUIET_WINDOWS = 64
+QUIET_FACTOR = 0.8
+THROTTLE_PERCENT = 40
+GIVE_BACK_PERCENT = 100
+MIN_HARM = 0.02
+MINUTE_MS = 60_000
+TAIL = "tail of "
+
+
+@dataclasses.dataclass(slots=True)
+class Watch:
+    """What is known of one executor's tail.
+
+    Attributes:
+      seen_ms: When the last window was taken.
+      acted_ms: When the last step was taken.
+      bad: Windows in a row over the target.
+      quiet: Windows in a row well below it.
+      quiet_needed: Quiet windows before something is given back; doubles
+        when giving back turned out to be too early.
+      gave_back_ms: When something was last given back; 0 for never.
+    """
+
+    seen_ms: int = -1
+    acted_ms: int = 0
+    bad: int = 0
+    quiet: int = 0
+    quiet_needed: int = QUIET_WINDOWS
+    gave_back_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Throttle:
+    """Sets the share of processors of a task's attempt."""
+
+    task: str
+    percent: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Evict:
+    """Checkpoints a task and gives its place up."""
+
+    task: str
+    reason: str
+
+
+Action = Throttle | Evict
+
+
+class TailControl:
+    """Watches tails and chooses steps.
+
+    Attributes:
+      context: What the scheduler's parts share.
+      colocation: What stands together.
+      model: Learned interference.
+      watches: State by executor.
+      evicted_ms: Times of evictions within the last minute.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.Context,
+        colocation: colocation_lib.Colocation,
+        model: interference_lib.InterferenceModel,
+    ) -> None:
+        self.context = context
+        self.colocation = colocation
+        self.model = model
+        self.watches: dict[str, Watch] = {}
+        self.evicted_ms: list[int] = []
+
+    def observe(
+        self,
+        readings: Iterable[tails_lib.TailReading],
+        weights: policy_lib.Weighted,
+    ) -> list[Action]:
+        """Learns from new windows and returns the steps to take."""
+        actions: list[Action] = []
+        services: dict[str, set[str]] = {}
+        for reading in readings:
+            services.setdefault(reading.vm, set()).add(reading.service)
+            watch = self.watches.setdefault(reading.executor, Watch())
+            if taken_ms(reading) <= watch.seen_ms + SAME_WINDOW_MS:
+                continue
+            watch.seen_ms = taken_ms(reading)
+            self._learn(reading)
+            if weights.controls_tail:
+                actions += self._control(watch, reading, weights)
+        self.colocation.services = services
+        return actions
+
+    def _learn(self, reading: tails_lib.TailReading) -> None:
+        worker = self.colocation.worker_on(reading.vm)
+        self.model.observe(
+            reading.service,
+            reading.tail.p99_ms,
+            reading.tail.count,
+            self.colocation.shares_at(worker, taken_ms(reading)),
+        )
+
+    def _control(
+        self,
+        watch: Watch,
+        reading: tails_lib.TailReading,
+        weights: policy_lib.Weighted,
+    ) -> list[Action]:
+        service = self.context.configuration.services.get(reading.service)
+        if service is None or taken_ms(reading) < watch.acted_ms + SETTLE_MS:
+            return []
+        if reading.tail.count < interference_lib.MIN_REQUESTS:
+            return []
+        limit_ms = service.tail_target_ms * weights.tail_slack
+        self._count(watch, reading.tail.p99_ms, limit_ms)
+        now_ms = self.context.clock.monotonic_ms()
+        worker = self.colocation.worker_on(reading.vm)
+        if watch.bad >= BAD_WINDOWS:
+            action = self._relieve(worker, reading.service, weights, now_ms)
+            if action is not None:
+                watch.acted_ms = now_ms
+                watch.bad = 0
+            return [action] if action is not None else []
+        if watch.quiet >= watch.quiet_needed:
+            watch.quiet = 0
+            return self._give_back(watch, worker, now_ms)
+        return []
+
+    def _count(self, watch: Watch, p99_ms: float, limit_ms: float) -> None:
+        if p99_ms > limit_ms:
+            watch.bad += 1
+            watch.quiet = 0
+            if watch.gave_back_ms and watch.bad == BAD_WINDOWS:
+                watch.quiet_needed = min(
+                    MAX_QUIET_WINDOWS, 2 * watch.quiet_needed
+                )
+                watch.gave_back_ms = 0
+        else:
+            watch.bad = 0
+            watch.quiet += p99_ms < QUIET_FACTOR * limit_ms
+
+    def _relieve(
+        self,
+        worker: str,
+        service: str,
+        weights: policy_lib.Weighted,
+        now_ms: int,
+    ) -> Action | None:
+        ranked = self._by_harm(worker, service)
+        for task in ranked:
+            if self.colocation.throttles.get(task, 100) > THROTTLE_PERCENT:
+                return Throttle(task, THROTTLE_PERCENT)
+        if not self._may_evict(weights, now_ms):
+            return None
+        for task in ranked:
+            if self._is_evictable(task):
+                self.evicted_ms.append(now_ms)
+                return Evict(task, TAIL + service)
+        return self._move_service(worker, service, now_ms)
+
+    def _move_service(
+        self, worker: str, service: str, now_ms: int
+    ) -> Action | None:
+        shares = self.colocation.shares(worker)
+        if self.model.slowdown(service, shares) < MIN_HARM:
+            return None
+        for task in self.context.tasks.held.get(worker, ()):
+            owner = f"service/{service}"
+            record = self.context.tasks.records[task]
+            if tasks_lib.owner_of(task) == owner and not record.evicting:
+                self.evicted_ms.append(now_ms)
+                return Evict(task, TAIL + service)
+        return None
+
+    def _may_evict(self, weights: policy_lib.Weighted, now_ms: int) -> bool:
+        self.evicted_ms = [
+            at_ms for at_ms in self.evicted_ms if now_ms - at_ms < MINUTE_MS
+        ]
+        return len(self.evicted_ms) < weights.evictions_per_minute
+
+    def _by_harm(self, worker: str, service: str) -> list[str]:
+        """Returns the batch tasks on a VM, the most harmful first.
+
+        Unbroken work comes after all other work.
+        """
+        found = []
+        for task in self.context.tasks.held.get(worker, ()):
+            job = self.context.configuration.jobs.get(tasks_lib.name_of(task))
+            record = self.context.tasks.records[task]
+            if job is None or tasks_lib.is_service(task) or record.evicting:
+                continue
+            weight = self.model.weight(service, job.job_class)
+            percent = self.colocation.throttles.get(task, 100)
+            harm = weight * record.reserved.cores_milli * percent
+            if weight >= MIN_HARM:
+                found.append((job.unbroken, -harm, task))
+        return [task for _, _, task in sorted(found)]
+
+    def _is_evictable(self, task: str) -> bool:
+        job = self.context.configuration.jobs[tasks_lib.name_of(task)]
+        return job.repeatable and not job.unbroken and not job.urgent
+
+    def _give_back(
+        self, watch: Watch, worker: str, now_ms: int
+    ) -> list[Action]:
+        for task in self.context.tasks.held.get(worker, ()):
+            if self.colocation.throttles.get(task, 100) < GIVE_BACK_PERCENT:
+                watch.acted_ms = now_ms
+                watch.gave_back_ms = now_ms
+                return [Throttle(task, GIVE_BACK_PERCENT)]
+        return []
+
+
+def taken_ms(reading: tails_lib.TailReading) -> int:
+    """Returns the monotonic time of the middle of a reading's window."""
+    return reading.received_at_ms - reading.tail.sample_age_ms
+
+
+def eviction_command(
+    table: tasks_lib.TaskTable, actions: Iterable[Action]
+) -> commands.EvictAttempts | None:
+    """Returns the command that marks what is to be evicted, if anything."""
+    evictions = [action for action in actions if isinstance(action, Evict)]
+    if not evictions:
+        return None
+    refs = tuple(
+        messages.AttemptRef(
+            task=action.task, attempt=table.records[action.task].attempt
+        )
+        for action in evictions
+    )
+    return commands.EvictAttempts(attempts=refs, reason=evictions[0].reason)
--- a/src/galenahook/upstreams/workers.py
+++ b/src/galenahook/upstreams/workers.py
@@ -28,6 +28,7 @@
       answered_ms: When the lease was last renewed.
       attempts: Attempts it held then, by task.
       excess: Use above what is reserved, as far as measured.
+      over: Tasks that use more than they reserve.
       taken: Announcements taken from this incarnation.
       retired: Earlier incarnations, which are refused.
       missing: Its held tasks that the last announcement did not list.
@@ -39,6 +40,7 @@
     answered_ms: int
     attempts: dict[str, messages.AttemptStatus]
     excess: messages.Resources = messages.Resources()
+    over: tuple[str, ...] = ()
     taken: int = 0
     retired: tuple[str, ...] = ()
     missing: tuple[str, ...] = ()
@@ -109,6 +111,7 @@
         if held.held.get(name):
             return True
         self.fenced.discard(name)
+        self.changed.add(name)
         return False
 
     def _take(
@@ -120,11 +123,13 @@
     ) -> Worker:
         attempts = {status.task: status for status in announcement.attempts}
         missing = tuple(_missing(announcement, attempts, held))
-        self.changed.add(announcement.name)
         if worker is None:
             worker = Worker(announcement, now_ms, now_ms, attempts)
             self.workers[announcement.name] = worker
-        elif worker.announcement.incarnation != announcement.incarnation:
+            self.changed.add(announcement.name)
+        elif self._is_notable(worker, announcement):
+            self.changed.add(announcement.name)
+        if worker.announcement.incarnation != announcement.incarnation:
             retired = (*worker.retired, worker.announcement.incarnation)
             worker.retired = retired[-MAX_RETIRED_INCARNATIONS:]
             worker.answered_ms = now_ms
@@ -137,9 +142,26 @@
         worker.heard_ms = now_ms
         worker.attempts = attempts
         worker.missing = missing
-        worker.excess = _excess(worker, held)
+        excess, worker.over = _excess(worker, held)
+        if missing or excess != worker.excess:
+            self.changed.add(announcement.name)
+        worker.excess = excess
         return worker
 
+    def _is_notable(
+        self, worker: Worker, announcement: messages.WorkerAnnouncement
+    ) -> bool:
+        """Returns whether decisions may differ after an announcement."""
+        known = worker.announcement
+        return (
+            worker.taken <= MIN_ANNOUNCEMENTS
+            or self.is_silent(worker)
+            or known.incarnation != announcement.incarnation
+            or known.leaving != announcement.leaving
+            or known.capacity != announcement.capacity
+            or known.availability_zone != announcement.availability_zone
+        )
+
     def is_lease_over(self, name: str) -> bool:
         """Returns whether a worker has certainly stopped what it ran.
 
@@ -287,10 +309,17 @@
     )
 
 
-def _excess(worker: Worker, held: tasks_lib.TaskTable) -> messages.Resources:
-    """Sums use above reservations, and all use of attempts out of date."""
+def _excess(
+    worker: Worker, held: tasks_lib.TaskTable
+) -> tuple[messages.Resources, tuple[str, ...]]:
+    """Sums use above reservations, and all use of attempts out of date.
+
+    Returns:
+      The sum, and the tasks that use more than they reserve.
+    """
     cores_milli = 0
     memory_mb = 0
+    tasks = []
     for status in worker.attempts.values():
         if status.usage is None:
             continue
@@ -301,6 +330,8 @@
                 max(0, over.cores_milli - reserved.cores_milli),
                 max(0, over.memory_mb - reserved.memory_mb),
             )
-        cores_milli += over.cores_milli
-        memory_mb += over.memory_mb
-    return messages.Resources(cores_milli, memory_mb)
+        if over.cores_milli or over.memory_mb:
+            tasks.append(status.task)
+            cores_milli += over.cores_milli
+            memory_mb += over.memory_mb
+    return messages.Resources(cores_milli, memory_mb), tuple(tasks)
