--- a/src/galenahook/configuration.py
+++ b/src/galenahook/configuration.py
@@ -20,7 +20,7 @@
 MAX_RETAINED_ITEMS = 40_000
 
 # Items of one change that its record lists; the rest are counted.
-MAX_ITEMS_PER_CHANGE = 2_000
+MAX_ITEMS_PER_CHANGE = 1_000
 
 _MAX_CHANGES_NAMED = 5
 _MAX_ITEMS_NAMED = 3
@@ -165,9 +165,7 @@
         self.current = msgspec.structs.replace(
             changed, revision=result.revision
         )
-        items = list(
-            changes_lib.changed_items(before, self.current, command.change)
-        )
+        items, omitted = _summarize(before, self.current, command.change)
         self._retain(
             ChangeRecord(
                 operator=command.operator,
@@ -176,8 +174,8 @@
                 result=result,
                 at_ms=command.at_ms,
                 kind=str(type(command.change).__struct_config__.tag),
-                items=tuple(items[:MAX_ITEMS_PER_CHANGE]),
-                items_omitted=max(0, len(items) - MAX_ITEMS_PER_CHANGE),
+                items=items,
+                items_omitted=omitted,
             )
         )
         return result
@@ -231,6 +229,19 @@
                 self._retain(record)
 
 
+def _summarize(
+    before: ConfigurationRecord,
+    after: ConfigurationRecord,
+    change: commands.Change,
+) -> tuple[tuple[items_lib.ItemChange, ...], int]:
+    """Returns the first items that changed, and how many more did."""
+    changed = changes_lib.changed_items(before, after, change)
+    items = tuple(itertools.islice(changed, MAX_ITEMS_PER_CHANGE))
+    if len(items) < MAX_ITEMS_PER_CHANGE:
+        return items, 0
+    return items, changes_lib.count_changed_items(before, after) - len(items)
+
+
 def _describe(record: ChangeRecord) -> str:
     named = [_describe_item(i) for i in record.items[:_MAX_ITEMS_NAMED]]
     more = len(record.items) + record.items_omitted - len(named)
--- a/src/galenahook/configuration_changes.py
+++ b/src/galenahook/configuration_changes.py
@@ -157,6 +157,20 @@
             yield from _changed_marks(before, after)
 
 
+def count_changed_items(
+    before: items_lib.ConfigurationRecord,
+    after: items_lib.ConfigurationRecord,
+) -> int:
+    """Counts the items that differ between two configurations."""
+    rows = (
+        items_lib.count_changed_rows(before.services, after.services)
+        + items_lib.count_changed_rows(before.jobs, after.jobs)
+        + items_lib.count_changed_rows(before.quotas, after.quotas)
+    )
+    marks = sum(1 for _ in _changed_marks(before, after))
+    return rows + marks + (before.objective != after.objective)
+
+
 def compare(
     before: items_lib.ConfigurationRecord, after: items_lib.ConfigurationRecord
 ) -> Iterator[items_lib.ItemChange]:
--- a/src/galenahook/configuration_items.py
+++ b/src/galenahook/configuration_items.py
@@ -88,17 +88,27 @@
     before: Mapping[str, Any],
     after: Mapping[str, Any],
 ) -> Iterator[ItemChange]:
-    """Yields each row that differs, in the order of the names."""
-    for name in sorted(before.keys() | after.keys()):
+    """Yields each row that differs, removed ones last."""
+    for name, new in after.items():
         old = before.get(name)
-        new = after.get(name)
-        if old == new:
-            continue
-        yield ItemChange(
-            item=f"{label} {name}",
-            before=None if old is None else item_type(row=old),
-            after=None if new is None else item_type(row=new),
-        )
+        if old != new:
+            yield ItemChange(
+                item=f"{label} {name}",
+                before=None if old is None else item_type(row=old),
+                after=item_type(row=new),
+            )
+    for name, old in before.items():
+        if name not in after:
+            yield ItemChange(item=f"{label} {name}", before=item_type(row=old))
+
+
+def count_changed_rows(
+    before: Mapping[str, Any], after: Mapping[str, Any]
+) -> int:
+    """Counts the rows that differ, without building items for them."""
+    changed = sum(before.get(name) != new for name, new in after.items())
+    removed = sum(name not in after for name in before)
+    return changed + removed
 
 
 def changed_marks(
--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -4,6 +4,7 @@
 every memory size in MB (2**20 bytes), processors in thousandths of a core.
 """
 
+import functools
 from typing import Any
 from typing import TypeVar
 
@@ -433,13 +434,19 @@
       errors.InvalidInputError: The data is not JSON, or not of that type.
     """
     try:
-        return msgspec.json.decode(data, type=message_type)
+        return _decoder_of(message_type).decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise errors.InvalidInputError(
             [_finding_from_error(str(error))]
         ) from error
 
 
+@functools.cache
+def _decoder_of(message_type: Any) -> msgspec.json.Decoder:
+    """Returns the decoder of a type; building one for a union is slow."""
+    return msgspec.json.Decoder(message_type)
+
+
 def _finding_from_error(text: str) -> findings_lib.Finding:
     reason, separator, path = text.partition(" - at `")
     place = path.rstrip("`") if separator else "$"
