--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -434,7 +434,7 @@
       errors.InvalidInputError: The data is not JSON, or not of that type.
     """
     try:
-        return _decoder_of(message_type).decode(data)
+        return _decoder_of(message_type).decode(data)  # type: ignore[arg-type]
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise errors.InvalidInputError(
             [_finding_from_error(str(error))]
