--- a/src/galenahook/audit.py
+++ b/src/galenahook/audit.py
@@ -7,6 +7,7 @@
 again. A torn last line is cut off.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import os
@@ -20,11 +21,15 @@
 from galenahook import configuration as configuration_lib
 from galenahook import configuration_items as items_lib
 from galenahook import errors
+from galenahook import logs
 from galenahook import messages
 
 SEGMENT_RECORDS = 4_096
 MAX_RECORDS_READ = 1_000
 
+_FOLLOW_PERIOD_MS = 200
+_RETRY_PAUSE_MS = 5_000
+
 _FOLDER_NAME = "audit"
 _SUFFIX = ".jsonl"
 _REVISION_DIGITS = 12
@@ -132,6 +137,22 @@
             if lines:
                 await curio.run_in_thread(self._append, lines)
 
+    async def follow(
+        self,
+        configuration_of: Callable[[], configuration_lib.ConfigurationState],
+    ) -> None:
+        """Keeps the trail up to date until cancelled.
+
+        A failed write is logged and tried again.
+        """
+        while True:
+            try:
+                await self.write_through(configuration_of())
+            except errors.StorageError as error:
+                logs.error("audit:write-failed", reason=str(error))
+                await curio.sleep(clock_lib.seconds(_RETRY_PAUSE_MS))
+            await curio.sleep(clock_lib.seconds(_FOLLOW_PERIOD_MS))
+
     def _missing_lines(
         self, configuration: configuration_lib.ConfigurationState
     ) -> Iterator[AuditLine]:
--- a/src/galenahook/operators/change_checks.py
+++ b/src/galenahook/operators/change_checks.py
@@ -45,7 +45,7 @@
         return ""
     match change:
         case commands.DrainUpstream(name=name):
-            known = {*workers.workers, *leader.executors.executors}
+            known = {*workers.workers, *leader.executors.records}
             return _unless_known("upstream", name, known)
         case commands.AvailabilityZoneOut(availability_zone=name):
             return _unless_known(
@@ -66,7 +66,7 @@
         ),
         *(
             executor.announcement.availability_zone
-            for executor in leader.executors.executors.values()
+            for executor in leader.executors.records.values()
         ),
         *(entry.availability_zone for entry in leader.entries.records.values()),
     }
--- a/src/galenahook/operators/handler.py
+++ b/src/galenahook/operators/handler.py
@@ -40,15 +40,14 @@
     def __init__(
         self,
         leader: Any,
-        settings: settings_lib.ReplicaSettings,
+        audit: audit_lib.AuditTrail,
+        timing: settings_lib.Timing,
         clock: clock_lib.Clock,
-        audit: audit_lib.AuditTrail | None = None,
     ) -> None:
         self.leader = leader
-        self.settings = settings
+        self.audit = audit
         self.clock = clock
-        self.audit = audit or audit_lib.AuditTrail(settings.data_folder)
-        self.in_force = in_force_lib.InForce(leader, settings.timing, clock)
+        self.in_force = in_force_lib.InForce(leader, timing, clock)
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answers one request that an entry relayed.
--- a/src/galenahook/operators/status.py
+++ b/src/galenahook/operators/status.py
@@ -64,7 +64,7 @@
                 if leader.workers.is_silent(worker)
             )
         ),
-        executors=dict(leader.executors.executors),
+        executors=dict(leader.executors.records),
         entries=tuple(_entries(leader, revision)),
         replicas=tuple(_replicas(node)),
         availability_zones=frozenset(change_checks.availability_zones(leader)),
--- a/src/galenahook/replica.py
+++ b/src/galenahook/replica.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from galenahook import audit as audit_lib
 from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import leader as leader_lib
@@ -26,7 +27,9 @@
     Attributes:
       settings: Its settings.
       node: Its part of the consensus.
+      audit: Its audit trail.
       leader: The leader of this term while this replica leads, else None.
+      operators: Answers operators while it leads, else None.
     """
 
     def __init__(
@@ -37,7 +40,9 @@
         self.key = process.read_key(settings.site_key_file)
         self.client = web.ControlClient(clock, [(process.KEY_HEADER, self.key)])
         self.node = node_lib.Node(settings, self.client, clock)
+        self.audit = audit_lib.AuditTrail(settings.data_folder)
         self.leader: leader_lib.Leader | None = None
+        self.operators: operators_handler.OperatorHandler | None = None
         self.peers_server = web.Server(
             web.listen(settings.peers.listen),
             self.handle,
@@ -61,6 +66,7 @@
         await parts.start(
             self.node.run,
             self._follow_leadership,
+            self._follow_audit,
             self.peers_server.run,
             self.platform_server.run,
         )
@@ -76,10 +82,17 @@
                 self.node, self.client, self.settings.timing, self.clock
             )
             self.leader = leader
+            self.operators = operators_handler.OperatorHandler(
+                leader, self.audit, self.settings.timing, self.clock
+            )
             try:
                 await self._run_leader(leader)
             finally:
                 self.leader = None
+                self.operators = None
+
+    async def _follow_audit(self) -> None:
+        await self.audit.follow(lambda: self.node.state.configuration)
 
     async def _run_leader(self, leader: leader_lib.Leader) -> None:
         ended = curio.Event()
@@ -146,10 +159,9 @@
                 claim = messages.decode(request.body, messages.ClaimKeys)
                 return web.json_response(await leader.claim(claim))
             case target if target.startswith("/v1/operators/"):
-                operators = operators_handler.OperatorHandler(
-                    leader, self.settings, self.clock
-                )
-                return await operators.handle(request)
+                if self.operators is None:
+                    return self._not_leader()
+                return await self.operators.handle(request)
             case _:
                 return web.refusal(404, "no such route")
 
