--- a/src/galenahook/scheduling/explanations.py
+++ b/src/galenahook/scheduling/explanations.py
@@ -55,6 +55,9 @@
     latest_start_ms: int = 0
     tasks: tuple[TaskExplanation, ...] = ()
 
+    def __str__(self) -> str:
+        return self.summary
+
 
 class WorkerStatus(messages.Message, frozen=True, kw_only=True):
     """One worker.
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -32,6 +32,7 @@
 from galenahook.upstreams import workers as workers_lib
 
 ROUND_PERIOD_MS = 100
+WAKE_PERIOD_MS = 20
 LEASE_CHECK_PERIOD_MS = 500
 TAIL_PERIOD_MS = 250
 
@@ -68,7 +69,7 @@
         )
         self.executors = executors
         self.policy = policy
-        self._wakeup = curio.Event()
+        self._woken = False
         self._term = -1
         self._leases_checked_ms = 0
         self._tails_read_ms = 0
@@ -87,22 +88,24 @@
 
     async def run(self) -> None:
         """Runs rounds until cancelled; does nothing while not leading."""
+        node = self.context.node
         while True:
-            try:
-                async with curio.timeout_after(
-                    clock_lib.seconds(ROUND_PERIOD_MS)
-                ):
-                    await self._wakeup.wait()
-            except curio.TaskTimeout:
-                pass
-            self._wakeup.clear()
-            node = self.context.node
+            await self._wait_for_round()
             if node.is_leader() and node.may_act():
                 await self.round()
 
-    async def notify(self) -> None:
-        """Makes the next round begin at once."""
-        await self._wakeup.set()
+    async def _wait_for_round(self) -> None:
+        waited_ms = 0
+        while waited_ms < ROUND_PERIOD_MS:
+            await curio.sleep(clock_lib.seconds(WAKE_PERIOD_MS))
+            waited_ms += WAKE_PERIOD_MS
+            if self._woken:
+                break
+        self._woken = False
+
+    def wake(self) -> None:
+        """Makes a round begin soon if what workers announced matters."""
+        self._woken = self._woken or bool(self.context.workers.changed)
 
     async def round(self) -> None:
         """Runs one round of decisions."""
@@ -220,7 +223,7 @@
             commands.EndAttempts(ends=(end,), at_ms=context.clock.wall_ms())
         )
         context.workers.changed.add(report.worker)
-        await self.notify()
+        self.wake()
         applied = isinstance(result, commands.AttemptsApplied) and all(
             result.applied
         )
--- a/tests/scheduling_model.py
+++ b/tests/scheduling_model.py
@@ -15,12 +15,13 @@
 from galenahook import errors
 from galenahook import messages
 from galenahook import settings
+from galenahook import state as state_lib
 from galenahook import web
-from galenahook.replicas import node as node_lib
 from galenahook.scheduling import scheduler as scheduler_lib
 from galenahook.scheduling import tasks as tasks_lib
 from galenahook.upstreams import workers as workers_lib
 
+START_AFTER_OUT_MS = 3_000
 LARGE = messages.Resources(8_000, 16_000, 0)
 WALL_OFFSET_MS = 1_700_000_000_000
 
@@ -40,25 +41,22 @@
         return WALL_OFFSET_MS + self.now_ms
 
 
-class ManualNode(node_lib.Node):
-    """A node whose leadership tests take and give."""
+class ManualNode:
+    """A node of one replica whose leadership tests take and give."""
 
     def __init__(self) -> None:
-        super().__init__("r1")
+        self.state = state_lib.State()
         self.leads = True
         self.current_term = 1
-        self.log: list[commands.Command] = []
-        self.on_commit: Callable[[commands.Command], None] | None = None
+        self.before_commit: Callable[[], None] | None = None
 
     async def submit(self, command: commands.Command) -> commands.Result:
         """Applies a command at once."""
         if not self.leads:
             raise errors.NotLeaderError("r2")
-        self.log.append(command)
-        result = self.state.apply(command)
-        if self.on_commit:
-            self.on_commit(command)
-        return result
+        if self.before_commit:
+            self.before_commit()
+        return self.state.apply(command)
 
     def is_leader(self) -> bool:
         """Returns what tests set."""
@@ -68,6 +66,10 @@
         """Returns what tests set."""
         return self.leads
 
+    def leader_name(self) -> str:
+        """Returns another replica's name."""
+        return "r2"
+
     def term(self) -> int:
         """Returns what tests set."""
         return self.current_term
@@ -224,6 +226,7 @@
         if not self.checkpoints or running is None or running.phase == "ended":
             return messages.CheckpointReply()
         reference = f"{order.task}#{order.attempt}"
+        self.site.checkpoints.setdefault(order.task, set()).add(reference)
         return messages.CheckpointReply(reference=reference)
 
     def finish(
@@ -235,6 +238,7 @@
         running.outcome = outcome or messages.Completed(run_ms=1_000)
         if isinstance(running.outcome, messages.Completed):
             self.site.completions.append(task)
+            self.site.ended.add(task)
 
     def reports(self) -> list[messages.AttemptReport]:
         """Returns the reports not acknowledged yet."""
@@ -318,6 +322,12 @@
     Attributes:
       completions: Tasks that ended their work at a worker, once per run.
       violations: What the workers saw that must never happen.
+      attempts_begun: Attempts that workers began, to tell repeats.
+      checkpoints: Checkpoint references that workers gave, by task.
+      ended: Tasks whose work came to its end at a worker.
+      not_repeatable: Tasks that must not run again after their end.
+      out_since_ms: When each availability zone out was taken out.
+      left_ms: When each leaving worker first said so.
     """
 
     def __init__(self, tails: Any = None) -> None:
@@ -329,6 +339,12 @@
         self.workers: dict[str, ModelWorker] = {}
         self.completions: list[str] = []
         self.violations: list[str] = []
+        self.attempts_begun: set[tuple[str, int]] = set()
+        self.checkpoints: dict[str, set[str]] = {}
+        self.ended: set[str] = set()
+        self.out_since_ms: dict[str, int] = {}
+        self.left_ms: dict[str, int] = {}
+        self.not_repeatable: set[str] = set()
         self.changes = 0
         self.kernel = curio.Kernel()
         self.scheduler = scheduler_lib.Scheduler(
@@ -357,6 +373,11 @@
 
     def change(self, change: commands.Change) -> commands.Result:
         """Applies a change of the configuration."""
+        match change:
+            case commands.AvailabilityZoneOut(availability_zone=zone):
+                self.out_since_ms.setdefault(zone, self.clock.now_ms)
+            case commands.AvailabilityZoneIn(availability_zone=zone):
+                self.out_since_ms.pop(zone, None)
         self.changes += 1
         command = commands.ChangeConfiguration(
             operator="ana",
@@ -373,6 +394,10 @@
             worker = self.workers[name]
             worker.expire()
             if worker.connected and self.node.leads:
+                if worker.leaving:
+                    self.left_ms.setdefault(name, self.clock.now_ms)
+                else:
+                    self.left_ms.pop(name, None)
                 reply = self.registry.announce(
                     worker.announcement(), self.tasks
                 )
@@ -430,6 +455,23 @@
         places = self.places(order.task)
         if len(places) > 1:
             self.violations.append(f"{order.task} runs at {places}")
+        now_ms = self.clock.now_ms
+        out_ms = self.out_since_ms.get(worker.zone, now_ms)
+        if now_ms - out_ms > START_AFTER_OUT_MS:
+            self.violations.append(f"{order.task} starts in a zone out")
+        left_ms = self.left_ms.get(worker.name, now_ms)
+        if now_ms - left_ms > START_AFTER_OUT_MS:
+            self.violations.append(f"{order.task} starts where work leaves")
+        key = (order.task, order.attempt)
+        if key in self.attempts_begun:
+            self.violations.append(f"{key} began twice")
+        self.attempts_begun.add(key)
+        if order.checkpoint and order.checkpoint not in self.checkpoints.get(
+            order.task, set()
+        ):
+            self.violations.append(f"{key} resumes from {order.checkpoint}")
+        if order.task in self.not_repeatable and order.task in self.ended:
+            self.violations.append(f"{order.task} runs again after its end")
         load = worker.load()
         if (
             load.cores_milli > worker.capacity.cores_milli
--- /dev/null
+++ b/tests/test_scheduling_races.py
@@ -0,0 +1,147 @@
+"""Faults that come between two steps of the scheduler."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import pytest
+
+from galenahook import commands
+from galenahook import messages
+from galenahook.scheduling import tasks as tasks_lib
+import scheduling_model as model
+
+Phase = tasks_lib.Phase
+TASK = "job/plan/0"
+
+
+@pytest.fixture
+def site() -> Iterator[model.ModelSite]:
+    site = model.ModelSite()
+    site.add_worker("w0", zone="a")
+    site.pass_time(1_500)
+    yield site
+    site.close()
+    assert not site.violations
+
+
+def zone_out(site: model.ModelSite) -> None:
+    site.change(commands.AvailabilityZoneOut(availability_zone="a"))
+
+
+def lose_leadership(site: model.ModelSite) -> None:
+    site.node.leads = False
+
+
+def leave(site: model.ModelSite) -> None:
+    site.workers["w0"].leaving = True
+    site.announce()
+
+
+def drain(site: model.ModelSite) -> None:
+    site.change(commands.DrainUpstream(name="w0"))
+
+
+def restart(site: model.ModelSite) -> None:
+    site.workers["w0"].restart()
+    site.announce()
+
+
+@pytest.mark.parametrize(
+    "happens", [zone_out, lose_leadership, leave, drain, restart]
+)
+def test_start_is_checked_again_after_its_commit(
+    site: model.ModelSite, happens: Callable[[model.ModelSite], None]
+) -> None:
+    def once() -> None:
+        site.node.before_commit = None
+        happens(site)
+
+    site.change(model.sheet(model.job("plan")))
+    site.node.before_commit = once
+    site.round()
+    assert site.node.before_commit is None
+    assert site.places(TASK) == []
+    assert site.workers["w0"].answers == {}
+
+
+def test_delayed_start_of_an_evicted_attempt(site: model.ModelSite) -> None:
+    site.client.delay.add("w0")
+    site.change(model.sheet(model.job("plan")))
+    site.round()
+    site.add_worker("w1", zone="b")
+    zone_out(site)
+    site.pass_time(500)
+    site.announce()
+    site.pass_time(500)
+    site.client.deliver_late()
+    assert len(site.places(TASK)) <= 1
+    site.client.delay.clear()
+    site.pass_time(4_000)
+    assert site.places(TASK) == ["w1"]
+
+
+def test_refused_start_waits_for_another_worker(site: model.ModelSite) -> None:
+    site.workers["w0"].lease_until_ms = 0
+    site.change(model.sheet(model.job("plan", repeatable=False)))
+    site.round()
+    assert site.record(TASK).phase is Phase.PENDING
+    assert site.record(TASK).reason.startswith("refused")
+    site.pass_time(2_000)
+    assert site.places(TASK) == ["w0"]
+
+
+def test_completion_before_its_eviction_was_carried_out(
+    site: model.ModelSite,
+) -> None:
+    site.add_worker("w1", zone="b")
+    site.change(model.sheet(model.job("plan", repeatable=False)))
+    site.pass_time(1_000)
+    (place,) = site.places(TASK)
+    worker = site.workers[place]
+    worker.finish(TASK)
+    site.announce()
+    site.change(commands.DrainUpstream(name=place))
+    site.pass_time(3_000)
+    assert site.report(place) == [messages.ReportReply(acknowledged=True)]
+    assert site.record(TASK).phase is Phase.DONE
+
+
+def test_not_repeatable_work_stays_where_no_checkpoint_can_be_made(
+    site: model.ModelSite,
+) -> None:
+    site.add_worker("w1", zone="b")
+    site.change(model.sheet(model.job("plan", repeatable=False)))
+    site.pass_time(1_000)
+    (place,) = site.places(TASK)
+    site.workers[place].checkpoints = False
+    site.change(commands.DrainUpstream(name=place))
+    site.pass_time(5_000)
+    assert site.places(TASK) == [place]
+    site.workers[place].checkpoints = True
+    site.pass_time(3_000)
+    assert site.places(TASK) != [place]
+    assert site.record(TASK).checkpoint == f"{TASK}#1"
+
+
+def test_cancelled_wave_stops_everywhere(site: model.ModelSite) -> None:
+    site.change(model.sheet(*(model.job(f"j{number}") for number in range(12))))
+    site.pass_time(1_000)
+    names = tuple(f"j{number}" for number in range(12))
+    for _ in range(3):
+        site.change(commands.CancelJobs(names=names))
+    site.pass_time(2_000)
+    assert not any(site.places(f"job/{name}/0") for name in names)
+    phases = {site.record(f"job/{name}/0").phase for name in names}
+    assert phases == {Phase.CANCELLED}
+
+
+def test_frozen_leader_commits_nothing_after_its_term(
+    site: model.ModelSite,
+) -> None:
+    site.change(model.sheet(model.job("plan")))
+    site.pass_time(1_000)
+    site.workers["w0"].finish(TASK)
+    site.node.leads = False
+    with pytest.raises(Exception, match="not the leader"):
+        site.report("w0")
+    assert site.record(TASK).phase is Phase.HELD
