--- a/tests/test_scheduling_races.py
+++ b/tests/test_scheduling_races.py
@@ -65,14 +65,15 @@
 
 
 def test_delayed_start_of_an_evicted_attempt(site: model.ModelSite) -> None:
+    site.add_worker("w1", zone="b")
+    site.change(commands.DrainUpstream(name="w1"))
+    site.pass_time(1_500)
     site.client.delay.add("w0")
     site.change(model.sheet(model.job("plan")))
     site.round()
-    site.add_worker("w1", zone="b")
     zone_out(site)
-    site.pass_time(500)
-    site.announce()
-    site.pass_time(500)
+    site.change(commands.UndrainUpstream(name="w1"))
+    site.pass_time(1_500)
     site.client.deliver_late()
     assert len(site.places(TASK)) <= 1
     site.client.delay.clear()
