--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -107,6 +107,10 @@
         """Makes a round begin soon if what workers announced matters."""
         self._woken = self._woken or bool(self.context.workers.changed)
 
+    async def notify(self) -> None:
+        """Does what `wake` does."""
+        self.wake()
+
     async def round(self) -> None:
         """Runs one round of decisions."""
         self._follow_term()
--- a/src/galenahook/scheduling/tail_control.py
+++ b/src/galenahook/scheduling/tail_control.py
@@ -119,8 +119,8 @@
         worker = self.colocation.worker_on(reading.vm)
         self.model.observe(
             reading.service,
-            reading.tail.p99_ms,
-            reading.tail.count,
+            reading.sample.p99_ms,
+            reading.sample.count,
             self.colocation.shares_at(worker, taken_ms(reading)),
         )
 
@@ -133,10 +133,10 @@
         service = self.context.configuration.services.get(reading.service)
         if service is None or taken_ms(reading) < watch.acted_ms + SETTLE_MS:
             return []
-        if reading.tail.count < interference_lib.MIN_REQUESTS:
+        if reading.sample.count < interference_lib.MIN_REQUESTS:
             return []
         limit_ms = service.tail_target_ms * weights.tail_slack
-        self._count(watch, reading.tail.p99_ms, limit_ms)
+        self._count(watch, reading.sample.p99_ms, limit_ms)
         now_ms = self.context.clock.monotonic_ms()
         worker = self.colocation.worker_on(reading.vm)
         if watch.bad >= BAD_WINDOWS:
@@ -237,7 +237,7 @@
 
 def taken_ms(reading: tails_lib.TailReading) -> int:
     """Returns the monotonic time of the middle of a reading's window."""
-    return reading.received_at_ms - reading.tail.sample_age_ms
+    return reading.received_ms - reading.sample.sample_age_ms
 
 
 def eviction_command(
--- a/src/galenahook/scheduling/tails.py
+++ b/src/galenahook/scheduling/tails.py
@@ -22,11 +22,11 @@
         """VM that it stands on."""
 
     @property
-    def tail(self) -> messages.TailSample:
+    def sample(self) -> messages.TailSample:
         """What it measured."""
 
     @property
-    def received_at_ms(self) -> int:
+    def received_ms(self) -> int:
         """Monotonic time when the sample came in."""
 
 
