--- a/src/galenahook/upstreams/executors.py
+++ b/src/galenahook/upstreams/executors.py
@@ -58,15 +58,15 @@
       service: Service of the executor.
       executor: Name of the executor.
       vm: VM on which it stands.
-      tail: Its last sample.
-      received_at_ms: Monotonic time at which the sample arrived.
+      sample: Its last sample.
+      received_ms: Monotonic time at which the sample arrived.
     """
 
     service: str
     executor: str
     vm: str
-    tail: messages.TailSample
-    received_at_ms: int
+    sample: messages.TailSample
+    received_ms: int
 
 
 class ExecutorRegistry:
@@ -132,8 +132,8 @@
                     service=announced.service,
                     executor=name,
                     vm=announced.vm,
-                    tail=announced.tail,
-                    received_at_ms=record.received_at_ms,
+                    sample=announced.tail,
+                    received_ms=record.received_at_ms,
                 )
             )
         return tails
