--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -18,6 +18,7 @@
 # No client binds to it, so the ports stay free between starts.
 HOST = "127.0.0.11"
 POLL_MS = 5
+SUBMITTERS = 200
 KEY = (b"x-galenahook-key", b"key of the site")
 FAST_TIMING = settings_lib.Timing(
     heartbeat_period_ms=40,
@@ -230,10 +231,16 @@
     async def claim_many(self, first: int, count: int) -> None:
         """Claims numbered keys, many at once."""
         leader = await self.wait_for_leader()
+        numbers = iter(range(first, first + count))
+
+        async def submit_next() -> None:
+            for number in numbers:
+                await leader.submit(claim_of(f"key-{number}"))
+
         async with curio.TaskGroup() as group:
-            for number in range(first, first + count):
-                await group.spawn(leader.submit, claim_of(f"key-{number}"))
-        assert len(group.results) == count
+            for _ in range(SUBMITTERS):
+                await group.spawn(submit_next)
+        assert len(group.results) == SUBMITTERS
 
     async def close(self) -> None:
         """Ends every replica."""
