Keep immutable records out of the garbage collector

Change: TaskRecord, ClaimRecord and Resources hold no cycles, so they are marked gc=False (scheduling/tasks.py, callers/claims.py, messages.py).

--- a/bench/replicas.py
+++ b/bench/replicas.py
@@ -13,8 +13,8 @@
 import time
 
 import curio
-from fakes import replica_group
 
+from fakes import replica_group
 from galenahook import messages
 from galenahook import settings as settings_lib
 from galenahook.replicas import node as node_lib
--- a/src/galenahook/callers/claims.py
+++ b/src/galenahook/callers/claims.py
@@ -7,7 +7,9 @@
 from galenahook import messages
 
 
-class ClaimRecord(messages.Message, frozen=True, kw_only=True, tag="claim"):
+class ClaimRecord(
+    messages.Message, frozen=True, kw_only=True, tag="claim", gc=False
+):
     """A key claimed.
 
     Attributes:
--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -22,7 +22,9 @@
     """Base of every message: immutable, slotted, unknown fields refused."""
 
 
-class Resources(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Resources(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
+):
     """An amount of each resource that a worker offers or a task takes.
 
     Attributes:
--- a/src/galenahook/scheduling/tasks.py
+++ b/src/galenahook/scheduling/tasks.py
@@ -39,7 +39,9 @@
 ENDED_PHASES = (Phase.DONE, Phase.FAILED, Phase.CANCELLED)
 
 
-class TaskRecord(messages.Message, frozen=True, kw_only=True, tag="task"):
+class TaskRecord(
+    messages.Message, frozen=True, kw_only=True, tag="task", gc=False
+):
     """One task.
 
     Attributes:
