--- a/tests/test_replicas_election.py
+++ b/tests/test_replicas_election.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+from fakes import relay as relay_lib
 from fakes import replica_group
 from galenahook import clock as clock_lib
 from galenahook import commands
@@ -237,3 +238,118 @@
 
     replica_group.run(main)
     assert not list(tmp_path.iterdir())
+
+
+class RelayedGroup(replica_group.ReplicaGroup):
+    """A group with a relay on each link, in each direction.
+
+    Attributes:
+      relays: Relays by `(from, to)`.
+    """
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.relays = {}
+        for source in self.replicas:
+            for target, replica in self.replicas.items():
+                if source != target:
+                    relay = relay_lib.TcpRelay(replica.address)
+                    self.relays[source, target] = relay
+                    self.routes[source, target] = relay.address
+
+    async def start_relays(self):
+        for relay in self.relays.values():
+            await curio.spawn(relay.run, daemon=True)
+
+    def cut_off(self, name, directions):
+        """Lets nothing pass to the replica, from it, or both."""
+        for (source, target), relay in self.relays.items():
+            forward, backward = (
+                relay_lib.Direction.FORWARD,
+                (relay_lib.Direction.BACKWARD),
+            )
+            if source == name and "out" in directions:
+                relay.hold(relay.held | forward)
+            if source == name and "in" in directions:
+                relay.hold(relay.held | backward)
+            if target == name and "in" in directions:
+                relay.hold(relay.held | forward)
+            if target == name and "out" in directions:
+                relay.hold(relay.held | backward)
+
+    def heal(self):
+        for relay in self.relays.values():
+            relay.release()
+
+
+@pytest.mark.parametrize("directions", [("in",), ("out",), ("in", "out")])
+def test_cut_off_leader_stops_acting_before_another_starts(
+    tmp_path, directions
+):
+    group = RelayedGroup(tmp_path)
+    stop, faults = curio.Event(), []
+
+    async def main():
+        await group.start_relays()
+        await group.start()
+        watch = await curio.spawn(watch_leaders, group, stop, faults)
+        old = await group.wait_for_leader()
+        group.cut_off(old.name, directions)
+        await group.wait_until(lambda: group.leader() not in (None, old), 3_000)
+        assert not old.may_act()
+        assert await group.claim("during")
+        group.heal()
+        await group.wait_until(
+            lambda: "during" in old.state.claims.records, 3_000
+        )
+        await stop.set()
+        await watch.join()
+        await group.close()
+
+    replica_group.run(main)
+    assert not faults
+
+
+def test_silent_connections_are_replaced_without_an_election(tmp_path):
+    group = RelayedGroup(tmp_path)
+
+    async def main():
+        await group.start_relays()
+        await group.start()
+        leader = await group.wait_for_leader()
+        term = leader.term()
+        for turn in range(3):
+            for relay in group.relays.values():
+                relay.lose_track()
+            started_ms = group.clock.monotonic_ms()
+            assert await group.claim(f"after {turn}")
+            took_ms = group.clock.monotonic_ms() - started_ms
+            assert took_ms < group.timing.election_timeout_min_ms
+        assert group.leader() is leader
+        assert leader.term() == term
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_replica_that_was_cut_off_disturbs_nobody_on_return(tmp_path):
+    group = RelayedGroup(tmp_path)
+
+    async def main():
+        await group.start_relays()
+        await group.start()
+        leader = await group.wait_for_leader()
+        term = leader.term()
+        name = next(name for name in group.replicas if name != leader.name)
+        group.cut_off(name, ("in", "out"))
+        assert await group.claim("without it")
+        await curio.sleep(3 * group.timing.election_timeout_max_ms / 1000)
+        group.heal()
+        node = group.node(name)
+        await group.wait_until(
+            lambda: "without it" in node.state.claims.records
+        )
+        assert (leader.term(), leader.may_act()) == (term, True)
+        await group.close()
+
+    replica_group.run(main)
