--- /dev/null
+++ b/tests/test_replicas_faults.py
@@ -0,0 +1,129 @@
+"""Random faults against an oracle that sees only answers to claims.
+
+The oracle: a key is granted at most once; a key whose claim was answered is
+never granted again; never may two replicas act at once; in the end every
+replica holds the same keys, and each that was answered is among them.
+"""
+
+import random
+
+import curio
+import pytest
+
+from fakes import replica_group
+from galenahook import errors
+
+RUN_MS = 5_000
+PAUSE_MS = 150
+CLAIMERS = 4
+KEYS = 400
+
+
+class Oracle:
+    def __init__(self):
+        self.granted = set()
+        self.answered = set()
+        self.doubled = []
+
+    def note(self, key, granted):
+        if granted and key in self.answered:
+            self.doubled.append(key)
+        self.answered.add(key)
+        if granted:
+            self.granted.add(key)
+
+
+async def claim_at_random(group, oracle, chance, stop):
+    while not stop.is_set():
+        key = f"key-{chance.randrange(KEYS)}"
+        nodes = [node for node in group.nodes() if node.is_leader()]
+        if not nodes:
+            await curio.sleep(0.005)
+            continue
+        node = chance.choice(nodes)
+        try:
+            result = await node.submit(replica_group.claim_of(key))
+        except errors.GalenahookError:
+            continue
+        oracle.note(key, result.granted[0])
+
+
+async def inject(group, chance):
+    """Makes one fault, or ends all of them."""
+    name = chance.choice(sorted(group.replicas))
+    replica = group.replicas[name]
+    running = replica.node is not None
+    match chance.randrange(7):
+        case 0 if running and len(group.nodes()) == 3:
+            await group.kill(name)
+        case 1:
+            group.cut_off(
+                name, chance.choice([("in",), ("out",), ("in", "out")])
+            )
+        case 2:
+            group.lose_track()
+        case 3 if running:
+            replica.disk.full = True
+        case 4 if running:
+            replica.disk.sync_ms = 120
+        case 5 if running and len(group.nodes()) == 3:
+            await group.stop(name)
+        case _:
+            await mend(group)
+
+
+async def mend(group):
+    group.heal()
+    for name, replica in group.replicas.items():
+        replica.disk.full = False
+        replica.disk.sync_ms = 0
+        if replica.node is not None and replica.node.status().error:
+            await group.kill(name)
+        if replica.node is None:
+            await group.start(name)
+
+
+def keys_of(node):
+    return set(node.state.claims.records)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_random_faults_lose_nothing_and_grant_nothing_twice(tmp_path, seed):
+    chance = random.Random(seed)
+    group = replica_group.RelayedGroup(tmp_path)
+    stop, two_leaders, oracle = curio.Event(), [], Oracle()
+
+    async def main():
+        await group.start_relays()
+        await group.start()
+        tasks = [
+            await curio.spawn(
+                replica_group.watch_leaders, group, stop, two_leaders
+            )
+        ]
+        for _ in range(CLAIMERS):
+            tasks.append(
+                await curio.spawn(claim_at_random, group, oracle, chance, stop)
+            )
+        end_ms = group.clock.monotonic_ms() + RUN_MS
+        while group.clock.monotonic_ms() < end_ms:
+            await inject(group, chance)
+            await curio.sleep(PAUSE_MS / 1000)
+        await mend(group)
+        await group.wait_for_leader()
+        await stop.set()
+        for task in tasks:
+            await task.join()
+        assert await group.claim("last")
+        await group.wait_until(
+            lambda: all("last" in keys_of(node) for node in group.nodes())
+        )
+        held = [keys_of(node) for node in group.nodes()]
+        assert held[0] == held[1] == held[2]
+        assert oracle.answered <= held[0]
+        await group.close()
+
+    replica_group.run(main)
+    assert not two_leaders
+    assert not oracle.doubled
+    assert len(oracle.granted) > KEYS // 4
