Give each claim of a key a token, so that a lost answer burns no key

Cause: killing the leader left 76 of 600 requests answered 409 although no executor had run them: the claim was committed, its answer lost, and the resend took it for another request's. A request refused after its claim burned its key as well. The demo counted these as run once; it now checks that each key was served. Ruled out: answering unknown and letting the caller ask (nothing can tell it). Change: a claim carries its request's token and is sent again until the deadline; what was certainly not run is released before the refusal leaves.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -193,7 +193,7 @@
             f"request {result.key} was lost: {result.status}"
             f" {result.outcome} {result.body!r}"
             for result in self.results
-            if result.outcome != "answered" and result.status != 409
+            if not served[result.key]
         ]
         return failures
 
--- a/src/galenahook/callers/claimant.py
+++ b/src/galenahook/callers/claimant.py
@@ -6,68 +6,136 @@
 
 import curio
 
+from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import messages
 
 MAX_KEYS_PER_CLAIM = 256
+MAX_UNSENT_RELEASES = 10_000
+RETRY_PERIOD_MS = 50
+RELEASE_WAIT_MS = 1_000
 
-ClaimFunction = Callable[[tuple[str, ...]], Awaitable[tuple[bool, ...]]]
+ClaimFunction = Callable[
+    [tuple[messages.KeyClaim, ...], tuple[messages.KeyClaim, ...]],
+    Awaitable[tuple[bool, ...]],
+]
 
 
 @dataclasses.dataclass(slots=True)
 class _PendingClaim:
     """A key that waits for its claim to be committed."""
 
-    key: str
+    claim: messages.KeyClaim
+    deadline_ms: int
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
     granted: bool = False
-    error: errors.GalenahookError | None = None
+    expired: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _PendingRelease:
+    """A claim that waits for its release to be committed."""
+
+    claim: messages.KeyClaim
+    done: curio.Event = dataclasses.field(default_factory=curio.Event)
 
 
 class Claimant:
     """Claims keys; concurrent claims share one commit.
 
+    A claim whose answer was lost, for example since the leader died, is sent
+    again with the same token until its request's deadline. One that is given
+    up, or whose request was not run after all, is released, so that the
+    caller may send the key again.
+
     Attributes:
-      claim_keys: Commits a claim and tells which keys were free.
+      claim_keys: Commits claims and releases; tells which claims hold.
     """
 
-    def __init__(self, claim_keys: ClaimFunction) -> None:
+    def __init__(
+        self, claim_keys: ClaimFunction, clock: clock_lib.Clock
+    ) -> None:
         self.claim_keys = claim_keys
+        self._clock = clock
         self._pending: list[_PendingClaim] = []
+        self._released: dict[str, _PendingRelease] = {}
         self._running = False
 
-    async def claim(self, key: str) -> bool:
-        """Returns whether this claim of the key is the first, committed.
+    async def claim(self, claim: messages.KeyClaim, deadline_ms: int) -> bool:
+        """Returns whether the request holds the key, committed.
+
+        Args:
+          claim: The key and the request's token.
+          deadline_ms: Monotonic time after which the claim is given up.
 
         Raises:
-          errors.GalenahookError: It is not known whether it was committed.
+          errors.NoQuorumError: It was given up, and is being released.
         """
-        pending = _PendingClaim(key)
+        pending = _PendingClaim(claim, deadline_ms)
         self._pending.append(pending)
+        await self._start()
+        await pending.done.wait()
+        if pending.expired:
+            raise errors.NoQuorumError("the key could not be claimed in time")
+        return pending.granted
+
+    async def release(self, claim: messages.KeyClaim) -> None:
+        """Releases a key whose request certainly was not run.
+
+        Returns once that is committed, or after `RELEASE_WAIT_MS` while it is
+        still being tried.
+        """
+        pending = self._add_release(claim)
+        await self._start()
+        await curio.ignore_after(
+            clock_lib.seconds(RELEASE_WAIT_MS), pending.done.wait
+        )
+
+    def _add_release(self, claim: messages.KeyClaim) -> _PendingRelease:
+        pending = _PendingRelease(claim)
+        self._released[claim.token] = pending
+        while len(self._released) > MAX_UNSENT_RELEASES:
+            del self._released[next(iter(self._released))]
+        return pending
+
+    async def _start(self) -> None:
         if not self._running:
             self._running = True
             await curio.spawn(self._run, daemon=True)
-        await pending.done.wait()
-        if pending.error is not None:
-            raise pending.error
-        return pending.granted
 
     async def _run(self) -> None:
         try:
-            while self._pending:
-                batch = self._pending[:MAX_KEYS_PER_CLAIM]
-                del self._pending[:MAX_KEYS_PER_CLAIM]
-                await self._claim_batch(batch)
+            while self._pending or self._released:
+                if not await self._send_batch():
+                    await self._expire()
+                    await curio.sleep(clock_lib.seconds(RETRY_PERIOD_MS))
         finally:
             self._running = False
 
-    async def _claim_batch(self, batch: list[_PendingClaim]) -> None:
-        keys = tuple(pending.key for pending in batch)
+    async def _send_batch(self) -> bool:
+        batch = self._pending[:MAX_KEYS_PER_CLAIM]
+        released = list(self._released.values())[:MAX_KEYS_PER_CLAIM]
+        claims = tuple(pending.claim for pending in batch)
         try:
-            granted = await self.claim_keys(keys)
-            for pending, is_granted in zip(batch, granted, strict=True):
-                pending.granted = is_granted
-        except Exception as error:  # Any failure leaves the claims unknown.
-            for pending in batch:
-                pending.error = errors.NoQuorumError(f"claim: {error}")
-        for pending in batch:
+            granted = await self.claim_keys(
+                claims, tuple(pending.claim for pending in released)
+            )
+        except errors.GalenahookError:
+            return False
+        del self._pending[: len(batch)]
+        for release in released:
+            self._released.pop(release.claim.token, None)
+            await release.done.set()
+        for pending, is_granted in zip(batch, granted, strict=True):
+            pending.granted = is_granted
+            await pending.done.set()
+        return True
+
+    async def _expire(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        expired = [item for item in self._pending if item.deadline_ms <= now_ms]
+        for pending in expired:
+            self._pending.remove(pending)
+            pending.expired = True
+            self._add_release(pending.claim)
             await pending.done.set()
--- a/src/galenahook/callers/claims.py
+++ b/src/galenahook/callers/claims.py
@@ -12,11 +12,13 @@
 
     Attributes:
       key: `service:key`.
+      token: Names the request that holds the key.
       entry: Entry that claimed it.
       at_ms: Wall time of the claim.
     """
 
     key: str
+    token: str
     entry: str
     at_ms: int
 
@@ -28,15 +30,33 @@
     records: dict[str, ClaimRecord] = dataclasses.field(default_factory=dict)
 
     def claim(self, command: commands.ClaimKeys) -> commands.KeysClaimed:
-        """Claims each key that is free."""
-        granted = tuple(self._claim_one(command, key) for key in command.keys)
+        """Releases keys, then claims each that is free.
+
+        A claim that was applied before is granted again.
+        """
+        for released in command.released:
+            self._release(released)
+        granted = tuple(
+            self._claim_one(command, claim) for claim in command.claims
+        )
         return commands.KeysClaimed(granted=granted)
 
-    def _claim_one(self, command: commands.ClaimKeys, key: str) -> bool:
-        if key in self.records:
-            return False
-        self.records[key] = ClaimRecord(
-            key=key, entry=command.entry, at_ms=command.at_ms
+    def _release(self, released: messages.KeyClaim) -> None:
+        record = self.records.get(released.key)
+        if record is not None and record.token == released.token:
+            del self.records[released.key]
+
+    def _claim_one(
+        self, command: commands.ClaimKeys, claim: messages.KeyClaim
+    ) -> bool:
+        record = self.records.get(claim.key)
+        if record is not None:
+            return record.token == claim.token
+        self.records[claim.key] = ClaimRecord(
+            key=claim.key,
+            token=claim.token,
+            entry=command.entry,
+            at_ms=command.at_ms,
         )
         return True
 
--- a/src/galenahook/callers/handler.py
+++ b/src/galenahook/callers/handler.py
@@ -52,7 +52,7 @@
         self.router = router
         self.admission = admission_lib.Admission(router, clock)
         self._attempter = attempts.Attempter(router, clock)
-        self._claimant = claimant_lib.Claimant(claim_keys)
+        self._claimant = claimant_lib.Claimant(claim_keys, clock)
         self._clock = clock
         self._metrics = metrics
         self._handled = 0
@@ -111,18 +111,36 @@
         if entered.is_error():
             return _refuse(entered.error.status, entered.error.reason)
         place = entered.ok
-        if call.key:
-            refusal = await self._claim(call, place)
-            if refusal is not None:
-                return refusal
-        return await self._run(call, route, place)
+        if not call.key:
+            return await self._run(call, route, place)
+        return await self._run_with_key(call, route, place)
+
+    async def _run_with_key(
+        self,
+        call: calls.Call,
+        route: messages.ServiceRoute,
+        place: admission_lib.Place,
+    ) -> web.Response:
+        claim = messages.KeyClaim(
+            key=f"{route.service}:{call.key}", token=call.identifier
+        )
+        refusal = await self._claim(call, claim, place)
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._run(call, route, place)
+        finally:
+            if not call.may_have_run:
+                await self._claimant.release(claim)
 
     async def _claim(
-        self, call: calls.Call, place: admission_lib.Place
+        self,
+        call: calls.Call,
+        claim: messages.KeyClaim,
+        place: admission_lib.Place,
     ) -> web.Response | None:
-        key = f"{place.route.service}:{call.key}"
         try:
-            granted = await self._claimant.claim(key)
+            granted = await self._claimant.claim(claim, call.deadline_at_ms)
         except errors.GalenahookError as error:
             self.admission.leave(place)
             return _refuse(503, f"the key could not be claimed: {error}")
--- a/src/galenahook/commands.py
+++ b/src/galenahook/commands.py
@@ -317,10 +317,11 @@
 
 
 class ClaimKeys(messages.Message, frozen=True, kw_only=True, tag="claim-keys"):
-    """Claims idempotency keys for an entry."""
+    """Claims idempotency keys for an entry, after releasing others."""
 
     entry: str
-    keys: tuple[str, ...]
+    claims: tuple[messages.KeyClaim, ...]
+    released: tuple[messages.KeyClaim, ...] = ()
     at_ms: int
 
 
@@ -392,7 +393,7 @@
 class KeysClaimed(
     messages.Message, frozen=True, kw_only=True, tag="keys-claimed"
 ):
-    """For each key in order, whether this claim was the first."""
+    """For each claim in order, whether its request holds the key."""
 
     granted: tuple[bool, ...]
 
--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -134,8 +134,14 @@
             or self.upstreams_server.in_flight
         )
 
-    async def _claim(self, keys: tuple[str, ...]) -> tuple[bool, ...]:
-        request = messages.ClaimKeys(entry=self.settings.name, keys=keys)
+    async def _claim(
+        self,
+        claims: tuple[messages.KeyClaim, ...],
+        released: tuple[messages.KeyClaim, ...],
+    ) -> tuple[bool, ...]:
+        request = messages.ClaimKeys(
+            entry=self.settings.name, claims=claims, released=released
+        )
         reply = await self.leader.post(
             "/v1/entry/claim", request, messages.ClaimKeysReply
         )
--- a/src/galenahook/leader.py
+++ b/src/galenahook/leader.py
@@ -107,7 +107,8 @@
         result = await self.node.submit(
             commands.ClaimKeys(
                 entry=request.entry,
-                keys=request.keys,
+                claims=request.claims,
+                released=request.released,
                 at_ms=self._clock.wall_ms(),
             )
         )
--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -389,20 +389,34 @@
     replies: tuple[AnnouncementReply, ...] = ()
 
 
+class KeyClaim(Message, frozen=True, kw_only=True):
+    """One request's claim of an idempotency key.
+
+    Attributes:
+      key: The key with its service, as `service:key`.
+      token: Names the request; the same claim sent again has the same token.
+    """
+
+    key: str
+    token: str
+
+
 class ClaimKeys(Message, frozen=True, kw_only=True):
     """Claims idempotency keys before their requests are sent on.
 
     Attributes:
       entry: Name of the entry.
-      keys: Each key with its service, as `service:key`.
+      claims: Keys to claim.
+      released: Earlier claims whose requests certainly were not run.
     """
 
     entry: str
-    keys: tuple[str, ...]
+    claims: tuple[KeyClaim, ...] = ()
+    released: tuple[KeyClaim, ...] = ()
 
 
 class ClaimKeysReply(Message, frozen=True, kw_only=True):
-    """For each key in order, whether this claim is the first and committed."""
+    """For each claim in order, whether its request holds the key."""
 
     granted: tuple[bool, ...]
 
--- a/tests/test_upstreams_grants.py
+++ b/tests/test_upstreams_grants.py
@@ -140,9 +140,7 @@
         return Sent(view, update, clock.monotonic_ms())
 
     def serve(self, sent: Sent) -> None:
-        addresses = self.registry.addresses(
-            configuration.ConfigurationRecord()
-        )
+        addresses = self.registry.addresses(configuration.ConfigurationRecord())
         known = sent.update.upstreams_version == self.registry.version
         sent.reply = messages.EntryUpdateReply(
             lease_ms=LEASE_MS,
@@ -228,9 +226,7 @@
             while view.may_start() and slot.busy < slot.granted:
                 self.start(view, slot)
 
-    def start(
-        self, view: view_lib.EntryView, slot: view_lib.Executor
-    ) -> None:
+    def start(self, view: view_lib.EntryView, slot: view_lib.Executor) -> None:
         slot.busy += 1
         executor = self.executors[slot.address.name]
         executor.running += 1
