--- a/tests/test_upstreams_grants.py
+++ b/tests/test_upstreams_grants.py
@@ -18,8 +18,9 @@
 from galenahook.upstreams import grants as grants_lib
 from galenahook.upstreams import view as view_lib
 
-LEASE_MS = 1_000
-SLOTS = 3
+LEASE_MS = 2_000
+SLOTS = 8
+MANY = 20
 SERVICE = "prices"
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 EXECUTORS = ("executor-1", "executor-2")
@@ -102,8 +103,7 @@
         self.late: list[messages.ExecutorAnnouncement] = []
         self.cut: set[str] = set()
         self.elect()
-        for _ in range(6):
-            self.run_quietly()
+        self.run_quietly(12)
 
     def start_entry(self, name: str) -> None:
         self.started += 1
@@ -113,10 +113,13 @@
         self.views[name] = view
         self.sequences[view.incarnation] = 0
 
-    def elect(self) -> None:
+    def elect_unheard(self) -> None:
         clock = self.clocks[-1]
         self.registry = executors_lib.ExecutorRegistry(clock)
         self.grants = grants_lib.GrantTable(clock, LEASE_MS)
+
+    def elect(self) -> None:
+        self.elect_unheard()
         for executor in self.executors.values():
             self.registry.announce(executor.announcement())
 
@@ -140,9 +143,7 @@
         return Sent(view, update, clock.monotonic_ms())
 
     def serve(self, sent: Sent) -> None:
-        addresses = self.registry.addresses(
-            configuration.ConfigurationRecord()
-        )
+        addresses = self.registry.addresses(configuration.ConfigurationRecord())
         known = sent.update.upstreams_version == self.registry.version
         sent.reply = messages.EntryUpdateReply(
             lease_ms=LEASE_MS,
@@ -158,7 +159,7 @@
         assert sent.reply is not None
         sent.view.apply_reply(sent.reply, sent.sent_at_ms)
 
-    @stateful.rule(duration_ms=st.sampled_from((20, 200, 450, 1_100)))
+    @stateful.rule(duration_ms=st.sampled_from((20, 200, 900, 2_500)))
     def pass_time(self, duration_ms: int) -> None:
         self.advance(duration_ms)
 
@@ -174,7 +175,7 @@
     def reconnect(self) -> None:
         self.cut.clear()
 
-    @stateful.rule(steps=st.sampled_from((2, 10)))
+    @stateful.rule(steps=st.sampled_from((2, 12)))
     def run_quietly(self, steps: int = 2) -> None:
         """Time in which everything works, 250 ms a step."""
         for _ in range(steps):
@@ -228,9 +229,7 @@
             while view.may_start() and slot.busy < slot.granted:
                 self.start(view, slot)
 
-    def start(
-        self, view: view_lib.EntryView, slot: view_lib.Executor
-    ) -> None:
+    def start(self, view: view_lib.EntryView, slot: view_lib.Executor) -> None:
         slot.busy += 1
         executor = self.executors[slot.address.name]
         executor.running += 1
@@ -240,7 +239,7 @@
         assert executor.running <= SLOTS
 
     @stateful.rule(
-        name=st.sampled_from(ENTRIES), wanted=st.sampled_from((0, 2, 6))
+        name=st.sampled_from(ENTRIES), wanted=st.sampled_from((0, 4, MANY))
     )
     def ask(self, name: str, wanted: int) -> None:
         demand = self.views[name].demand(SERVICE)
@@ -323,26 +322,26 @@
     "an entry restarts with requests in flight": (
         ("use_all",),
         ("restart_entry", "entry-1"),
-        ("run_quietly", 10),
+        ("run_quietly", 12),
         ("use_all",),
     ),
     "an entry is cut off with requests in flight": (
         ("use_all",),
         ("cut_off", "entry-1"),
-        ("ask", "entry-2", 6),
-        ("run_quietly", 10),
+        ("ask", "entry-2", MANY),
+        ("run_quietly", 12),
         ("use_all",),
     ),
     "a cut-off entry goes on when its lease is over": (
         ("cut_off", "entry-1"),
-        ("run_quietly", 10),
+        ("run_quietly", 12),
         ("use_all",),
     ),
     "a leader changes while an entry is gone": (
         ("use_all",),
         ("cut_off", "entry-1"),
         ("change_leader",),
-        ("run_quietly", 10),
+        ("run_quietly", 12),
         ("use_all",),
     ),
     "a new leader does not yet know an entry": (
@@ -369,24 +368,47 @@
         ("send_update", "entry-1"),
         ("deliver_updates",),
         ("ask", "entry-1", 0),
-        ("ask", "entry-2", 6),
+        ("ask", "entry-2", MANY),
         ("run_quietly", 30),
         ("deliver_replies",),
         ("use_all",),
     ),
     "an update comes after a later one": (
         ("ask", "entry-1", 0),
-        ("ask", "entry-2", 6),
-        ("ask", "entry-3", 6),
+        ("ask", "entry-2", MANY),
+        ("ask", "entry-3", MANY),
         ("run_quietly", 30),
         ("send_update", "entry-1"),
-        ("ask", "entry-1", 6),
+        ("ask", "entry-1", MANY),
         ("ask", "entry-2", 0),
         ("ask", "entry-3", 0),
         ("run_quietly", 30),
+        ("ask", "entry-2", MANY),
+        ("exchange_update", "entry-2"),
         ("deliver_updates",),
         ("exchange_update", "entry-2"),
-        ("exchange_update", "entry-3"),
+        ("use_all",),
+    ),
+    "a reply takes most of a lease": (
+        ("send_update", "entry-1"),
+        ("deliver_updates",),
+        ("pass_time", 1_800),
+        ("deliver_replies",),
+        ("cut_off", "entry-1"),
+        ("ask", "entry-2", MANY),
+        ("run_quietly", 3),
+        ("use_all",),
+    ),
+    "a new leader hears old announcements first": (
+        ("announce_late", "executor-1"),
+        ("announce_late", "executor-2"),
+        ("use_all",),
+        ("cut_off", "entry-1"),
+        ("elect_unheard",),
+        ("pass_time", 2_500),
+        ("deliver_announcements",),
+        ("exchange_update", "entry-2"),
+        ("exchange_update", "entry-2"),
         ("use_all",),
     ),
     "an announcement is older than it looks": (
@@ -394,7 +416,7 @@
         ("announce_late", "executor-2"),
         ("use_all",),
         ("restart_entry", "entry-1"),
-        ("pass_time", 1_100),
+        ("pass_time", 2_500),
         ("exchange_update", "entry-2"),
         ("deliver_announcements",),
         ("exchange_update", "entry-2"),
@@ -405,7 +427,7 @@
     "an executor restarts and an entry does not hear": (
         ("cut_off", "entry-1"),
         ("restart_executor", "executor-1"),
-        ("ask", "entry-2", 6),
+        ("ask", "entry-2", MANY),
         ("run_quietly", 2),
         ("use_all",),
     ),
