--- a/src/galenahook/commands.py
+++ b/src/galenahook/commands.py
@@ -79,12 +79,15 @@
 
     Attributes:
       objective: `tail` or `throughput`; chooses the weights of decisions.
+      availability_zones: Availability zones of the site; none if not listed,
+        and then operators may name any.
     """
 
     services: tuple[ServiceRow, ...] = ()
     jobs: tuple[JobRow, ...] = ()
     quotas: tuple[TeamQuota, ...] = ()
     objective: str = "tail"
+    availability_zones: tuple[str, ...] = ()
 
 
 # --- Changes of configuration ------------------------------------------------
@@ -93,7 +96,12 @@
 class ApplySheet(
     messages.Message, frozen=True, kw_only=True, tag="apply-sheet"
 ):
-    """Replaces the whole sheet; jobs no longer listed are cancelled."""
+    """Replaces the whole sheet.
+
+    A job that is no longer listed goes on to its end if any of its work has
+    begun, else it is withdrawn. Availability zones out, drains and
+    cancellations stay.
+    """
 
     sheet: Sheet
 
@@ -236,7 +244,13 @@
 
 
 class AttemptFailed(messages.Message, frozen=True, kw_only=True, tag="failed"):
-    """The attempt failed; `on_worker` if it never began there."""
+    """The attempt failed.
+
+    Attributes:
+      run_ms: How long it ran.
+      reason: Why, for a person.
+      on_worker: The worker is to blame; it does not count against the task.
+    """
 
     run_ms: int
     reason: str
@@ -244,9 +258,17 @@
 
 
 class AttemptGone(messages.Message, frozen=True, kw_only=True, tag="gone"):
-    """The attempt is proven not to run any more: evicted or lost."""
+    """The attempt is proven not to run any more: evicted or lost.
+
+    Attributes:
+      reason: How it went, for a person.
+      began: False if it is proven that it never ran.
+      in_doubt: It may have run to its end with its report not heard.
+    """
 
     reason: str
+    began: bool = True
+    in_doubt: bool = False
 
 
 AttemptEndOutcome = AttemptCompleted | AttemptFailed | AttemptGone
