Measure decisions against first fit; spare quiet places, defer what can wait

Cause, found by the measurement: harmless batch work filled VMs without services, so that harmful work spilled onto those with services. The cost now takes off what the mean batch task would harm in the same place, and work that can wait does so where it would push a tail over its target.

--- /dev/null
+++ b/bench/decisions_stage.py
@@ -0,0 +1,338 @@
+"""A leader's scheduler among stand-in workers, in one process and real time.
+
+Durations are scaled down. Batch work slows the services beside it by a table
+that the scheduler does not know; it sees latency windows that lag.
+"""
+
+import collections
+import dataclasses
+import random
+from typing import Any
+
+import curio
+
+from fakes import vm as vm_lib
+from fakes import worker as fake_worker
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import messages
+from galenahook import settings
+from galenahook import state as state_lib
+from galenahook import web
+from galenahook.scheduling import policy as policy_lib
+from galenahook.scheduling import scheduler as scheduler_lib
+from galenahook.scheduling import tasks as tasks_lib
+from galenahook.upstreams import executors as executors_lib
+from galenahook.upstreams import workers as workers_lib
+
+SAMPLE_PERIOD_MS = 50
+WINDOW_MS = 500
+LAG_MS = 400
+ANNOUNCE_PERIOD_MS = 250
+ORDER_DELAY_MS = 2
+
+
+class LoneNode:
+    """A node that leads alone and commits in memory."""
+
+    def __init__(self) -> None:
+        self.state = state_lib.State()
+
+    async def submit(self, command: commands.Command) -> commands.Result:
+        """Applies a command after the time of a commit."""
+        await curio.sleep(clock_lib.seconds(ORDER_DELAY_MS))
+        return self.state.apply(command)
+
+    def is_leader(self) -> bool:
+        """Always leads."""
+        return True
+
+    def may_act(self) -> bool:
+        """Always leads."""
+        return True
+
+    def leader_name(self) -> str:
+        """Returns its own name."""
+        return "r1"
+
+    def term(self) -> int:
+        """Returns its only term."""
+        return 1
+
+
+class StageWorker(fake_worker.FakeWorker):
+    """A stand-in worker that is called instead of connected to."""
+
+    def __init__(self, stage: "Stage", name: str, **options: Any) -> None:
+        super().__init__(name, [name], **options)
+        self.stage = stage
+        self.advertise = name
+        self.usage_lag_ms = LAG_MS
+        self.checkpoint_ms = 60
+
+    async def run(self) -> None:
+        """Announces until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            self._group = group
+            await group.spawn(self._announce_always)
+            await group.spawn(self._watch_lease)
+
+    async def _announce(self) -> None:
+        sequence = next(self._sequence)
+        sent_ms = self._clock.monotonic_ms()
+        self._sent[sequence] = sent_ms
+        self._sent.pop(sequence - fake_worker.KEPT_ANNOUNCEMENTS, None)
+        reply = self.stage.registry.announce(
+            self._announcement(sequence, sent_ms), self.stage.tasks
+        )
+        self.stage.scheduler.wake()
+        await self._take_reply(reply, sent_ms)
+
+    async def _post_report(
+        self, report: messages.AttemptReport, index: int
+    ) -> messages.ReportReply:
+        del index
+        return await self.stage.scheduler.report(report)
+
+    async def take_order(self, target: str, message: Any) -> web.Response:
+        """Answers one order."""
+        body = messages.encode(message)
+        return await self._route(web.Request("POST", target, [], body))
+
+
+@dataclasses.dataclass(slots=True)
+class Service:
+    """How a service behaves at its executors.
+
+    Attributes:
+      name: Name in the sheet.
+      alone_ms: Median latency with nothing beside it.
+      sigma: Spread of the latency's logarithm.
+      requests_per_second: Requests at each instance.
+    """
+
+    name: str
+    alone_ms: float
+    sigma: float
+    requests_per_second: int
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What one run measured.
+
+    Attributes:
+      latencies: Latency of each request after the warm-up, by service.
+      within_target: Requests answered within the target.
+      requests: Requests after the warm-up.
+      work_core_s: Batch work done and kept, in core seconds.
+      by_deadline: Jobs with a deadline in the run that were done by it.
+      deadlines: Jobs with a deadline in the run.
+      evictions: Evictions of batch tasks.
+      not_done: Tasks put in and not done at the end.
+    """
+
+    latencies: dict[str, list[float]]
+    within_target: int = 0
+    requests: int = 0
+    work_core_s: float = 0.0
+    by_deadline: int = 0
+    deadlines: int = 0
+    evictions: int = 0
+    not_done: int = 0
+
+
+class Stage:
+    """Workers, services and a scheduler with one policy.
+
+    Attributes:
+      load: Factor on the interference, which follows the services' load.
+      outcome: What was measured so far.
+    """
+
+    def __init__(
+        self,
+        policy: policy_lib.Policy,
+        services: list[Service],
+        interference: dict[tuple[str, str], float],
+        seed: int,
+    ) -> None:
+        self.clock = clock_lib.Clock()
+        self.node = LoneNode()
+        self.registry = workers_lib.WorkerRegistry(
+            self.clock, settings.Timing()
+        )
+        self.services = {service.name: service for service in services}
+        self.interference = interference
+        self.load = 1.0
+        self.random = random.Random(seed)
+        self.workers: dict[str, StageWorker] = {}
+        self.outcome = Outcome({service.name: [] for service in services})
+        self.counting = False
+        self.changes = 0
+        self.work: dict[str, tuple[int, float]] = {}
+        self._windows: dict[
+            tuple[str, str], collections.deque[tuple[int, float]]
+        ] = {}
+        self.scheduler = scheduler_lib.Scheduler(
+            self.node,  # type: ignore[arg-type]
+            self.registry,
+            self,
+            self,
+            self.clock,
+            settings.Timing(),
+            lambda _: policy,
+        )
+
+    @property
+    def tasks(self) -> tasks_lib.TaskTable:
+        """Every task."""
+        return self.node.state.tasks
+
+    def add_worker(
+        self, name: str, zone: str, rack: str, cores: int, memory_mb: int
+    ) -> None:
+        """Adds a worker on a VM of its own."""
+        self.workers[name] = StageWorker(
+            self,
+            name,
+            capacity=messages.Resources(cores * 1_000, memory_mb),
+            availability_zone=zone,
+            rack=rack,
+            vm=vm_lib.Vm(name, self.interference),
+            period_ms=ANNOUNCE_PERIOD_MS,
+        )
+
+    async def post(
+        self, address: str, target: str, message: Any, timeout_ms: int = 0
+    ) -> web.Response:
+        """Carries an order to its worker."""
+        del timeout_ms
+        await curio.sleep(clock_lib.seconds(ORDER_DELAY_MS))
+        return await self.workers[address].take_order(target, message)
+
+    def change(self, change: commands.Change) -> None:
+        """Applies a change of the configuration."""
+        self.changes += 1
+        self.node.state.apply(
+            commands.ChangeConfiguration(
+                operator="ana",
+                number=self.changes,
+                base_revision=self.node.state.configuration.current.revision,
+                at_ms=self.clock.wall_ms(),
+                change=change,
+            )
+        )
+
+    def put_job(self, row: commands.JobRow, real_run_ms: int) -> None:
+        """Puts a job in whose tasks take another time than declared."""
+        cores = row.resources.cores_milli / 1_000
+        for index in range(row.tasks):
+            self.work[f"job/{row.name}/{index}"] = (real_run_ms, cores)
+        command = f"run_ms={real_run_ms} class={row.job_class}"
+        job = commands.JobRow(
+            **{
+                name: getattr(row, name)
+                for name in row.__struct_fields__
+                if name != "command"
+            },
+            command=command,
+        )
+        self.change(commands.PutJob(job=job))
+
+    async def run(self, script: Any, duration_ms: int) -> Outcome:
+        """Runs everything for a while, with a script of events beside it."""
+        async with curio.TaskGroup(wait=None) as group:
+            for worker in self.workers.values():
+                await group.spawn(worker.run)
+            await group.spawn(self.scheduler.run)
+            await group.spawn(self._sample_always)
+            await group.spawn(script)
+            await curio.sleep(clock_lib.seconds(duration_ms))
+            self._count_work()
+            await group.cancel_remaining()
+        return self.outcome
+
+    async def _sample_always(self) -> None:
+        while True:
+            await curio.sleep(clock_lib.seconds(SAMPLE_PERIOD_MS))
+            for worker in self.workers.values():
+                for task in list(worker.attempts):
+                    if tasks_lib.is_service(task):
+                        self._serve(worker, tasks_lib.name_of(task))
+
+    def _serve(self, worker: StageWorker, name: str) -> None:
+        service = self.services[name]
+        rows = self.node.state.configuration.current.services
+        slowdown = 1 + (worker.vm.slowdown(name) - 1) * self.load
+        now_ms = self.clock.monotonic_ms()
+        window = self._windows.setdefault(
+            (name, worker.name), collections.deque()
+        )
+        mean = service.requests_per_second * self.load * SAMPLE_PERIOD_MS / 1000
+        for _ in range(round(mean)):
+            latency_ms = slowdown * self.random.lognormvariate(0, service.sigma)
+            latency_ms *= service.alone_ms
+            window.append((now_ms, latency_ms))
+            if self.counting:
+                self.outcome.latencies[name].append(latency_ms)
+                self.outcome.requests += 1
+                target_ms = rows[name].tail_target_ms
+                self.outcome.within_target += latency_ms <= target_ms
+
+    def tails(self) -> list[executors_lib.TailRecord]:
+        """Returns the last window of each instance, as old as the lag."""
+        now_ms = self.clock.monotonic_ms()
+        last_ms = now_ms - LAG_MS
+        first_ms = last_ms - WINDOW_MS
+        found = []
+        for (name, vm), window in self._windows.items():
+            while window and window[0][0] < first_ms:
+                window.popleft()
+            times = sorted(ms for at_ms, ms in window if at_ms <= last_ms)
+            if len(times) < 5:
+                continue
+            sample = messages.TailSample(
+                count=len(times),
+                p50_ms=times[len(times) // 2],
+                p99_ms=times[min(len(times) - 1, len(times) * 99 // 100)],
+                sample_age_ms=LAG_MS + WINDOW_MS // 2,
+            )
+            found.append(
+                executors_lib.TailRecord(
+                    name, f"{name}@{vm}", vm, sample, now_ms
+                )
+            )
+        return found
+
+    def _count_work(self) -> None:
+        outcome = self.outcome
+        for task, (run_ms, cores) in self.work.items():
+            record = self.tasks.records[task]
+            done_ms = fake_worker.progress_of_reference(record.checkpoint)
+            if record.phase is tasks_lib.Phase.DONE:
+                done_ms = run_ms
+            elif record.phase is tasks_lib.Phase.HELD:
+                attempt = self.workers[record.worker].attempts.get(task)
+                done_ms = attempt.done_ms if attempt else done_ms
+            outcome.not_done += record.phase is not tasks_lib.Phase.DONE
+            outcome.work_core_s += min(done_ms, run_ms) * cores / 1_000
+            outcome.evictions += record.evictions
+        self._count_deadlines()
+
+    def _count_deadlines(self) -> None:
+        now_ms = self.clock.wall_ms()
+        jobs = self.node.state.configuration.current.jobs
+        for job in jobs.values():
+            if not job.deadline_ms or job.deadline_ms > now_ms:
+                continue
+            records = [
+                self.tasks.records[f"job/{job.name}/{index}"]
+                for index in range(job.tasks)
+            ]
+            self.outcome.deadlines += 1
+            self.outcome.by_deadline += all(
+                record.phase is tasks_lib.Phase.DONE
+                and record.changed_ms <= job.deadline_ms
+                for record in records
+            )
--- a/src/galenahook/scheduling/costs.py
+++ b/src/galenahook/scheduling/costs.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 
+from galenahook import commands
 from galenahook import configuration as configuration_lib
 from galenahook import messages
 from galenahook.scheduling import colocation as colocation_lib
@@ -14,6 +15,9 @@
 SAME_ZONE = 0.1
 SAME_RACK = 0.03
 OVER_TARGET_FACTOR = 4.0
+NEGLIGIBLE_RISE = 0.01
+SCARCE_FROM = 0.3
+SCARCE_TO = 0.7
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -37,39 +41,115 @@
     avoid: tuple[str, ...] = ()
 
 
-def tail_harm(
-    need: Need,
-    slot: placement.Slot,
-    colocation: colocation_lib.Colocation,
-    model: interference_lib.InterferenceModel,
-    configuration: configuration_lib.ConfigurationRecord,
-) -> float:
-    """Returns the predicted harm to tails of services on the worker's VM.
+@dataclasses.dataclass(slots=True, frozen=True)
+class Harm:
+    """Predicted harm to the tails of services on a VM.
 
-    It is the relative rise of each service's tail, weighted by its priority,
-    and counts more where the tail is then over its target.
+    Attributes:
+      amount: Relative rise of the tails, weighted by priority; more where a
+        tail is then over its target.
+      spared: Harm that a task of the mean class would do there. A class that
+        does less makes good use of the place.
+      over_target: Whether a tail is then over its target.
     """
-    shares = colocation.shares(slot.worker)
-    if tasks_lib.is_service(need.owner):
-        name = tasks_lib.name_of(f"{need.owner}/0")
-        return model.slowdown(name, shares)
-    added = need.resources.cores_milli / max(1, slot.capacity.cores_milli)
-    harm = 0.0
-    for name in colocation.services_beside(slot.worker):
-        service = configuration.services.get(name)
-        if service is None:
-            continue
-        rise = model.weight(name, need.job_class) * added
-        if rise == 0.0:
-            continue
-        factor = 1.0
-        base = model.baselines.get(name)
-        if base is not None:
-            slowdown = 1 + model.slowdown(name, shares) + rise
-            if base.p99_ms * slowdown > service.tail_target_ms:
-                factor = OVER_TARGET_FACTOR
-        harm += rise * factor * (1 + service.priority / 100)
-    return harm
+
+    amount: float
+    spared: float = 0.0
+    over_target: bool = False
+
+
+class Harms:
+    """Predicts harm during one round.
+
+    Attributes:
+      mean_weights: Weight of the mean batch task, by service.
+      scarcity: How far quiet places are used up, 0 to 1.
+    """
+
+    __slots__ = (
+        "_colocation",
+        "_configuration",
+        "_mix",
+        "_model",
+        "mean_weights",
+        "scarcity",
+    )
+
+    def __init__(
+        self,
+        colocation: colocation_lib.Colocation,
+        model: interference_lib.InterferenceModel,
+        configuration: configuration_lib.ConfigurationRecord,
+        mix: Mapping[str, float],
+        used_share: float,
+    ) -> None:
+        self._colocation = colocation
+        self._model = model
+        self._configuration = configuration
+        self._mix = mix
+        self.mean_weights: dict[str, float] = {}
+        busy = (used_share - SCARCE_FROM) / (SCARCE_TO - SCARCE_FROM)
+        self.scarcity = min(1.0, max(0.0, busy))
+
+    def of(self, need: Need, slot: placement.Slot) -> Harm:
+        """Returns the harm of a task on a worker's VM."""
+        shares = self._colocation.shares(slot.worker)
+        if tasks_lib.is_service(need.owner):
+            name = tasks_lib.name_of(f"{need.owner}/0")
+            return Harm(self._model.slowdown(name, shares))
+        added = need.resources.cores_milli / max(1, slot.capacity.cores_milli)
+        amount = 0.0
+        spared = 0.0
+        over_target = False
+        for name in self._colocation.services_beside(slot.worker):
+            service = self._configuration.services.get(name)
+            if service is None:
+                continue
+            importance = 1 + service.priority / 100
+            rise = self._model.weight(name, need.job_class) * added
+            over = self._is_over(service, shares, rise)
+            factor = OVER_TARGET_FACTOR if over else 1.0
+            over_target = over_target or over
+            amount += rise * factor * importance
+            spared += self._mean_weight(name) * added * importance
+        return Harm(amount, self.scarcity * spared, over_target)
+
+    def _is_over(
+        self,
+        service: commands.ServiceRow,
+        shares: Mapping[str, float],
+        rise: float,
+    ) -> bool:
+        base = self._model.baselines.get(service.name)
+        if base is None or rise < NEGLIGIBLE_RISE:
+            return False
+        slowdown = 1 + self._model.slowdown(service.name, shares) + rise
+        return base.p99_ms * slowdown > service.tail_target_ms
+
+    def _mean_weight(self, service: str) -> float:
+        known = self.mean_weights.get(service)
+        if known is None:
+            known = sum(
+                share * self._model.weight(service, job_class)
+                for job_class, share in self._mix.items()
+            )
+            self.mean_weights[service] = known
+        return known
+
+
+def class_mix(
+    table: tasks_lib.TaskTable,
+    configuration: configuration_lib.ConfigurationRecord,
+) -> dict[str, float]:
+    """Returns the share of each job class in the processors held by jobs."""
+    cores: dict[str, float] = {}
+    for owner, reserved in table.owner_reserved.items():
+        job = configuration.jobs.get(owner.partition("/")[2])
+        if job is not None and not tasks_lib.is_service(owner):
+            known = cores.get(job.job_class, 0.0)
+            cores[job.job_class] = known + reserved.cores_milli
+    total = sum(cores.values()) or 1.0
+    return {name: amount / total for name, amount in cores.items()}
 
 
 def crowding(
--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -22,6 +22,8 @@
 
 MAX_STARTS_PER_ROUND = 100
 MAX_TASKS_LOOKED_AT = 64
+MAX_DEFERRED_MS = 60_000
+DEFER_MARGIN_MS = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +72,8 @@
         self._zones_out: frozenset[str] = frozenset()
         self._round_spread: dict[str, collections.Counter[str]] = {}
         self._no_room_for: list[messages.Resources] = []
+        self._deferred_ms: dict[str, int] = {}
+        self._begin_harms()
 
     def refresh(self, changed: set[str]) -> None:
         """Brings the index up to date with workers that changed.
@@ -137,12 +141,31 @@
         self._round_spread.clear()
         self._no_room_for.clear()
         self.refill.begin_round()
+        self._begin_harms()
         for turn in turns:
             if len(choices.starts) >= MAX_STARTS_PER_ROUND:
                 break
             self._choose_for_owner(turn, policy, teams, choices)
         return choices
 
+    def _begin_harms(self) -> None:
+        context = self.context
+        capacity = sum(self.index.zone_capacity.values())
+        free = sum(self.index.zone_free.values())
+        self._harms = costs.Harms(
+            self.colocation,
+            self.model,
+            context.configuration,
+            costs.class_mix(context.tasks, context.configuration),
+            1 - free / capacity if capacity else 0.0,
+        )
+        waiting = context.tasks.waiting
+        self._deferred_ms = {
+            owner: at_ms
+            for owner, at_ms in self._deferred_ms.items()
+            if owner in waiting
+        }
+
     def _choose_for_owner(
         self,
         turn: batch_order.Turn,
@@ -160,7 +183,10 @@
             slot = self._place(need, policy)
             if slot is None:
                 self.blocked[owner] = self._why_no_room(need)
-                self._make_room(turn, need, policy, choices)
+                self._make_room(turn, need, choices)
+                return
+            if self._should_wait(turn, need, slot, policy):
+                self.blocked[owner] = "waits so as not to harm a tail"
                 return
             self._take(need, slot, teams)
             choices.starts.append(self._start(need, slot))
@@ -223,12 +249,16 @@
             return None
         match policy:
             case policy_lib.FirstFit():
-                return min(slots, key=lambda slot: slot.worker)
+                return min(
+                    slots,
+                    key=lambda slot: (self._near(need, slot), slot.worker),
+                )
             case policy_lib.LeastLoaded():
-                return max(
+                return min(
                     slots,
-                    key=lambda slot: placement.leftover_share(
-                        need.resources, slot
+                    key=lambda slot: (
+                        self._near(need, slot),
+                        -placement.leftover_share(need.resources, slot),
                     ),
                 )
             case policy_lib.Weighted():
@@ -262,16 +292,39 @@
         free = self.index.zone_free[zone]
         capacity = max(1, self.index.zone_capacity[zone])
         cost += weights.zone_balance * (1 - free / capacity)
-        cost += weights.tail * costs.tail_harm(
-            need, slot, self.colocation, self.model, self.context.configuration
+        harm = self._harms.of(need, slot)
+        cost += weights.tail * (harm.amount - harm.spared)
+        return cost + weights.spread * self._near(need, slot)
+
+    def _should_wait(
+        self,
+        turn: batch_order.Turn,
+        need: costs.Need,
+        slot: placement.Slot,
+        policy: policy_lib.Policy,
+    ) -> bool:
+        """Returns whether a task waits for a place that harms no tail."""
+        if not isinstance(policy, policy_lib.Weighted) or not policy.defers:
+            return False
+        if turn.rank <= batch_order.Rank.URGENT:
+            return False
+        if not self._harms.of(need, slot).over_target:
+            return False
+        now_ms = self.context.clock.wall_ms()
+        if turn.rank is batch_order.Rank.NO_DEADLINE:
+            first_ms = self._deferred_ms.setdefault(need.owner, now_ms)
+            return now_ms - first_ms < MAX_DEFERRED_MS
+        return now_ms < turn.latest_start_ms - DEFER_MARGIN_MS
+
+    def _near(self, need: costs.Need, slot: placement.Slot) -> float:
+        """Returns how near other instances of a service are; 0 for jobs."""
+        if not tasks_lib.is_service(need.owner):
+            return 0.0
+        near = collections.Counter(
+            self.context.tasks.spread.get(need.owner, {})
         )
-        if tasks_lib.is_service(need.owner):
-            near = collections.Counter(
-                self.context.tasks.spread.get(need.owner, {})
-            )
-            near.update(self._round_spread.get(need.owner, {}))
-            cost += weights.spread * costs.crowding(near, slot, self.index)
-        return cost
+        near.update(self._round_spread.get(need.owner, {}))
+        return costs.crowding(near, slot, self.index)
 
     def _why_no_room(self, need: costs.Need) -> str:
         """Returns why no worker takes a task."""
@@ -296,13 +349,10 @@
         self,
         turn: batch_order.Turn,
         need: costs.Need,
-        policy: policy_lib.Policy,
         choices: Choices,
     ) -> None:
         if turn.rank > batch_order.Rank.URGENT:
             return
-        if not isinstance(policy, policy_lib.Weighted):
-            return
         if self._is_room_being_made(need.owner):
             return
         slots = [
--- a/src/galenahook/scheduling/evictions.py
+++ b/src/galenahook/scheduling/evictions.py
@@ -29,8 +29,12 @@
         self.context = context
         self.running: dict[tuple[str, int], int] = {}
 
-    async def follow_up(self) -> None:
-        """Begins or retries the eviction of every marked attempt."""
+    async def follow_up(self, checkpoints: bool = True) -> None:
+        """Begins or retries the eviction of every marked attempt.
+
+        Args:
+          checkpoints: Whether evicted work keeps what it did.
+        """
         now_ms = self.context.clock.monotonic_ms()
         marked = {}
         for task in list(self.context.tasks.evicting):
@@ -39,13 +43,15 @@
             marked[key] = self.running.get(key, 0)
             if marked[key] <= now_ms:
                 marked[key] = now_ms + 60_000
-                await curio.spawn(self._evict, record, daemon=True)
+                await curio.spawn(self._evict, record, checkpoints, daemon=True)
         self.running = marked
 
-    async def _evict(self, record: tasks_lib.TaskRecord) -> None:
+    async def _evict(
+        self, record: tasks_lib.TaskRecord, checkpoints: bool
+    ) -> None:
         key = (record.task, record.attempt)
         try:
-            await self._evict_once(record)
+            await self._evict_once(record, checkpoints)
         except errors.ExchangeError:
             pass
         finally:
@@ -53,8 +59,10 @@
                 now_ms = self.context.clock.monotonic_ms()
                 self.running[key] = now_ms + RETRY_MS
 
-    async def _evict_once(self, record: tasks_lib.TaskRecord) -> None:
-        keeps_work = record.evicting != tasks_lib.CANCELLED
+    async def _evict_once(
+        self, record: tasks_lib.TaskRecord, checkpoints: bool
+    ) -> None:
+        keeps_work = checkpoints and record.evicting != tasks_lib.CANCELLED
         batch = not tasks_lib.is_service(record.task)
         if keeps_work and batch and not await self._checkpoint(record):
             return
--- a/src/galenahook/scheduling/policy.py
+++ b/src/galenahook/scheduling/policy.py
@@ -3,6 +3,21 @@
 import dataclasses
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TailLimits:
+    """When batch work is disturbed for the tail of a service.
+
+    Attributes:
+      slack: How far above its target a tail may be, as a factor.
+      evictions_per_minute: Most evictions for tails, in the whole site.
+      throttles_first: Whether work is throttled before it is evicted.
+    """
+
+    slack: float = 1.0
+    evictions_per_minute: int = 12
+    throttles_first: bool = True
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Weighted:
     """Chooses the lowest weighted cost.
@@ -12,43 +27,47 @@
       packing: Weight of the share of the VM left unused.
       zone_balance: Weight of how full the availability zone is.
       spread: Weight of instances of the same service near by.
-      controls_tail: Whether running batch work is throttled and evicted for
-        the tail of services.
-      evictions_per_minute: Most evictions for the tail, in the whole site.
-      tail_slack: How far above its target a service's tail may be before
-        batch work is disturbed, as a factor.
+      defers: Whether batch work that can wait does so where it would push
+        a tail over its target.
+      limits: Limits for tails, or None to leave running work alone.
+      checkpoints: Whether evicted work keeps what it did.
     """
 
     tail: float
     packing: float
     zone_balance: float = 0.1
     spread: float = 10.0
-    controls_tail: bool = True
-    evictions_per_minute: int = 12
-    tail_slack: float = 1.0
+    defers: bool = False
+    limits: TailLimits | None = TailLimits()
+    checkpoints: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class FirstFit:
-    """Takes the first worker by name that has room."""
+    """Takes the first worker by name that has room; spreads services."""
+
+    limits: TailLimits | None = None
+    checkpoints: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LeastLoaded:
-    """Takes the worker with the largest free share."""
+    """Takes the worker with the largest free share; spreads services."""
+
+    limits: TailLimits | None = None
+    checkpoints: bool = True
 
 
 Policy = Weighted | FirstFit | LeastLoaded
 
-TAIL = Weighted(tail=4.0, packing=0.2)
+TAIL = Weighted(tail=4.0, packing=0.2, defers=True)
 THROUGHPUT = Weighted(
     tail=1.0,
     packing=0.5,
-    evictions_per_minute=3,
-    tail_slack=1.5,
+    limits=TailLimits(slack=1.5, evictions_per_minute=3),
 )
 
 
-def for_objective(objective: str) -> Weighted:
-    """Returns the weights of a sheet's objective."""
+def for_objective(objective: str) -> Policy:
+    """Returns the policy of a sheet's objective."""
     return THROUGHPUT if objective == "throughput" else TAIL
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -124,7 +124,8 @@
         await self._mark(removals.from_closed_workers(self.context, closed))
         await self._mark(overload.relief(self.context, changed))
         await self._control_tails()
-        await self.evictions.follow_up()
+        policy = self.policy(self.context.configuration.objective)
+        await self.evictions.follow_up(policy.checkpoints)
         await self._start_waiting()
 
     def _follow_term(self) -> None:
@@ -159,13 +160,13 @@
 
     async def _control_tails(self) -> None:
         policy = self.policy(self.context.configuration.objective)
-        if not isinstance(policy, policy_lib.Weighted):
-            return
         now_ms = self.context.clock.monotonic_ms()
         if now_ms - self._tails_read_ms < TAIL_PERIOD_MS:
             return
         self._tails_read_ms = now_ms
-        actions = self.tail_control.observe(self.executors.tails(), policy)
+        actions = self.tail_control.observe(
+            self.executors.tails(), policy.limits
+        )
         for action in actions:
             if isinstance(action, tail_control_lib.Throttle):
                 await self.throttles.set(action.task, action.percent)
--- a/src/galenahook/scheduling/tail_control.py
+++ b/src/galenahook/scheduling/tail_control.py
@@ -98,7 +98,7 @@
     def observe(
         self,
         readings: Iterable[tails_lib.TailReading],
-        weights: policy_lib.Weighted,
+        limits: policy_lib.TailLimits | None,
     ) -> list[Action]:
         """Learns from new windows and returns the steps to take."""
         actions: list[Action] = []
@@ -110,8 +110,8 @@
                 continue
             watch.seen_ms = taken_ms(reading)
             self._learn(reading)
-            if weights.controls_tail:
-                actions += self._control(watch, reading, weights)
+            if limits is not None:
+                actions += self._control(watch, reading, limits)
         self.colocation.services = services
         return actions
 
@@ -128,19 +128,19 @@
         self,
         watch: Watch,
         reading: tails_lib.TailReading,
-        weights: policy_lib.Weighted,
+        limits: policy_lib.TailLimits,
     ) -> list[Action]:
         service = self.context.configuration.services.get(reading.service)
         if service is None or taken_ms(reading) < watch.acted_ms + SETTLE_MS:
             return []
         if reading.sample.count < interference_lib.MIN_REQUESTS:
             return []
-        limit_ms = service.tail_target_ms * weights.tail_slack
+        limit_ms = service.tail_target_ms * limits.slack
         self._count(watch, reading.sample.p99_ms, limit_ms)
         now_ms = self.context.clock.monotonic_ms()
         worker = self.colocation.worker_on(reading.vm)
         if watch.bad >= BAD_WINDOWS:
-            action = self._relieve(worker, reading.service, weights, now_ms)
+            action = self._relieve(worker, reading.service, limits, now_ms)
             if action is not None:
                 watch.acted_ms = now_ms
                 watch.bad = 0
@@ -167,14 +167,14 @@
         self,
         worker: str,
         service: str,
-        weights: policy_lib.Weighted,
+        limits: policy_lib.TailLimits,
         now_ms: int,
     ) -> Action | None:
         ranked = self._by_harm(worker, service)
-        for task in ranked:
+        for task in ranked if limits.throttles_first else ():
             if self.colocation.throttles.get(task, 100) > THROTTLE_PERCENT:
                 return Throttle(task, THROTTLE_PERCENT)
-        if not self._may_evict(weights, now_ms):
+        if not self._may_evict(limits, now_ms):
             return None
         for task in ranked:
             if self._is_evictable(task):
@@ -196,11 +196,11 @@
                 return Evict(task, TAIL + service)
         return None
 
-    def _may_evict(self, weights: policy_lib.Weighted, now_ms: int) -> bool:
+    def _may_evict(self, limits: policy_lib.TailLimits, now_ms: int) -> bool:
         self.evicted_ms = [
             at_ms for at_ms in self.evicted_ms if now_ms - at_ms < MINUTE_MS
         ]
-        return len(self.evicted_ms) < weights.evictions_per_minute
+        return len(self.evicted_ms) < limits.evictions_per_minute
 
     def _by_harm(self, worker: str, service: str) -> list[str]:
         """Returns the batch tasks on a VM, the most harmful first.
