--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import secrets
 import shutil
 import time
 from typing import Any
@@ -12,6 +13,7 @@
 from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import errors
+from galenahook import messages
 from galenahook import settings as settings_lib
 from galenahook import web
 from galenahook.replicas import node as node_lib
@@ -22,6 +24,7 @@
 POLL_MS = 5
 WATCH_MS = 1
 SUBMITTERS = 200
+TOKEN_BYTES = 8
 KEY = (b"x-galenahook-key", b"key of the site")
 FAST_TIMING = settings_lib.Timing(
     heartbeat_period_ms=40,
@@ -322,5 +325,6 @@
 
 
 def claim_of(key: str) -> commands.ClaimKeys:
-    """Returns a small command."""
-    return commands.ClaimKeys(entry="entry-1", keys=(key,), at_ms=0)
+    """Returns a claim of a key, each time of another request."""
+    claim = messages.KeyClaim(key=key, token=secrets.token_hex(TOKEN_BYTES))
+    return commands.ClaimKeys(entry="entry-1", claims=(claim,), at_ms=0)
