--- a/src/galenahook/web/stream.py
+++ b/src/galenahook/web/stream.py
@@ -15,6 +15,8 @@
 LINGER_BYTES = 256 * 1024
 LINGER_MS = 500
 
+_VERSIONS = (b"1.0", b"1.1")
+
 
 @dataclasses.dataclass(slots=True)
 class Limits:
@@ -117,6 +119,8 @@
         return True
 
     def _check_head(self, head: h11.Request) -> None:
+        if head.http_version not in _VERSIONS:
+            raise BrokenRequestError(505, "expected HTTP/1.1 or HTTP/1.0")
         if len(head.headers) > self._limits.max_header_count:
             raise BrokenRequestError(431, "too many header fields")
         size = len(head.target)
