--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -22,7 +22,9 @@
     """Base of every message: immutable, slotted, unknown fields refused."""
 
 
-class Resources(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Resources(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
+):
     """An amount of each resource that a worker offers or a task takes.
 
     Attributes:
@@ -389,20 +391,34 @@
     replies: tuple[AnnouncementReply, ...] = ()
 
 
+class KeyClaim(Message, frozen=True, kw_only=True):
+    """One request's claim of an idempotency key.
+
+    Attributes:
+      key: The key with its service, as `service:key`.
+      token: Names the request; the same claim sent again has the same token.
+    """
+
+    key: str
+    token: str
+
+
 class ClaimKeys(Message, frozen=True, kw_only=True):
     """Claims idempotency keys before their requests are sent on.
 
     Attributes:
       entry: Name of the entry.
-      keys: Each key with its service, as `service:key`.
+      claims: Keys to claim.
+      released: Earlier claims whose requests certainly were not run.
     """
 
     entry: str
-    keys: tuple[str, ...]
+    claims: tuple[KeyClaim, ...] = ()
+    released: tuple[KeyClaim, ...] = ()
 
 
 class ClaimKeysReply(Message, frozen=True, kw_only=True):
-    """For each key in order, whether this claim is the first and committed."""
+    """For each claim in order, whether its request holds the key."""
 
     granted: tuple[bool, ...]
 
