--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -24,6 +24,7 @@
 SEEDS = (1, 2, 3)
 WARM_UP_MS = 6_000
 JOB_PERIOD_MS = 400
+AFTER_RETURN_MS = 4_000
 REACTIVE = policy_lib.TailLimits(
     evictions_per_minute=1_000, throttles_first=False
 )
@@ -113,6 +114,11 @@
     BatchClass("stock", 0.35, 4, 1_500, 0.8),
     BatchClass("report", 0.3, 2, 1_000, 1.2),
 )
+NIGHT_PLANS = (
+    BatchClass("plan", 0.5, 4, 6_000, 1.3, unbroken=True),
+    BatchClass("stock", 0.25, 4, 3_000, 0.8),
+    BatchClass("report", 0.25, 2, 1_500, 1.2),
+)
 PAIRS = {
     ("holds", "rota"): 0.6,
     ("holds", "photos"): 0.08,
@@ -155,27 +161,27 @@
         ORDER,
         PLANS,
         PAIRS,
-        0.7,
+        0.9,
         26_000,
-        urgent_period_ms=2_500,
+        urgent_period_ms=1_200,
     ),
     Scenario(
         "zone leaves and returns",
         (
-            "galenahook tail",
+            "galenahook throughput",
             "first fit",
             "first fit, restarts",
-            "first fit, evicts and restarts",
+            "least loaded",
         ),
         12,
-        ("a", "b", "c"),
+        ("a", "b", "c", "d"),
         32,
-        BOOKING,
-        CLASSES,
+        ORDER,
+        NIGHT_PLANS,
         PAIRS,
-        0.95,
-        26_000,
-        zone_out_ms=(9_000, 17_000),
+        0.9,
+        28_000,
+        zone_out_ms=(10_000, 17_000),
     ),
 )
 
@@ -253,6 +259,10 @@
                 if out
                 else commands.AvailabilityZoneIn(availability_zone="a")
             )
+        if scenario.zone_out_ms:
+            first_ms, last_ms = scenario.zone_out_ms
+            if first_ms <= elapsed_ms <= last_ms + AFTER_RETURN_MS:
+                stage.mark_work()
         await curio.sleep(clock_lib.seconds(JOB_PERIOD_MS))
 
 
@@ -325,6 +335,8 @@
     figures["within target"] = outcome.within_target / outcome.requests
     figures["good requests"] = outcome.within_target
     figures["work core s"] = outcome.work_core_s
+    if scenario.zone_out_ms:
+        figures["work in outage"] = stage.work_between()
     figures["by deadline"] = outcome.by_deadline / max(1, outcome.deadlines)
     figures["evictions"] = outcome.evictions
     figures["not done"] = outcome.not_done
@@ -392,10 +404,10 @@
     ("order", "evictions", "first fit, evicts", MOST, 0.70),
     ("order", "by deadline", "first fit, evicts and restarts", LEAST, 1.0),
     ("order", "evictions", "first fit, evicts and restarts", MOST, 0.70),
-    ("zone leaves and returns", "work core s", "first fit", LEAST, 1.10),
+    ("zone leaves and returns", "work in outage", "first fit", LEAST, 1.10),
     (
         "zone leaves and returns",
-        "work core s",
+        "work in outage",
         "first fit, restarts",
         LEAST,
         1.10,
--- a/bench/decisions_stage.py
+++ b/bench/decisions_stage.py
@@ -171,6 +171,7 @@
         self.counting = False
         self.changes = 0
         self.work: dict[str, tuple[int, float]] = {}
+        self._marks: list[float] = []
         self._windows: dict[
             tuple[str, str], collections.deque[tuple[int, float]]
         ] = {}
@@ -305,8 +306,17 @@
             )
         return found
 
-    def _count_work(self) -> None:
-        outcome = self.outcome
+    def mark_work(self) -> None:
+        """Notes the work done and kept until now."""
+        self._marks.append(self._work_done())
+
+    def work_between(self) -> float:
+        """Returns the work done between the first and the last mark."""
+        return self._marks[-1] - self._marks[0]
+
+    def _work_done(self) -> float:
+        """Returns the batch work done and kept, in core seconds."""
+        total = 0.0
         for task, (run_ms, cores) in self.work.items():
             record = self.tasks.records[task]
             done_ms = fake_worker.progress_of_reference(record.checkpoint)
@@ -315,8 +325,15 @@
             elif record.phase is tasks_lib.Phase.HELD:
                 attempt = self.workers[record.worker].attempts.get(task)
                 done_ms = attempt.done_ms if attempt else done_ms
+            total += min(done_ms, run_ms) * cores / 1_000
+        return total
+
+    def _count_work(self) -> None:
+        outcome = self.outcome
+        outcome.work_core_s = self._work_done()
+        for task in self.work:
+            record = self.tasks.records[task]
             outcome.not_done += record.phase is not tasks_lib.Phase.DONE
-            outcome.work_core_s += min(done_ms, run_ms) * cores / 1_000
             outcome.evictions += record.evictions
         self._count_deadlines()
 
--- a/src/galenahook/scheduling/costs.py
+++ b/src/galenahook/scheduling/costs.py
@@ -14,6 +14,7 @@
 SAME_WORKER = 1.0
 SAME_ZONE = 0.1
 SAME_RACK = 0.03
+OTHER_SERVICE = 0.04
 OVER_TARGET_FACTOR = 4.0
 NEGLIGIBLE_RISE = 0.01
 SCARCE_FROM = 0.3
--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -183,7 +183,7 @@
             slot = self._place(need, policy)
             if slot is None:
                 self.blocked[owner] = self._why_no_room(need)
-                self._make_room(turn, need, choices)
+                self._make_room(turn, need, policy, choices)
                 return
             if self._should_wait(turn, need, slot, policy):
                 self.blocked[owner] = "waits so as not to harm a tail"
@@ -324,7 +324,13 @@
             self.context.tasks.spread.get(need.owner, {})
         )
         near.update(self._round_spread.get(need.owner, {}))
-        return costs.crowding(near, slot, self.index)
+        others = set(self.colocation.services_beside(slot.worker))
+        for owner, spread in self._round_spread.items():
+            if tasks_lib.is_service(owner) and slot.worker in spread:
+                others.add(owner.partition("/")[2])
+        others.discard(tasks_lib.name_of(need.task))
+        crowding = costs.crowding(near, slot, self.index)
+        return crowding + costs.OTHER_SERVICE * len(others)
 
     def _why_no_room(self, need: costs.Need) -> str:
         """Returns why no worker takes a task."""
@@ -349,6 +355,7 @@
         self,
         turn: batch_order.Turn,
         need: costs.Need,
+        policy: policy_lib.Policy,
         choices: Choices,
     ) -> None:
         if turn.rank > batch_order.Rank.URGENT:
--- a/src/galenahook/scheduling/preemption.py
+++ b/src/galenahook/scheduling/preemption.py
@@ -34,8 +34,17 @@
     slots: list[placement.Slot],
     need: messages.Resources,
     reason: str,
+    cheapest: bool = True,
 ) -> commands.EvictAttempts | None:
-    """Returns the mark of the cheapest evictions that make room, if any."""
+    """Returns the mark of the evictions that make room, if any.
+
+    Args:
+      context: What the scheduler's parts share.
+      slots: Workers to look at.
+      need: Room to make.
+      reason: Kept with the evictions, for a person.
+      cheapest: Whether the cheapest ones are chosen, or the first by worker.
+    """
     found = []
     for slot in slots[:MAX_WORKERS_LOOKED_AT]:
         victims = _victims_on(context, slot, need)
@@ -43,7 +52,10 @@
             found.append(victims)
     if not found:
         return None
-    best = min(found, key=lambda victims: (victims.cost, victims.worker))
+    best = min(
+        found,
+        key=lambda victims: (victims.cost * cheapest, victims.worker),
+    )
     refs = tuple(
         messages.AttemptRef(
             task=task, attempt=context.tasks.records[task].attempt
