--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -49,6 +49,7 @@
       colocation: What stands together on each VM.
       model: Learned interference.
       closed: Workers that are to be emptied.
+      preemption: Makes room for services and urgent jobs.
       refill: Paces starts in an availability zone that came back.
       blocked: Why owners wait, from the last round that considered them.
     """
@@ -66,6 +67,7 @@
         self.colocation = colocation_lib.Colocation(context)
         self.model = interference_lib.InterferenceModel()
         self.refill = refill_lib.Refill(context.clock)
+        self.preemption = preemption.Preemption(context)
         self.blocked: dict[str, str] = {}
         self.closed: set[str] = set()
         self._drained: frozenset[str] = frozenset()
@@ -141,6 +143,10 @@
         self._round_spread.clear()
         self._no_room_for.clear()
         self.refill.begin_round()
+        self.preemption.begin_round(context.tasks.waiting)
+        weighted = isinstance(policy, policy_lib.Weighted)
+        self.preemption.patient = weighted
+        self.refill.paced = weighted and policy.paces_refill
         self._begin_harms()
         for turn in turns:
             if len(choices.starts) >= MAX_STARTS_PER_ROUND:
@@ -183,7 +189,7 @@
             slot = self._place(need, policy)
             if slot is None:
                 self.blocked[owner] = self._why_no_room(need)
-                self._make_room(turn, need, policy, choices)
+                self._make_room(turn, need, choices)
                 return
             if self._should_wait(turn, need, slot, policy):
                 self.blocked[owner] = "waits so as not to harm a tail"
@@ -271,6 +277,8 @@
         name = slot.worker
         if name in need.avoid or not context.may_start_on(name):
             return False
+        if self.preemption.is_kept_for_other(name, need.owner):
+            return False
         if not self.refill.allows(slot.availability_zone, need.job_class == ""):
             return False
         return not (
@@ -352,34 +360,19 @@
         )
 
     def _make_room(
-        self,
-        turn: batch_order.Turn,
-        need: costs.Need,
-        policy: policy_lib.Policy,
-        choices: Choices,
+        self, turn: batch_order.Turn, need: costs.Need, choices: Choices
     ) -> None:
         if turn.rank > batch_order.Rank.URGENT:
             return
-        if self._is_room_being_made(need.owner):
-            return
         slots = [
             slot
             for slot in self.index.sample(preemption.MAX_WORKERS_LOOKED_AT)
             if self._is_allowed(need, slot)
         ]
-        reason = f"{preemption.ROOM_FOR}{need.owner}"
-        mark = preemption.make_room(self.context, slots, need.resources, reason)
+        mark = self.preemption.make_room(need.owner, slots, need.resources)
         if mark is not None:
             choices.evictions.append(mark)
 
-    def _is_room_being_made(self, owner: str) -> bool:
-        reason = f"{preemption.ROOM_FOR}{owner}"
-        records = self.context.tasks.records
-        return any(
-            records[task].evicting == reason
-            for task in self.context.tasks.evicting
-        )
-
     def _start(
         self, need: costs.Need, slot: placement.Slot
     ) -> commands.AttemptStart:
--- a/src/galenahook/scheduling/estimates.py
+++ b/src/galenahook/scheduling/estimates.py
@@ -13,6 +13,7 @@
 SIZE_QUANTILE = 0.95
 MIN_SAMPLES = 3
 MAX_SIZE_SAMPLES = 64
+DISTURBED_FACTOR = 2.5
 
 
 def quantile(values: Sequence[float], share: float) -> float:
@@ -37,6 +38,36 @@
     return int(job.run_ms * quantile(known.ratios, share))
 
 
+def left_ms(
+    job: commands.JobRow,
+    record: tasks_lib.TaskRecord,
+    run_times: dict[str, tasks_lib.RunTimeRecord],
+    now_ms: int,
+) -> int:
+    """Returns how long a held task is expected to run on.
+
+    One that runs longer than expected is given as long again as the excess.
+    """
+    expected_ms = run_ms(job, run_times)
+    elapsed_ms = max(0, now_ms - record.changed_ms)
+    if elapsed_ms > expected_ms:
+        return elapsed_ms - expected_ms
+    return expected_ms - elapsed_ms
+
+
+def is_pressed(
+    job: commands.JobRow,
+    record: tasks_lib.TaskRecord,
+    run_times: dict[str, tasks_lib.RunTimeRecord],
+    now_ms: int,
+) -> bool:
+    """Returns whether a held task would miss its deadline if disturbed."""
+    if not job.deadline_ms:
+        return False
+    needed_ms = DISTURBED_FACTOR * left_ms(job, record, run_times, now_ms)
+    return now_ms + needed_ms > job.deadline_ms
+
+
 @dataclasses.dataclass(slots=True)
 class SizeSamples:
     """Largest uses of the last attempts of one owner or class."""
--- a/src/galenahook/scheduling/placement.py
+++ b/src/galenahook/scheduling/placement.py
@@ -206,6 +206,17 @@
     )
 
 
+def add(
+    left: messages.Resources, right: messages.Resources
+) -> messages.Resources:
+    """Returns the sum of two amounts."""
+    return messages.Resources(
+        left.cores_milli + right.cores_milli,
+        left.memory_mb + right.memory_mb,
+        left.accelerators + right.accelerators,
+    )
+
+
 def subtract(
     left: messages.Resources, right: messages.Resources
 ) -> messages.Resources:
--- a/src/galenahook/scheduling/policy.py
+++ b/src/galenahook/scheduling/policy.py
@@ -11,11 +11,14 @@
       slack: How far above its target a tail may be, as a factor.
       evictions_per_minute: Most evictions for tails, in the whole site.
       throttles_first: Whether work is throttled before it is evicted.
+      spares_deadlines: Whether work that would then miss its deadline is left
+        alone.
     """
 
     slack: float = 1.0
     evictions_per_minute: int = 12
     throttles_first: bool = True
+    spares_deadlines: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,6 +32,8 @@
       spread: Weight of instances of the same service near by.
       defers: Whether batch work that can wait does so where it would push
         a tail over its target.
+      paces_refill: Whether an availability zone that came back is filled
+        slowly, services first.
       limits: Limits for tails, or None to leave running work alone.
       checkpoints: Whether evicted work keeps what it did.
     """
@@ -38,6 +43,7 @@
     zone_balance: float = 0.1
     spread: float = 10.0
     defers: bool = False
+    paces_refill: bool = False
     limits: TailLimits | None = TailLimits()
     checkpoints: bool = True
 
@@ -60,11 +66,11 @@
 
 Policy = Weighted | FirstFit | LeastLoaded
 
-TAIL = Weighted(tail=4.0, packing=0.2, defers=True)
+TAIL = Weighted(tail=4.0, packing=0.2, defers=True, paces_refill=True)
 THROUGHPUT = Weighted(
     tail=1.0,
     packing=0.5,
-    limits=TailLimits(slack=1.5, evictions_per_minute=3),
+    limits=TailLimits(slack=1.5, evictions_per_minute=3, spares_deadlines=True),
 )
 
 
--- a/src/galenahook/scheduling/preemption.py
+++ b/src/galenahook/scheduling/preemption.py
@@ -1,17 +1,28 @@
-"""Makes room for services and urgent jobs by evicting other batch work."""
+"""Makes room for services and urgent jobs.
 
+An urgent job is given a worker where little has to go. That worker takes no
+other work meanwhile, so that what ends there by itself makes most of the
+room; what is left is evicted in time for the urgent start. A service's
+instance does not wait.
+"""
+
+from collections.abc import Iterable
 import dataclasses
 
 from galenahook import commands
 from galenahook import messages
 from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import estimates
 from galenahook.scheduling import placement
 from galenahook.scheduling import tasks as tasks_lib
 
 MAX_WORKERS_LOOKED_AT = 48
-ROOM_FOR = "room for "
+PATIENCE_MS = 2_000
 UNBROKEN_COST = 1_000.0
+PRESSED_COST = 100.0
 VICTIM_COST = 10.0
+ENDS_SOON_COST = 0.1
+ROOM_FOR = "room for "
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,81 +40,147 @@
     cost: float
 
 
-def make_room(
-    context: context_lib.Context,
-    slots: list[placement.Slot],
-    need: messages.Resources,
-    reason: str,
-    cheapest: bool = True,
-) -> commands.EvictAttempts | None:
-    """Returns the mark of the evictions that make room, if any.
+@dataclasses.dataclass(slots=True, frozen=True)
+class Hold:
+    """A worker kept for an owner's next task.
+
+    Attributes:
+      worker: Name of the worker.
+      since_ms: Monotonic time from which it is kept.
+    """
+
+    worker: str
+    since_ms: int
+
+
+class Preemption:
+    """Workers kept for urgent work, and evictions that make room.
 
-    Args:
+    Attributes:
       context: What the scheduler's parts share.
-      slots: Workers to look at.
-      need: Room to make.
-      reason: Kept with the evictions, for a person.
-      cheapest: Whether the cheapest ones are chosen, or the first by worker.
+      holds: Workers kept, by owner of the waiting task.
+      patient: Whether room may come from tasks that end by themselves; if
+        not, the first tasks of the first worker are evicted.
     """
-    found = []
-    for slot in slots[:MAX_WORKERS_LOOKED_AT]:
-        victims = _victims_on(context, slot, need)
-        if victims is not None:
-            found.append(victims)
-    if not found:
-        return None
-    best = min(
-        found,
-        key=lambda victims: (victims.cost * cheapest, victims.worker),
-    )
-    refs = tuple(
-        messages.AttemptRef(
-            task=task, attempt=context.tasks.records[task].attempt
+
+    def __init__(self, context: context_lib.Context) -> None:
+        self.context = context
+        self.holds: dict[str, Hold] = {}
+        self.patient = True
+
+    def begin_round(self, waiting: Iterable[str]) -> None:
+        """Gives up workers kept for owners that do not wait any more."""
+        owners = set(waiting)
+        self.holds = {
+            owner: hold for owner, hold in self.holds.items() if owner in owners
+        }
+
+    def is_kept_for_other(self, worker: str, owner: str) -> bool:
+        """Returns whether a worker is kept for another owner."""
+        return any(
+            hold.worker == worker and holder != owner
+            for holder, hold in self.holds.items()
         )
-        for task in best.tasks
-    )
-    return commands.EvictAttempts(attempts=refs, reason=reason)
-
-
-def _victims_on(
-    context: context_lib.Context,
-    slot: placement.Slot,
-    need: messages.Resources,
-) -> Victims | None:
-    if not placement.fits(need, slot.capacity):
-        return None
-    free = slot.free
-    chosen = []
-    cost = 0.0
-    for task_cost, task in _evictable(context, slot.worker):
-        if placement.fits(need, free):
-            break
-        reserved = context.tasks.records[task].reserved
-        free = placement.subtract(free, _negative(reserved))
-        chosen.append(task)
-        cost += task_cost
-    if not chosen or not placement.fits(need, free):
-        return None
-    return Victims(slot.worker, tuple(chosen), cost)
-
-
-def _evictable(
-    context: context_lib.Context, worker: str
-) -> list[tuple[float, str]]:
-    found = []
-    for task in context.tasks.held.get(worker, ()):
-        job = context.configuration.jobs.get(tasks_lib.name_of(task))
-        record = context.tasks.records[task]
-        if tasks_lib.is_service(task) or job is None or record.evicting:
-            continue
-        if job.urgent or not job.repeatable:
-            continue
-        cost = VICTIM_COST + job.priority + UNBROKEN_COST * job.unbroken
-        found.append((cost, task))
-    return sorted(found)
 
+    def make_room(
+        self, owner: str, slots: list[placement.Slot], need: messages.Resources
+    ) -> commands.EvictAttempts | None:
+        """Returns the mark of evictions that are due now, if any.
+
+        Args:
+          owner: Owner of the task that finds no room.
+          slots: Workers that may be looked at.
+          need: Room to make.
+        """
+        if self._is_under_way(owner):
+            return None
+        now_ms = self.context.clock.monotonic_ms()
+        hold = self.holds.get(owner)
+        if hold is not None:
+            kept = [slot for slot in slots if slot.worker == hold.worker]
+            if kept and now_ms - hold.since_ms < PATIENCE_MS:
+                return None
+            slots = kept or slots
+        best = self._choose(slots, need)
+        if best is None:
+            self.holds.pop(owner, None)
+            return None
+        waits = self.patient and not tasks_lib.is_service(owner)
+        if hold is None and waits:
+            self.holds[owner] = Hold(best.worker, now_ms)
+            return None
+        return self._mark(best, owner)
+
+    def _is_under_way(self, owner: str) -> bool:
+        records = self.context.tasks.records
+        return any(
+            records[task].evicting == ROOM_FOR + owner
+            for task in self.context.tasks.evicting
+        )
 
-def _negative(amount: messages.Resources) -> messages.Resources:
-    return messages.Resources(
-        -amount.cores_milli, -amount.memory_mb, -amount.accelerators
-    )
+    def _mark(self, victims: Victims, owner: str) -> commands.EvictAttempts:
+        records = self.context.tasks.records
+        refs = tuple(
+            messages.AttemptRef(task=task, attempt=records[task].attempt)
+            for task in victims.tasks
+        )
+        return commands.EvictAttempts(attempts=refs, reason=ROOM_FOR + owner)
+
+    def _choose(
+        self, slots: list[placement.Slot], need: messages.Resources
+    ) -> Victims | None:
+        found = []
+        for slot in slots:
+            victims = self._victims_on(slot, need)
+            if victims is not None:
+                found.append(victims)
+        if not found:
+            return None
+        if not self.patient:
+            return min(found, key=lambda victims: victims.worker)
+        return min(found, key=lambda victims: (victims.cost, victims.worker))
+
+    def _victims_on(
+        self, slot: placement.Slot, need: messages.Resources
+    ) -> Victims | None:
+        if not placement.fits(need, slot.capacity):
+            return None
+        free = slot.free
+        chosen = []
+        cost = 0.0
+        for task_cost, task in self._evictable(slot.worker):
+            if placement.fits(need, free):
+                break
+            reserved = self.context.tasks.records[task].reserved
+            free = placement.add(free, reserved)
+            chosen.append(task)
+            cost += task_cost
+        if not chosen or not placement.fits(need, free):
+            return None
+        return Victims(slot.worker, tuple(chosen), cost)
+
+    def _evictable(self, worker: str) -> list[tuple[float, str]]:
+        """Returns what may be evicted with its cost, the cheapest first."""
+        found = []
+        for task in self.context.tasks.held.get(worker, ()):
+            job = self.context.configuration.jobs.get(tasks_lib.name_of(task))
+            record = self.context.tasks.records[task]
+            if tasks_lib.is_service(task) or job is None or record.evicting:
+                continue
+            if job.urgent or not job.repeatable:
+                continue
+            found.append((self._cost(job, record), task))
+        return sorted(found) if self.patient else found
+
+    def _cost(
+        self, job: commands.JobRow, record: tasks_lib.TaskRecord
+    ) -> float:
+        run_times = self.context.tasks.run_times
+        now_ms = self.context.clock.wall_ms()
+        left_ms = estimates.left_ms(job, record, run_times, now_ms)
+        if left_ms < PATIENCE_MS:
+            return ENDS_SOON_COST
+        cost = VICTIM_COST + job.priority + UNBROKEN_COST * job.unbroken
+        if estimates.is_pressed(job, record, run_times, now_ms):
+            cost += PRESSED_COST
+        return cost
--- a/src/galenahook/scheduling/refill.py
+++ b/src/galenahook/scheduling/refill.py
@@ -14,10 +14,15 @@
 
 
 class Refill:
-    """Limits starts in availability zones that came back lately."""
+    """Limits starts in availability zones that came back lately.
+
+    Attributes:
+      paced: Whether starts are limited at all.
+    """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self.clock = clock
+        self.paced = True
         self._returned_ms: dict[str, int] = {}
         self._left: dict[str, int] = {}
 
@@ -39,7 +44,7 @@
     def allows(self, zone: str, is_service: bool) -> bool:
         """Returns whether one more start may go to an availability zone."""
         returned_ms = self._returned_ms.get(zone)
-        if returned_ms is None or is_service:
+        if returned_ms is None or is_service or not self.paced:
             return True
         elapsed_ms = self.clock.monotonic_ms() - returned_ms
         return elapsed_ms >= SERVICES_FIRST_MS and self._left[zone] > 0
--- a/src/galenahook/scheduling/tail_control.py
+++ b/src/galenahook/scheduling/tail_control.py
@@ -13,6 +13,7 @@
 from galenahook import messages
 from galenahook.scheduling import colocation as colocation_lib
 from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import estimates
 from galenahook.scheduling import interference as interference_lib
 from galenahook.scheduling import policy as policy_lib
 from galenahook.scheduling import tails as tails_lib
@@ -170,7 +171,7 @@
         limits: policy_lib.TailLimits,
         now_ms: int,
     ) -> Action | None:
-        ranked = self._by_harm(worker, service)
+        ranked = self._by_harm(worker, service, limits)
         for task in ranked if limits.throttles_first else ():
             if self.colocation.throttles.get(task, 100) > THROTTLE_PERCENT:
                 return Throttle(task, THROTTLE_PERCENT)
@@ -202,17 +203,25 @@
         ]
         return len(self.evicted_ms) < limits.evictions_per_minute
 
-    def _by_harm(self, worker: str, service: str) -> list[str]:
+    def _by_harm(
+        self, worker: str, service: str, limits: policy_lib.TailLimits
+    ) -> list[str]:
         """Returns the batch tasks on a VM, the most harmful first.
 
         Unbroken work comes after all other work.
         """
         found = []
+        run_times = self.context.tasks.run_times
+        now_ms = self.context.clock.wall_ms()
         for task in self.context.tasks.held.get(worker, ()):
             job = self.context.configuration.jobs.get(tasks_lib.name_of(task))
             record = self.context.tasks.records[task]
             if job is None or tasks_lib.is_service(task) or record.evicting:
                 continue
+            if limits.spares_deadlines and estimates.is_pressed(
+                job, record, run_times, now_ms
+            ):
+                continue
             weight = self.model.weight(service, job.job_class)
             percent = self.colocation.throttles.get(task, 100)
             harm = weight * record.reserved.cores_milli * percent
