--- a/src/galenahook/operators/daemons.py
+++ b/src/galenahook/operators/daemons.py
@@ -49,6 +49,21 @@
     importlib.import_module(f"galenahook.{role}").run(settings)
 
 
+def run_local(
+    sheet: commands.Sheet,
+    folder: str,
+    first_port: int,
+    shown: output.Output,
+) -> None:
+    """Runs a whole site in one process until a planned stop.
+
+    Raises:
+      output.CommandError: The sheet was not accepted.
+    """
+    module = importlib.import_module("galenahook.operators.local_site")
+    module.run(sheet, folder, first_port, shown)
+
+
 def encode_sheet(sheet: commands.Sheet) -> bytes:
     """Encodes a sheet as JSON."""
     return messages.encode(sheet)
--- a/src/galenahook/operators/handler.py
+++ b/src/galenahook/operators/handler.py
@@ -91,6 +91,8 @@
                 return self._explain(query)
             case "GET", "/audit":
                 return await self._audit(query)
+            case "POST", "/replicas":
+                return await self._change_replicas(request)
             case "GET", "/revision":
                 return web.json_response(self.in_force.revision())
             case _:
@@ -162,6 +164,33 @@
             # The change is committed; the trail catches up later.
             logs.error("audit:write-failed", reason=str(error))
 
+    async def _change_replicas(self, request: web.Request) -> web.Response:
+        change = messages.decode(request.body, wire.ReplicaChange)  # type: ignore[arg-type, var-annotated]
+        node = self.leader.node
+        match change:
+            case wire.AddReplica(name=name, address=address):
+                outcome = await node.add_learner(name, address)
+            case wire.PromoteReplica(name=name):
+                outcome = await node.promote(name)
+            case wire.RemoveReplica(name=name):
+                outcome = await node.remove(name)
+        reason = "" if outcome.is_ok() else outcome.error.reason
+        logs.info(
+            "operator:replicas",
+            request=request.header(wire.REQUEST_HEADER).decode("latin-1"),
+            operator=request.header(wire.OPERATOR_HEADER).decode("utf-8"),
+            change=type(change).__name__,
+            replica=change.name,
+            refused=reason,
+        )
+        if reason:
+            return web.refusal(409, reason)
+        members = wire.ReplicaMembers(
+            voters=tuple(member.name for member in outcome.ok.voters),
+            learners=tuple(member.name for member in outcome.ok.learners),
+        )
+        return web.json_response(members)
+
     # --- Sheets ---------------------------------------------------------------
 
     async def _check_sheet(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/src/galenahook/operators/replica_members.py
@@ -0,0 +1,114 @@
+"""Changes of the group of replicas, in the steps an operator takes."""
+
+from galenahook import errors
+from galenahook import messages
+from galenahook.operators import client as client_lib
+from galenahook.operators import exit_codes
+from galenahook.operators import output as output_lib
+from galenahook.operators import session as session_lib
+from galenahook.operators import wire
+
+# A learner this close to the leader is given its vote.
+_CAUGHT_UP_ENTRIES = 100
+
+
+async def add(
+    session: session_lib.Session, name: str, address: str, timeout_ms: int
+) -> None:
+    """Adds a replica as a learner and gives it its vote once caught up."""
+    line = _find(await session.status(), name)
+    if line is None:
+        await _change(session, wire.AddReplica(name=name, address=address))
+        session.output.progress(f"{name} is a learner")
+    if line is None or not line.voter:
+        await session.wait_until(
+            f"caught up: {name}",
+            lambda status: _is_caught_up(status, name),
+            lambda status: _progress(status, name),
+            timeout_ms,
+        )
+        await _change(session, wire.PromoteReplica(name=name))
+    await _show(session, f"{name} is a voting replica")
+
+
+async def remove(session: session_lib.Session, name: str) -> None:
+    """Removes a replica from the group."""
+    await _change(session, wire.RemoveReplica(name=name))
+    await _show(session, f"{name} is no replica any more")
+
+
+async def replace(
+    session: session_lib.Session, name: str, address: str, timeout_ms: int
+) -> None:
+    """Readmits a replica that came back with an empty data folder.
+
+    Its process must run again, with the same settings, on the new disk.
+    """
+    line = _find(await session.status(), name)
+    if line is not None and line.voter:
+        address = address or line.address
+        await _change(session, wire.RemoveReplica(name=name))
+        session.output.progress(f"{name} is removed under its old folder")
+    elif line is not None:
+        address = address or line.address
+    if not address:
+        raise output_lib.CommandError(
+            exit_codes.USAGE, f"{name} is no member: give its --address"
+        )
+    await add(session, name, address, timeout_ms)
+
+
+async def _change(
+    session: session_lib.Session, change: wire.ReplicaChange
+) -> wire.ReplicaMembers:
+    try:
+        return await session.client.post(
+            wire.REPLICAS_TARGET,
+            messages.encode(change),
+            b"application/json",
+            wire.ReplicaMembers,
+        )
+    except client_lib.RefusedError as error:
+        raise output_lib.CommandError(
+            exit_codes.CONFLICT, str(error)
+        ) from error
+    except errors.NoQuorumError as error:
+        raise output_lib.CommandError(
+            exit_codes.NO_QUORUM,
+            f"no quorum: {error}; run the command again, it goes on from"
+            " where it stopped",
+        ) from error
+
+
+def _find(status: wire.StatusReply, name: str) -> wire.ReplicaLine | None:
+    for line in status.replicas:
+        if line.name == name:
+            return line
+    return None
+
+
+def _is_caught_up(status: wire.StatusReply, name: str) -> bool:
+    line = _find(status, name)
+    return (
+        line is not None
+        and line.silent_ms >= 0
+        and line.behind <= _CAUGHT_UP_ENTRIES
+    )
+
+
+def _progress(status: wire.StatusReply, name: str) -> str:
+    line = _find(status, name)
+    if line is None or line.silent_ms < 0:
+        return f"{name} has not answered the leader yet"
+    return f"{name} is {line.behind} entries behind"
+
+
+async def _show(session: session_lib.Session, line: str) -> None:
+    status = await session.status()
+    members = wire.ReplicaMembers(
+        voters=tuple(item.name for item in status.replicas if item.voter),
+        learners=tuple(item.name for item in status.replicas if not item.voter),
+    )
+    session.output.show(
+        members, [line, f"voting replicas: {', '.join(members.voters)}"]
+    )
--- a/src/galenahook/operators/wire.py
+++ b/src/galenahook/operators/wire.py
@@ -248,3 +248,34 @@
     """Every job of the sheet."""
 
     jobs: tuple[JobStatus, ...]
+
+
+class AddReplica(messages.Message, frozen=True, kw_only=True, tag="add"):
+    """Admits a replica with an empty data folder, without a vote yet."""
+
+    name: str
+    address: str
+
+
+class PromoteReplica(
+    messages.Message, frozen=True, kw_only=True, tag="promote"
+):
+    """Gives a learner that has caught up its vote."""
+
+    name: str
+
+
+class RemoveReplica(messages.Message, frozen=True, kw_only=True, tag="remove"):
+    """Removes a replica from the group."""
+
+    name: str
+
+
+ReplicaChange = AddReplica | PromoteReplica | RemoveReplica
+
+
+class ReplicaMembers(messages.Message, frozen=True, kw_only=True):
+    """Names of the group's members after a change."""
+
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
