--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -134,8 +134,14 @@
             or self.upstreams_server.in_flight
         )
 
-    async def _claim(self, keys: tuple[str, ...]) -> tuple[bool, ...]:
-        request = messages.ClaimKeys(entry=self.settings.name, keys=keys)
+    async def _claim(
+        self,
+        claims: tuple[messages.KeyClaim, ...],
+        released: tuple[messages.KeyClaim, ...],
+    ) -> tuple[bool, ...]:
+        request = messages.ClaimKeys(
+            entry=self.settings.name, claims=claims, released=released
+        )
         reply = await self.leader.post(
             "/v1/entry/claim", request, messages.ClaimKeysReply
         )
@@ -161,7 +167,7 @@
             return web.refusal(503, str(error))
 
     async def _announce(self, request: web.Request) -> web.Response:
-        announcement = messages.decode(
+        announcement: _UpstreamAnnouncement = messages.decode(
             request.body,
             _UpstreamAnnouncement,  # type: ignore[arg-type]
         )
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -18,17 +18,23 @@
 from galenahook.scheduling import context as context_lib
 from galenahook.scheduling import decisions as decisions_lib
 from galenahook.scheduling import evictions as evictions_lib
+from galenahook.scheduling import explanations
 from galenahook.scheduling import losses
+from galenahook.scheduling import overload
 from galenahook.scheduling import policy as policy_lib
 from galenahook.scheduling import quarantine as quarantine_lib
 from galenahook.scheduling import removals
 from galenahook.scheduling import starts as starts_lib
+from galenahook.scheduling import tail_control as tail_control_lib
 from galenahook.scheduling import tails as tails_lib
 from galenahook.scheduling import tasks as tasks_lib
+from galenahook.scheduling import throttles as throttles_lib
 from galenahook.upstreams import workers as workers_lib
 
 ROUND_PERIOD_MS = 100
+WAKE_PERIOD_MS = 20
 LEASE_CHECK_PERIOD_MS = 500
+TAIL_PERIOD_MS = 250
 
 
 class Scheduler:
@@ -39,6 +45,8 @@
       decisions: Chooses placements.
       starts: Starts on their way.
       evictions: Evictions under way.
+      throttles: Throttles in force.
+      tail_control: Watches the tails of services.
     """
 
     def __init__(
@@ -61,9 +69,10 @@
         )
         self.executors = executors
         self.policy = policy
-        self._wakeup = curio.Event()
+        self._woken = False
         self._term = -1
         self._leases_checked_ms = 0
+        self._tails_read_ms = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -71,25 +80,36 @@
         self.starts = starts_lib.Starts(self.context)
         self.evictions = evictions_lib.Evictions(self.context)
         self.decisions = decisions_lib.Decisions(self.context, self.policy)
+        colocation = self.decisions.colocation
+        self.throttles = throttles_lib.Throttles(self.context, colocation)
+        self.tail_control = tail_control_lib.TailControl(
+            self.context, colocation, self.decisions.model
+        )
 
     async def run(self) -> None:
         """Runs rounds until cancelled; does nothing while not leading."""
+        node = self.context.node
         while True:
-            try:
-                async with curio.timeout_after(
-                    clock_lib.seconds(ROUND_PERIOD_MS)
-                ):
-                    await self._wakeup.wait()
-            except curio.TaskTimeout:
-                pass
-            self._wakeup.clear()
-            node = self.context.node
+            await self._wait_for_round()
             if node.is_leader() and node.may_act():
                 await self.round()
 
+    async def _wait_for_round(self) -> None:
+        waited_ms = 0
+        while waited_ms < ROUND_PERIOD_MS:
+            await curio.sleep(clock_lib.seconds(WAKE_PERIOD_MS))
+            waited_ms += WAKE_PERIOD_MS
+            if self._woken:
+                break
+        self._woken = False
+
+    def wake(self) -> None:
+        """Makes a round begin soon if what workers announced matters."""
+        self._woken = self._woken or bool(self.context.workers.changed)
+
     async def notify(self) -> None:
-        """Makes the next round begin at once."""
-        await self._wakeup.set()
+        """Does what `wake` does."""
+        self.wake()
 
     async def round(self) -> None:
         """Runs one round of decisions."""
@@ -98,9 +118,14 @@
         await self.context.commit_ends(self._losses(changed))
         await self.context.commit_ends(await self.starts.follow_up())
         changed.update(self._take_changed())
+        changed.update(self.context.quarantine.take_reopened())
         self.decisions.refresh(changed)
-        await self._mark_removals()
-        await self.evictions.follow_up()
+        closed = self.decisions.closed
+        await self._mark(removals.from_closed_workers(self.context, closed))
+        await self._mark(overload.relief(self.context, changed))
+        await self._control_tails()
+        policy = self.policy(self.context.configuration.objective)
+        await self.evictions.follow_up(policy.checkpoints)
         await self._start_waiting()
 
     def _follow_term(self) -> None:
@@ -129,12 +154,30 @@
             ends.extend(end for end in expired if end.task not in ended)
         return ends
 
-    async def _mark_removals(self) -> None:
-        for command in removals.from_closed_workers(self.context):
+    async def _mark(self, marks: list[commands.EvictAttempts]) -> None:
+        for command in marks:
             await self.context.commit(command)
 
+    async def _control_tails(self) -> None:
+        policy = self.policy(self.context.configuration.objective)
+        now_ms = self.context.clock.monotonic_ms()
+        if now_ms - self._tails_read_ms < TAIL_PERIOD_MS:
+            return
+        self._tails_read_ms = now_ms
+        actions = self.tail_control.observe(
+            self.executors.tails(), policy.limits
+        )
+        for action in actions:
+            if isinstance(action, tail_control_lib.Throttle):
+                await self.throttles.set(action.task, action.percent)
+        mark = tail_control_lib.eviction_command(self.context.tasks, actions)
+        await self._mark([mark] if mark else [])
+        await self.throttles.follow_up()
+
     async def _start_waiting(self) -> None:
-        chosen = self.decisions.choose()
+        choices = self.decisions.choose()
+        await self._mark(choices.evictions)
+        chosen = choices.starts
         if not chosen:
             return
         result = await self.context.commit(
@@ -147,6 +190,20 @@
             applied = zip(chosen, result.applied, strict=True)
             await self.starts.begin(start for start, done in applied if done)
 
+    def explain(self, subject: str) -> explanations.Explanation:
+        """Explains why a job, a service or one of its tasks is as it is.
+
+        Args:
+          subject: `job/NAME`, `service/NAME` or a task identifier.
+        """
+        return explanations.explain(
+            self.context, self.decisions.blocked, subject
+        )
+
+    def status(self) -> explanations.SchedulingStatus:
+        """Returns what operators see of workers and tasks."""
+        return explanations.status(self.context, self.decisions.blocked)
+
     async def report(
         self, report: messages.AttemptReport
     ) -> messages.ReportReply:
@@ -171,7 +228,7 @@
             commands.EndAttempts(ends=(end,), at_ms=context.clock.wall_ms())
         )
         context.workers.changed.add(report.worker)
-        await self.notify()
+        self.wake()
         applied = isinstance(result, commands.AttemptsApplied) and all(
             result.applied
         )
@@ -190,7 +247,11 @@
                 outcome = commands.AttemptFailed(
                     run_ms=run_ms, reason=reason, on_worker=blamed
                 )
-        self.decisions.sizes.finish(report.task, owner)
+        row = decisions_lib.row_of(self.context, owner)
+        if row is not None:
+            key = decisions_lib.size_key(row)
+            reserved = self.context.tasks.records[report.task].reserved
+            self.decisions.sizes.finish(report.task, key, reserved)
         return commands.AttemptEnd(
             task=report.task, attempt=report.attempt, outcome=outcome
         )
