Report faults of types and of values of settings together

A wrong type hid the faults of all other values. What can be decoded is now checked too, with a default or an empty value in place of a faulty one. Deeply nested JSON raised RecursionError in two readers; it is a finding now (found by test_broken_documents_are_findings).

--- a/src/galenahook/secrets_files.py
+++ b/src/galenahook/secrets_files.py
@@ -75,7 +75,7 @@
         tokens = msgspec.json.decode(data, type=dict[str, str])
     except OSError as error:
         return _unreadable(path, error, place)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         message = f"{path} must be a JSON object of tokens by operator"
         return expression.Error([findings_lib.Finding(place, message)])
     findings = _token_findings(path, tokens, place)
--- a/src/galenahook/settings.py
+++ b/src/galenahook/settings.py
@@ -144,9 +144,10 @@
     except OSError as error:
         finding = findings_lib.Finding(path, str(error.strerror))
         return expression.Error([finding])
-    return json_input.decode(data, settings_type).bind(
-        lambda decoded: _check(_resolve_paths(decoded, path))
-    )
+    examined = json_input.examine(data, settings_type)
+    if examined.message is None:
+        return expression.Error(examined.findings.items)
+    return _check(_resolve_paths(examined.message, path), examined.findings)
 
 
 def load_any(
@@ -155,7 +156,7 @@
     """Loads the settings of either role; only a replica has `peers`."""
     try:
         document = msgspec.json.decode(pathlib.Path(path).read_bytes())
-    except (OSError, msgspec.MsgspecError, UnicodeDecodeError):
+    except (OSError, msgspec.MsgspecError, ValueError, RecursionError):
         document = None
     if isinstance(document, dict) and "peers" in document:
         return load(path, ReplicaSettings)
@@ -172,16 +173,32 @@
     return msgspec.structs.replace(settings, **resolved)
 
 
-def _check(settings: _SettingsT) -> expression.Result:
+def _check(
+    settings: _SettingsT, findings: findings_lib.Findings
+) -> expression.Result:
+    """Checks settings whose faulty values were replaced by empty ones."""
     # The checks need the types of this module.
     from galenahook import settings_checks  # noqa: PLC0415
 
-    findings = findings_lib.Findings()
+    found = findings_lib.Findings()
     match settings:
         case EntrySettings():
-            settings_checks.check_entry(settings, findings)
+            settings_checks.check_entry(settings, found)
         case ReplicaSettings():
-            settings_checks.check_replica(settings, findings)
+            settings_checks.check_replica(settings, found)
+    known = tuple(finding.place for finding in findings.items)
+    findings.items.extend(
+        finding
+        for finding in found.items
+        if not _is_within(finding.place, known)
+    )
     if findings:
         return expression.Error(findings.items)
     return expression.Ok(settings)
+
+
+def _is_within(place: str, places: tuple[str, ...]) -> bool:
+    return any(
+        place == known or place.startswith((f"{known}.", f"{known}["))
+        for known in places
+    )
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -75,8 +75,7 @@
             if (record := self.tasks.records.get(f"job/{job}/{index}"))
         ]
         return any(record.attempt for record in records) and any(
-            record.phase in (tasks_lib.Phase.PENDING, tasks_lib.Phase.HELD)
-            for record in records
+            record.phase not in tasks_lib.ENDED_PHASES for record in records
         )
 
     def snapshot_records(self) -> Iterator[SnapshotRecord]:
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,190 @@
+"""Settings: every fault is reported, with its JSON path, all together."""
+
+import json
+import pathlib
+from typing import Any
+
+import msgspec
+import pytest
+
+import builders
+from galenahook import messages
+from galenahook import secrets_files
+from galenahook import settings as settings_lib
+from galenahook import settings_checks
+
+TOKENS = {"ana": "a" * 16, "bo": "b" * 16}
+
+
+def _entry(folder: pathlib.Path) -> dict[str, Any]:
+    (folder / "site.key").write_text("k" * 32 + "\n")
+    (folder / "tokens.json").write_text(json.dumps(TOKENS))
+    return {
+        "name": "entry-1",
+        "site": "guild",
+        "availability_zone": "a",
+        "callers": {"listen": "127.0.0.1:7101"},
+        "upstreams": {"listen": "127.0.0.1:7102"},
+        "operators": {"listen": "127.0.0.1:7103"},
+        "platform": {"listen": "127.0.0.1:7104"},
+        "replicas": {"replica-1": "127.0.0.1:7001"},
+        "site_key_file": "site.key",
+        "operator_tokens_file": "tokens.json",
+    }
+
+
+def _replica(folder: pathlib.Path) -> dict[str, Any]:
+    entry = _entry(folder)
+    (folder / "data").mkdir(exist_ok=True)
+    kept = ("name", "site", "availability_zone", "platform", "site_key_file")
+    return {
+        **{field: entry[field] for field in kept},
+        "name": "replica-1",
+        "peers": {"listen": "127.0.0.1:7001"},
+        "replicas": {"replica-1": "127.0.0.1:7001"},
+        "data_folder": "data",
+    }
+
+
+def _load(folder: pathlib.Path, document: Any) -> Any:
+    path = folder / "settings.json"
+    path.write_text(json.dumps(document))
+    return settings_lib.load_any(str(path))
+
+
+def _places(result: Any) -> list[str]:
+    assert result.is_error(), "accepted"
+    return [finding.place for finding in result.error]
+
+
+def test_sound_settings_load_with_absolute_paths(tmp_path):
+    entry = _load(tmp_path, _entry(tmp_path)).ok
+    replica = _load(tmp_path, _replica(tmp_path)).ok
+    assert entry.site_key_file == str(tmp_path / "site.key")
+    assert replica.data_folder == str(tmp_path / "data")
+
+
+# Path of the field that is changed, its value, and the place reported.
+ENTRY_FAULTS = [
+    ("name", "", "$.name"),
+    ("name", 3, "$.name"),
+    ("availability_zone", "a b", "$.availability_zone"),
+    ("callers", {"listen": "localhost:1"}, "$.callers.listen"),
+    ("callers", {"listen": "127.0.0.1"}, "$.callers.listen"),
+    ("callers", {"listen": "127.0.0.1:70000"}, "$.callers.listen"),
+    ("callers", {"listen": "127.0.0.1:7102"}, "$.upstreams.listen"),
+    ("callers", {"listen": "0.0.0.0:7102"}, "$.upstreams.listen"),
+    ("callers", {"listen": "0.0.0.0:9"}, "$.callers.advertise"),
+    (
+        "callers",
+        {"listen": "127.0.0.1:9", "advertise": "127.0.0.1:0"},
+        "$.callers.advertise",
+    ),
+    ("callers", {"listen": "127.0.0.1:9", "port": 1}, "$.callers.port"),
+    ("callers", {}, "$.callers.listen"),
+    ("callers", [], "$.callers"),
+    ("replicas", {}, "$.replicas"),
+    ("replicas", {"r": "127.0.0.1:0"}, "$.replicas.r"),
+    ("replicas", {"r": "1.1.1.1:1", "s": "1.1.1.1:1"}, "$.replicas.s"),
+    ("replicas", {"r": 7}, "$.replicas.r"),
+    ("site_key_file", "none.key", "$.site_key_file"),
+    ("operator_tokens_file", "site.key", "$.operator_tokens_file"),
+    ("statsd", "statsd:8125", "$.statsd"),
+    ("log_file", "none/log.jsonl", "$.log_file"),
+    ("timing", {"entry_lease_ms": 3_000}, "$.timing.entry_lease_ms"),
+    ("timing", {"start_ttl_ms": 2_971}, "$.timing.start_ttl_ms"),
+    ("timing", {"leader_lease_ms": 500}, "$.timing.leader_lease_ms"),
+    ("timing", {"worker_lease_ms": 1_000}, "$.timing.worker_lease_ms"),
+    ("timing", {"heartbeat_period_ms": 0}, "$.timing.heartbeat_period_ms"),
+    (
+        "timing",
+        {"election_timeout_max_ms": 500},
+        "$.timing.election_timeout_max_ms",
+    ),
+    (
+        "timing",
+        {"entry_update_period_ms": 900},
+        "$.timing.entry_update_period_ms",
+    ),
+    ("timing", {"lease": 1}, "$.timing.lease"),
+    ("colour", "red", "$.colour"),
+]
+
+
+@pytest.mark.parametrize(("field", "value", "place"), ENTRY_FAULTS)
+def test_each_fault_of_an_entry_has_its_place(tmp_path, field, value, place):
+    document = {**_entry(tmp_path), field: value}
+    assert place in _places(_load(tmp_path, document))
+
+
+REPLICA_FAULTS = [
+    ("data_folder", "none", "$.data_folder"),
+    ("replicas", {"other": "127.0.0.1:7001"}, "$.replicas"),
+    ("peers", {"listen": "127.0.0.1:7104"}, "$.platform.listen"),
+]
+
+
+@pytest.mark.parametrize(("field", "value", "place"), REPLICA_FAULTS)
+def test_each_fault_of_a_replica_has_its_place(tmp_path, field, value, place):
+    document = {**_replica(tmp_path), field: value}
+    assert place in _places(_load(tmp_path, document))
+
+
+def test_all_faults_are_reported_together(tmp_path, snapshot):
+    document = _entry(tmp_path)
+    document["callers"] = {"listen": "somewhere", "port": 1}
+    document["timing"] = {"entry_lease_ms": "long", "lease": 1}
+    del document["name"]
+    assert _load(tmp_path, document).error == snapshot
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "{", '{"name": "a", "name": "b"}', "[" * 5_000, "\udcff"],
+    ids=["empty", "cut", "twice", "deep", "bytes"],
+)
+def test_broken_documents_are_findings(tmp_path, text):
+    path = tmp_path / "settings.json"
+    path.write_bytes(text.encode("utf-8", "surrogateescape"))
+    assert settings_lib.load_any(str(path)).error
+
+
+TOKEN_FAULTS = [
+    {},
+    {"ana": "short"},
+    {"ana": "with a space in it.."},
+    {"": "a" * 16},
+    {"ana": "a" * 16, "bo": "a" * 16},
+    {"ana": ["a" * 16]},
+]
+
+
+@pytest.mark.parametrize("tokens", TOKEN_FAULTS)
+def test_tokens_are_checked_and_never_shown(tmp_path, tokens):
+    path = tmp_path / "tokens.json"
+    path.write_text(json.dumps(tokens))
+    findings = secrets_files.load_operator_tokens(str(path)).error
+    assert findings
+    for token in tokens.values():
+        assert str(token) not in repr(findings)
+
+
+def test_only_the_whole_token_names_its_operator():
+    tokens = secrets_files.OperatorTokens(TOKENS)
+    assert tokens.operator_of(b"a" * 16) == "ana"
+    for wrong in (b"", b"a" * 15, b"a" * 17, b"A" * 16, "é".encode()):
+        assert tokens.operator_of(wrong) == ""
+
+
+def test_every_default_period_passes_its_own_check(tmp_path):
+    document = {
+        **_entry(tmp_path),
+        "timing": msgspec.to_builtins(settings_lib.Timing()),
+    }
+    assert _load(tmp_path, document).is_ok()
+    assert settings_checks.IN_FORCE_BOUND_MS <= 3_000
+
+
+def test_settings_of_the_builders_are_of_this_form():
+    encoded = messages.encode(builders.replica_settings())
+    assert messages.decode(encoded, settings_lib.ReplicaSettings)
