--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 
 _STEPS_PER_EXAMPLE = 50
 _CI_EXAMPLES = 40
+_PHASES = (hypothesis.Phase.explicit, hypothesis.Phase.generate)
 
 
 def pytest_addoption(parser: pytest.Parser) -> None:
@@ -31,6 +32,7 @@
         max_examples=examples,
         stateful_step_count=_STEPS_PER_EXAMPLE,
         derandomize=not steps,
+        phases=_PHASES if not steps else tuple(hypothesis.Phase),
         database=None,
         deadline=None,
         print_blob=True,
