--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -146,7 +146,9 @@
         self.preemption.begin_round(context.tasks.waiting)
         weighted = isinstance(policy, policy_lib.Weighted)
         self.preemption.patient = weighted
-        self.refill.paced = weighted and policy.paces_refill
+        self.refill.paced = (
+            isinstance(policy, policy_lib.Weighted) and policy.paces_refill
+        )
         self._begin_harms()
         for turn in turns:
             if len(choices.starts) >= MAX_STARTS_PER_ROUND:
