Replicas: close three races found by reading

Change: the order is checked against the term again when it is obeyed; joining holds a lock; entries stay in memory until they are synced. A test for each.

--- a/src/galenahook/replicas/core.py
+++ b/src/galenahook/replicas/core.py
@@ -70,6 +70,9 @@
       peers: Leader: the other members by name.
       waiters: Leader: submitted commands by index.
       error: Why the replica is unable, or None.
+      committed: Notified when the commit index rises.
+      role_changed: Notified when the role, the leader or the group changes.
+      join_lock: Held while the folder joins a cluster.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         self.members_history = [membership.Members()]
         self.committed = notify.Signal()
         self.role_changed = notify.Signal()
+        self.join_lock = curio.Lock()
         self._ballot_lock = curio.Lock()
 
     # --- Plain facts ----------------------------------------------------------
--- a/src/galenahook/replicas/election.py
+++ b/src/galenahook/replicas/election.py
@@ -194,11 +194,14 @@
     """Lets this replica stand for election at the leader's wish."""
     accepted = request.term == core.term and core.is_voter()
     if accepted:
-        await curio.spawn(_stand_handed_over, core, daemon=True)
+        await curio.spawn(_stand_handed_over, core, request.term, daemon=True)
     return wire.HandOverReply(accepted=accepted)
 
 
-async def _stand_handed_over(core: core_lib.Core) -> None:
+async def _stand_handed_over(core: core_lib.Core, term: int) -> None:
+    if core.term != term:
+        # A leader of a later term has a lease that must not be skipped.
+        return
     try:
         await stand(core, handed_over=True)
     except errors.StorageError:
--- a/src/galenahook/replicas/founding.py
+++ b/src/galenahook/replicas/founding.py
@@ -51,7 +51,9 @@
     members = membership.Members(1, by_name)
     texts = members.command().members
     cluster = identity_lib.new_identifier()
-    await join(core, cluster, texts)
+    await _join(core, cluster, texts)
+    if core.cluster != cluster:
+        return
     for member in members.voters:
         if member.name != core.name:
             await _invite(core, member, texts)
@@ -92,20 +94,21 @@
     Raises:
       errors.StorageError: The folder failed.
     """
-    if not core.cluster:
-        await join(core, request.cluster, request.members)
+    await _join(core, request.cluster, request.members)
     return wire.FoundReply(accepted=core.cluster == request.cluster)
 
 
-async def join(
+async def _join(
     core: core_lib.Core, cluster: str, members: tuple[str, ...]
 ) -> None:
-    """Binds the folder to a cluster whose log begins with these members.
+    """Binds an empty folder to a cluster whose log begins with these members.
 
     Raises:
       errors.StorageError: The folder failed.
     """
-    if members and core.log.last_index == 0:
+    async with core.join_lock:
+        if core.cluster:
+            return
         command = commands.ChangeMembers(members=members)
         data = messages.encode(command)
         await core.append([records.Entry(FIRST_TERM, data)])
@@ -113,18 +116,24 @@
         if core.log.error is not None:
             raise core.log.error
         core.term = max(core.term, FIRST_TERM)
-    await adopt(core, cluster)
+        await _bind(core, cluster)
 
 
 async def adopt(core: core_lib.Core, cluster: str) -> None:
-    """Binds the folder to a cluster, for good.
+    """Binds an empty folder to a cluster that has admitted it.
 
     Raises:
       errors.StorageError: The folder failed.
     """
+    async with core.join_lock:
+        if not core.cluster:
+            await core.log.create()
+            await _bind(core, cluster)
+
+
+async def _bind(core: core_lib.Core, cluster: str) -> None:
+    await core.save_ballot()
     try:
-        await core.log.create()
-        await core.save_ballot()
         async with curio.disable_cancellation():
             await curio.run_in_thread(core.folder.join, cluster)
     except OSError as error:
--- a/src/galenahook/replicas/log.py
+++ b/src/galenahook/replicas/log.py
@@ -289,7 +289,8 @@
         obsolete = []
         while len(self._segments) > 1 and self._segments[1].base_index <= index:
             obsolete.append(self._segments.pop(0).path)
-        new_base = max(index - keep, self.base_index)
+        written = min(index - keep, self.synced_index)
+        new_base = max(written, self.base_index)
         self.base_term = self.term_at(new_base) or 0
         del self.entries[: new_base - self.base_index]
         self.base_index = new_base
--- a/tests/test_replicas_election.py
+++ b/tests/test_replicas_election.py
@@ -99,6 +99,19 @@
         assert core.term == 5
 
 
+def test_order_to_stand_is_void_once_the_term_has_changed(tmp_path):
+    core, _ = make_core(tmp_path)
+
+    async def main():
+        order = wire.HandOver(cluster="x", to_folder="fa", term=5)
+        assert (await election.handle_hand_over(core, order)).accepted
+        core.term = 6
+        await curio.sleep(0.02)
+        assert core.term == 6
+
+    replica_group.run(main)
+
+
 def test_candidate_with_an_older_log_still_raises_the_term(tmp_path):
     core, clock = make_core(tmp_path)
     clock.now_ms += 250
--- a/tests/test_replicas_log.py
+++ b/tests/test_replicas_log.py
@@ -162,6 +162,24 @@
     assert (again.base_index, texts_of(again)) == (4, ["5", "6"])
 
 
+def test_entries_not_synced_yet_are_kept_when_a_snapshot_holds_them(tmp_path):
+    log = open_log(tmp_path)
+
+    async def main():
+        task = await curio.spawn(log.run)
+        await log.wait_synced(await log.append(entries_of("1", "2")), None)
+        await task.cancel()
+        await log.append(entries_of("3", "4", "5"))
+        log.compact(5, keep=0)
+        task = await curio.spawn(log.run)
+        await log.wait_synced(5, None)
+        await task.cancel()
+
+    curio.run(main)
+    log.close()
+    assert texts_of(open_log(tmp_path)) == ["1", "2", "3", "4", "5"]
+
+
 @pytest.mark.parametrize("fault", ["full", "broken"])
 def test_failed_disk_acknowledges_nothing_more(tmp_path, fault):
     write(tmp_path, entries_of("kept"))
--- a/tests/test_replicas_recovery.py
+++ b/tests/test_replicas_recovery.py
@@ -7,6 +7,7 @@
 
 from fakes import replica_group
 from galenahook import errors
+from galenahook.replicas import founding
 from galenahook.replicas import snapshot
 from galenahook.replicas import transfer
 from galenahook.replicas import wire
@@ -130,6 +131,32 @@
     replica_group.run(main)
 
 
+def test_folder_invited_twice_at_once_joins_one_cluster(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start("b")
+        core = group.node("b").core
+        requests = [
+            wire.FoundRequest(
+                cluster=cluster,
+                to_folder=core.folder_id,
+                members=(f"a=127.0.0.1:1#{cluster}",),
+            )
+            for cluster in ("one", "two")
+        ]
+        async with curio.TaskGroup() as tasks:
+            for request in requests:
+                await tasks.spawn(founding.handle_found, core, request)
+        assert [reply.accepted for reply in tasks.results] == [True, False]
+        assert core.cluster == "one"
+        assert core.log.last_index == 1
+        assert core.members.by_name["a"].folder == "one"
+        await group.close()
+
+    replica_group.run(main)
+
+
 @pytest.mark.parametrize("fault", ["full", "broken"])
 def test_leader_with_a_failed_disk_steps_down(tmp_path, fault):
     group = replica_group.ReplicaGroup(tmp_path)
