--- a/tests/test_replicas_election.py
+++ b/tests/test_replicas_election.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+from fakes import relay as relay_lib
 from fakes import replica_group
 from galenahook import clock as clock_lib
 from galenahook import commands
@@ -240,20 +241,31 @@
 
 
 def test_planned_stop_hands_leadership_over(tmp_path):
-    group = replica_group.ReplicaGroup(tmp_path)
+    """Nothing tells the old leader of the new one, and yet both never act."""
+    group = replica_group.RelayedGroup(tmp_path)
+    group.timing = msgspec.structs.replace(
+        group.timing, heartbeat_period_ms=100
+    )
     stop, faults = curio.Event(), []
 
     async def main():
+        await group.start_relays()
         await group.start()
         await curio.spawn(
             replica_group.watch_leaders, group, stop, faults, daemon=True
         )
         leader = await group.wait_for_leader()
+        for (_, target), relay in group.relays.items():
+            if target == leader.name:
+                relay.hold(relay_lib.Direction.FORWARD)
         started_ms = group.clock.monotonic_ms()
-        await group.stop(leader.name)
-        await group.wait_for_leader()
+        handing_over = await curio.spawn(replication.hand_over, leader.core)
+        await group.wait_until(lambda: group.leader() not in (None, leader))
         took_ms = group.clock.monotonic_ms() - started_ms
         assert took_ms < group.timing.election_timeout_min_ms
+        await handing_over.join()
+        group.heal()
+        await group.stop(leader.name)
         assert await group.claim("after")
         await group.close()
 
--- a/tests/test_replicas_log.py
+++ b/tests/test_replicas_log.py
@@ -175,7 +175,7 @@
         await log.wait_synced(5, None)
         await task.cancel()
 
-    curio.run(main)
+    replica_group.run(main, timeout_ms=5_000)
     log.close()
     assert texts_of(open_log(tmp_path)) == ["1", "2", "3", "4", "5"]
 
--- a/tests/test_replicas_recovery.py
+++ b/tests/test_replicas_recovery.py
@@ -7,6 +7,7 @@
 
 from fakes import replica_group
 from galenahook import errors
+from galenahook.replicas import core as core_lib
 from galenahook.replicas import founding
 from galenahook.replicas import snapshot
 from galenahook.replicas import transfer
@@ -108,6 +109,29 @@
     replica_group.run(main)
 
 
+def test_learner_that_is_behind_is_not_promoted(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        lost = await other_than(group)
+        await group.kill(lost)
+        group.wipe(lost)
+        await group.start(lost)
+        assert (await leader.remove(lost)).is_ok()
+        address = group.replicas[lost].address
+        assert (await leader.add_learner(lost, address)).is_ok()
+        await group.kill(lost)
+        await group.claim_many(0, 1_500)
+        refused = await leader.promote(lost)
+        assert refused.is_error()
+        assert "behind" in refused.error.reason
+        await group.close()
+
+    replica_group.run(main)
+
+
 def test_lost_disks_found_no_second_cluster(tmp_path):
     """The founder and another lose their disks while the third is away."""
     group = replica_group.ReplicaGroup(tmp_path)
@@ -213,7 +237,7 @@
 
 def test_slow_disk_is_not_taken_for_a_silent_connection(tmp_path):
     group = replica_group.ReplicaGroup(tmp_path)
-    slow_ms = 400
+    slow_ms = 2 * group.timing.election_timeout_max_ms
 
     async def main():
         await group.start()
@@ -233,32 +257,39 @@
 
 
 def test_snapshot_of_entries_held_replaces_nothing(tmp_path):
-    group = replica_group.ReplicaGroup(tmp_path)
+    """A follower keeps what it acknowledged beyond the snapshot."""
+    group = replica_group.ReplicaGroup(tmp_path, "a")
 
     async def main():
         await group.start()
         await group.claim_many(0, 20)
-        leader = await group.wait_for_leader()
-        node = group.node(await other_than(group))
-        core = node.core
-        await group.wait_until(
-            lambda: core.log.last_index == leader.core.log.last_index
+        source = group.node("a").core
+        await snapshot.write(source)
+        path = snapshot.newest(tmp_path / "a")
+        header = snapshot.read_header(path)
+        await group.claim_many(20, 5)
+        group.add("b", tmp_path / "b")
+        target = core_lib.Core(
+            group.settings_of("b"), source.client, group.clock, source.disk
         )
+        target.folder.open("b")
+        target.folder.join(source.cluster)
+        target.log.entries = list(source.log.entries)
         chunk = wire.SnapshotChunk(
-            cluster=core.cluster,
-            leader=leader.name,
-            to_folder=core.folder_id,
-            term=core.term,
-            index=core.log.last_index,
-            index_term=core.log.last_term,
+            cluster=source.cluster,
+            leader="a",
+            to_folder=target.folder_id,
+            term=source.term,
+            index=header.index,
+            index_term=header.term,
             offset=0,
-            data=b"ignored",
+            data=path.read_bytes(),
             last=True,
         )
-        entries = list(core.log.entries)
-        reply = await transfer.Receiver().handle_chunk(core, chunk)
+        reply = await transfer.Receiver().handle_chunk(target, chunk)
         assert reply.complete
-        assert core.log.entries == entries
+        await group.wait_until(lambda: not target.installing)
+        assert target.log.entries == source.log.entries
         await group.close()
 
     replica_group.run(main)
