--- a/src/galenahook/callers/attempts.py
+++ b/src/galenahook/callers/attempts.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import curio
+
 from galenahook import clock as clock_lib
 from galenahook import defaults
 from galenahook import errors
@@ -57,26 +59,31 @@
     async def attempt(
         self, call: calls.Call, executor: view_lib.Executor
     ) -> Result:
-        """Sends a request once, in a slot that it gives back or gives up."""
+        """Sends a request once.
+
+        The slot is given back when the executor has surely ended the request,
+        which may be after this returns.
+        """
         started_ms = self._clock.monotonic_ms()
-        end_ms = min(
-            call.deadline_at_ms, started_ms + defaults.ATTEMPT_TIMEOUT_MS
-        )
+        end_ms = started_ms + defaults.ATTEMPT_TIMEOUT_MS
         try:
-            connection = await self.pool.take(
-                executor, call.repeatable, max(1, end_ms - started_ms)
-            )
+            connection = await self._connect(call, executor)
         except errors.ExchangeError as error:
-            self.router.record_failure(executor)
-            self.router.release(executor)
             return Unsent(str(error))
-        except BaseException:
-            self.router.release(executor)
-            raise
         had_run = call.may_have_run
         call.may_have_run = True
         try:
-            response = await self._exchange(call, executor, connection, end_ms)
+            uncertain = await self._send_and_wait(call, executor, connection)
+            if uncertain is not None:
+                await curio.spawn(
+                    self._finish_late,
+                    executor,
+                    connection,
+                    end_ms,
+                    daemon=True,
+                )
+                return uncertain
+            response = await connection.receive(self._left_ms(end_ms))
         except errors.ExchangeError as error:
             await self._give_up(executor, connection, error.sent)
             if error.sent:
@@ -91,53 +98,101 @@
         self._learn(executor, response, started_ms)
         return Answered(response)
 
-    async def _exchange(
+    def _left_ms(self, end_ms: int) -> int:
+        return max(1, end_ms - self._clock.monotonic_ms())
+
+    async def _connect(
+        self, call: calls.Call, executor: view_lib.Executor
+    ) -> web.ClientConnection:
+        """Takes a connection, or frees the slot.
+
+        Raises:
+          errors.ExchangeError: There is none; nothing was sent.
+        """
+        try:
+            return await self.pool.take(
+                executor, call.repeatable, self._left_ms(call.deadline_at_ms)
+            )
+        except errors.ExchangeError:
+            self.router.record_failure(executor)
+            self.router.release(executor)
+            raise
+        except BaseException:
+            self.router.release(executor)
+            raise
+
+    async def _send_and_wait(
         self,
         call: calls.Call,
         executor: view_lib.Executor,
         connection: web.ClientConnection,
-        end_ms: int,
-    ) -> web.Response:
-        left_ms = max(1, end_ms - self._clock.monotonic_ms())
-        await connection.send(calls.forwarded(call, left_ms), left_ms)
-        silence_ms = min(self._silence_ms(executor), left_ms)
-        if not await connection.wait_readable(silence_ms):
-            await self._check_silent(call, executor, connection)
-        left_ms = max(1, end_ms - self._clock.monotonic_ms())
-        return await connection.receive(left_ms)
-
-    def _silence_ms(self, executor: view_lib.Executor) -> float:
-        service = executor.address.service
-        latency_ms = self.router.typical_latency_ms(service)
-        silence_ms = SILENCE_FACTOR * latency_ms
-        return min(SILENCE_MAX_MS, max(SILENCE_MIN_MS, silence_ms))
+    ) -> Uncertain | None:
+        """Sends a request and waits for the first bytes of its answer.
 
-    async def _check_silent(
+        Returns:
+          Why waiting any longer is of no use, or None when bytes came.
+        """
+        left_ms = self._left_ms(call.deadline_at_ms)
+        await connection.send(calls.forwarded(call, left_ms), left_ms)
+        silence_ms = self._silence_ms(executor)
+        if await connection.wait_readable(min(silence_ms, left_ms)):
+            return None
+        if silence_ms < left_ms:
+            self.router.record_failure(executor)
+            if await self._is_silent(call, executor, connection):
+                return Uncertain(f"{connection.address}: no answer")
+            left_ms = self._left_ms(call.deadline_at_ms)
+            left_ms = min(left_ms, defaults.ATTEMPT_TIMEOUT_MS)
+            if await connection.wait_readable(left_ms):
+                return None
+        return Uncertain(f"{connection.address}: no answer in time")
+
+    async def _is_silent(
         self,
         call: calls.Call,
         executor: view_lib.Executor,
         connection: web.ClientConnection,
-    ) -> None:
-        """Tries a new connection to tell a silent one from a dead upstream.
+    ) -> bool:
+        """Tries a new connection, and tells whether to give up the old one.
 
-        Raises:
-          errors.ExchangeError: The attempt should end here and the request,
-            which is repeatable, be sent again.
+        Only a repeatable request can be sent again, so another one goes on
+        waiting. Idle connections as old as this one are closed if a new one
+        works, since they may have gone silent with it.
         """
         try:
             fresh = await self.pool.open(executor, defaults.CONNECT_TIMEOUT_MS)
-        except errors.ExchangeError as error:
-            if call.repeatable:
-                raise errors.ExchangeError(str(error), True) from error
-            return
+        except errors.ExchangeError:
+            return call.repeatable
         await self.pool.close_idle(executor, connection.opened_ms + 1)
         await self.pool.put(executor, fresh)
-        if call.repeatable and self.router.spend_retry(
-            executor.address.service
-        ):
-            raise errors.ExchangeError(
-                f"{connection.address}: connection went silent", True
-            )
+        return call.repeatable
+
+    async def _finish_late(
+        self,
+        executor: view_lib.Executor,
+        connection: web.ClientConnection,
+        end_ms: int,
+    ) -> None:
+        """Waits for an answer that nobody wants, to free slot and connection.
+
+        The answer is dropped whole, so it can't reach another caller.
+        """
+        try:
+            await connection.receive(self._left_ms(end_ms))
+        except errors.ExchangeError:
+            await self._give_up(executor, connection, sent=True)
+            return
+        except BaseException:
+            await self._give_up(executor, connection, sent=True)
+            raise
+        await self.pool.put(executor, connection)
+        self.router.release(executor)
+
+    def _silence_ms(self, executor: view_lib.Executor) -> float:
+        service = executor.address.service
+        latency_ms = self.router.typical_latency_ms(service)
+        silence_ms = SILENCE_FACTOR * latency_ms
+        return min(SILENCE_MAX_MS, max(SILENCE_MIN_MS, silence_ms))
 
     async def _give_up(
         self,
--- a/src/galenahook/callers/handler.py
+++ b/src/galenahook/callers/handler.py
@@ -38,6 +38,7 @@
       view: The entry's lease, configuration and slots.
       router: Chooses executors.
       admission: Queues of the services.
+      handled: Requests so far.
     """
 
     def __init__(
@@ -55,15 +56,15 @@
         self._claimant = claimant_lib.Claimant(claim_keys, clock)
         self._clock = clock
         self._metrics = metrics
-        self._handled = 0
+        self.handled = 0
         self._pump_started = False
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answers one request; never raises an ordinary exception."""
         await self._start_pump()
-        self._handled += 1
+        self.handled += 1
         identifier = (
-            f"{self.view.name}-{self.view.incarnation[:8]}-{self._handled}"
+            f"{self.view.name}-{self.view.incarnation[:8]}-{self.handled}"
         )
         started_ms = self._clock.monotonic_ms()
         parsed = calls.parse(request, identifier, self._clock)
--- a/src/galenahook/upstreams/view.py
+++ b/src/galenahook/upstreams/view.py
@@ -1,6 +1,5 @@
 """What an entry knows: its lease, configuration, executors and slots."""
 
-from collections.abc import Iterator
 import dataclasses
 
 from galenahook import clock as clock_lib
@@ -9,6 +8,25 @@
 _REVISION_UNKNOWN = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Learned:
+    """What routing has learned of one incarnation of an executor.
+
+    Attributes:
+      latency_ms: Mean latency of its answers, 0 before the first.
+      sampled_ms: When the last answer came.
+      failures: Failures since the last answer.
+      ejections: Ejections since it last worked for a while.
+      eject_until_ms: End of the last ejection.
+    """
+
+    latency_ms: float = 0.0
+    sampled_ms: int = 0
+    failures: int = 0
+    ejections: int = 0
+    eject_until_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Executor:
     """One incarnation of an executor, as this entry uses it.
@@ -21,6 +39,7 @@
         while they may still have been running there.
       abandoned_reported: `abandoned` as the last update gave it.
       connections: Connections that the executor may count as open.
+      learned: What routing has learned of it.
     """
 
     address: messages.ExecutorAddress
@@ -29,6 +48,7 @@
     abandoned: int = 0
     abandoned_reported: int = 0
     connections: int = 0
+    learned: Learned = dataclasses.field(default_factory=Learned)
 
     @property
     def connections_per_slot(self) -> int:
@@ -104,6 +124,7 @@
         self._clock = clock
         self._retired: list[Executor] = []
         self._by_service: dict[str, list[Executor]] = {}
+        self._usable: dict[str, list[Executor]] = {}
         self._lease_end_ms = 0
         self._uses_taken_ms = 0
 
@@ -142,6 +163,7 @@
             self._replace_executors(reply.executors)
             self.upstreams_version = reply.upstreams_version
         self._replace_grants(reply.grants)
+        self._list_usable()
         lease_end_ms = sent_at_ms + reply.lease_ms
         self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
         self.changes += 1
@@ -229,18 +251,21 @@
                 wanted[executor.address.name] = share + (index < rest)
         return wanted
 
-    def executors_of(self, service: str) -> list[Executor]:
-        """Returns the current executors of a service."""
-        return self._by_service.get(service, [])
-
-    def usable_executors(self, service: str) -> Iterator[Executor]:
-        """Returns executors that may be given new requests now."""
+    def _list_usable(self) -> None:
         out = self.configuration.availability_zones_out
-        for executor in self.executors_of(service):
-            if not executor.address.usable:
-                continue
-            if executor.address.availability_zone not in out:
-                yield executor
+        self._usable = {
+            service: [
+                executor
+                for executor in executors
+                if executor.address.usable
+                and executor.address.availability_zone not in out
+            ]
+            for service, executors in self._by_service.items()
+        }
+
+    def usable_executors(self, service: str) -> list[Executor]:
+        """Returns the executors that may be given new requests now."""
+        return self._usable.get(service, [])
 
     def demand(self, service: str) -> Demand:
         """Returns the demand record of a service."""
--- a/src/galenahook/web/client.py
+++ b/src/galenahook/web/client.py
@@ -62,8 +62,7 @@
         try:
             data = self._encode(request)
             sent = True
-            async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
-                await self._sock.sendall(data)
+            await http.send_all(self._sock, data, timeout_ms)
         except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
             await self._fail(error, sent)
         except BaseException:
--- a/src/galenahook/web/http.py
+++ b/src/galenahook/web/http.py
@@ -4,6 +4,9 @@
 import socket as std_socket
 from typing import Any
 
+import curio
+
+from galenahook import clock as clock_lib
 from galenahook import messages
 
 READ_BYTES = 64 * 1024
@@ -116,3 +119,20 @@
     sock.setsockopt(tcp, std_socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, std_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(tcp, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS)
+
+
+async def send_all(sock: Any, data: bytes, timeout_ms: float) -> None:
+    """Sends all of the data.
+
+    Raises:
+      OSError: The connection failed.
+      curio.TaskTimeout: Not all could be sent in time.
+    """
+    try:
+        sent = sock._socket_send(data)
+    except BlockingIOError:
+        sent = 0
+    if sent == len(data):
+        return
+    async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
+        await sock.sendall(data[sent:])
--- a/src/galenahook/web/stream.py
+++ b/src/galenahook/web/stream.py
@@ -77,9 +77,7 @@
             if head is None:
                 return None
             self._check_head(head)
-            timeout = clock_lib.seconds(self._limits.body_timeout_ms)
-            async with curio.timeout_after(timeout):
-                body = await self._read_body()
+            body = await self._read_body()
         except curio.TaskTimeout as error:
             raise BrokenRequestError(
                 408, "request not received in time"
@@ -98,9 +96,11 @@
     async def _read_head(self) -> h11.Request | None:
         if not self._connection.trailing_data[0] and not await self._wake():
             return None
-        timeout = clock_lib.seconds(self._limits.header_timeout_ms)
-        async with curio.timeout_after(timeout):
-            event = await self._next_event()
+        event = self._connection.next_event()
+        if event is h11.NEED_DATA:
+            timeout = clock_lib.seconds(self._limits.header_timeout_ms)
+            async with curio.timeout_after(timeout):
+                event = await self._next_event()
         if isinstance(event, h11.Request):
             return event
         return None
@@ -136,18 +136,26 @@
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
+        event = self._connection.next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        timeout = clock_lib.seconds(self._limits.body_timeout_ms)
+        async with curio.timeout_after(timeout):
+            return await self._read_body_from(event)
+
+    async def _read_body_from(self, event: Any) -> bytes:
         parts: list[bytes] = []
         size = 0
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            if not isinstance(event, h11.Data):
+        while not isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                parts.append(bytes(event.data))
+            elif event is not h11.NEED_DATA:
                 raise BrokenRequestError(400, "request cut short")
-            size += len(event.data)
             if size > self._limits.max_body_bytes:
                 raise BrokenRequestError(413, "request body too large")
-            parts.append(bytes(event.data))
+            event = await self._next_event()
+        return b"".join(parts)
 
     async def _next_event(self) -> Any:
         while True:
@@ -162,9 +170,7 @@
     ) -> None:
         """Sends a whole response; `close` ends the connection after it."""
         data = self._encode(request.method, response, close)
-        timeout = clock_lib.seconds(self._limits.write_timeout_ms)
-        async with curio.timeout_after(timeout):
-            await self._sock.sendall(data)
+        await http.send_all(self._sock, data, self._limits.write_timeout_ms)
         self.reusable = (
             self._connection.our_state is h11.DONE
             and self._connection.their_state is h11.DONE
