--- a/src/galenahook/callers/claims.py
+++ b/src/galenahook/callers/claims.py
@@ -1,11 +1,28 @@
-"""Claims of idempotency keys, so that a resent request runs at most once."""
+"""Claims of idempotency keys, so that a resent request runs at most once.
+
+Claims are kept for `RETENTION_MS`, and fewer than `MAX_RECORDS` of them. A key
+in the form of a UUID of version 7 carries the time at which it was made: once
+its claim may have been dropped, it is refused for good. A key of another form
+is known only as long as its claim is kept.
+"""
 
 from collections.abc import Iterator
 import dataclasses
+import itertools
+import uuid
 
 from galenahook import commands
 from galenahook import messages
 
+RETENTION_MS = 3_600_000
+MAX_RECORDS = 200_000
+MAX_DROPPED = 1_000
+CLOCK_SKEW_MS = 60_000
+
+_UUID_VERSION_WITH_TIME = 7
+_UUID_TIME_SHIFT = 80
+_UUID_CHARACTERS = 36
+
 
 class ClaimRecord(
     messages.Message, frozen=True, kw_only=True, tag="claim", gc=False
@@ -27,15 +44,25 @@
 
 @dataclasses.dataclass(slots=True)
 class ClaimTable:
-    """Keys claimed, oldest first."""
+    """Keys claimed, oldest first.
+
+    Attributes:
+      records: Claims by key; their times never fall.
+      now_ms: Wall time of the last claim, which never falls.
+      dropped_ms: Claims up to this time may have been dropped.
+    """
 
     records: dict[str, ClaimRecord] = dataclasses.field(default_factory=dict)
+    now_ms: int = 0
+    dropped_ms: int = 0
 
     def claim(self, command: commands.ClaimKeys) -> commands.KeysClaimed:
         """Releases keys, then claims each that is free.
 
         A claim that was applied before is granted again.
         """
+        self.now_ms = max(self.now_ms, command.at_ms)
+        self._drop_old()
         for released in command.released:
             self._release(released)
         granted = tuple(
@@ -54,14 +81,39 @@
         record = self.records.get(claim.key)
         if record is not None:
             return record.token == claim.token
+        if not self._is_in_time(claim.key):
+            return False
         self.records[claim.key] = ClaimRecord(
             key=claim.key,
             token=claim.token,
             entry=command.entry,
-            at_ms=command.at_ms,
+            at_ms=self.now_ms,
         )
         return True
 
+    def _drop_old(self) -> None:
+        """Drops claims past the retention, and the oldest beyond the limit."""
+        horizon_ms = self.now_ms - RETENTION_MS
+        excess = len(self.records) - MAX_RECORDS
+        dropped = []
+        for record in itertools.islice(self.records.values(), MAX_DROPPED):
+            if record.at_ms > horizon_ms and len(dropped) >= excess:
+                break
+            dropped.append(record)
+        for record in dropped:
+            del self.records[record.key]
+            self.dropped_ms = max(self.dropped_ms, record.at_ms)
+
+    def _is_in_time(self, key: str) -> bool:
+        """Whether a key's claim, had there been one, would still be kept."""
+        made_ms = key_time_ms(key)
+        if made_ms is None:
+            return True
+        if made_ms > self.now_ms + CLOCK_SKEW_MS:
+            return False
+        horizon_ms = max(self.dropped_ms, self.now_ms - RETENTION_MS)
+        return made_ms > horizon_ms + CLOCK_SKEW_MS
+
     def snapshot_records(self) -> Iterator[ClaimRecord]:
         """Returns every record of a consistent view taken now."""
         return iter(list(self.records.values()))
@@ -69,3 +121,22 @@
     def restore_record(self, record: ClaimRecord) -> None:
         """Adds one record of a snapshot."""
         self.records[record.key] = record
+        self.now_ms = max(self.now_ms, record.at_ms)
+
+
+def key_time_ms(key: str) -> int | None:
+    """Returns when a `service:key` was made, if its form tells.
+
+    Returns:
+      Milliseconds since the Unix epoch, or None if it is no UUID of version 7.
+    """
+    text = key.partition(":")[2]
+    if len(text) != _UUID_CHARACTERS:
+        return None
+    try:
+        identifier = uuid.UUID(text)
+    except ValueError:
+        return None
+    if identifier.version != _UUID_VERSION_WITH_TIME:
+        return None
+    return identifier.int >> _UUID_TIME_SHIFT
--- a/src/galenahook/callers/handler.py
+++ b/src/galenahook/callers/handler.py
@@ -110,6 +110,8 @@
     ) -> web.Response:
         entered = await self.admission.enter(call, route)
         if entered.is_error():
+            latency_ms = self.router.typical_latency_ms(route.service)
+            self.view.demand(route.service).refuse(latency_ms)
             return _refuse(entered.error.status, entered.error.reason)
         place = entered.ok
         if not call.key:
@@ -173,7 +175,7 @@
                 case attempts.Unsent(reason=reason):
                     pass
                 case attempts.Uncertain(reason=reason):
-                    if not call.repeatable:
+                    if not call.repeatable or self._is_over(call):
                         return _failure(call, 504, reason)
             if number == MAX_ATTEMPTS:
                 break
@@ -183,6 +185,9 @@
             place = self.admission.enter_again(place, executor)
         return _failure(call, 502, reason)
 
+    def _is_over(self, call: calls.Call) -> bool:
+        return self._clock.monotonic_ms() >= call.deadline_at_ms
+
     async def _attempt(
         self, call: calls.Call, executor: view_lib.Executor
     ) -> attempts.Result:
@@ -206,7 +211,10 @@
     ) -> None:
         while True:
             await curio.sleep(clock_lib.seconds(period_ms))
-            await action()
+            try:
+                await action()
+            except Exception:  # One failure must not end the periodic work.
+                self._metrics.increment("requests.faults")
 
     async def _pump(self) -> None:
         """Hands out slots that came with new grants or after an ejection."""
--- a/src/galenahook/upstreams/grants.py
+++ b/src/galenahook/upstreams/grants.py
@@ -7,14 +7,18 @@
 
 from collections.abc import Iterator
 import dataclasses
+import math
 
 from galenahook import clock as clock_lib
 from galenahook import defaults
 from galenahook import messages
 from galenahook.upstreams import executors as executors_lib
-from galenahook.upstreams import shares as shares_lib
+from galenahook.upstreams import plan as plan_lib
 
-DEMAND_HALF_LIFE_MS = 2_000
+DEMAND_RISE_MS = 500
+DEMAND_FALL_MS = 5_000
+RECLAIM_AFTER_MS = 3_000
+RECLAIM_TURN_MS = 2_000
 
 _EntryKey = tuple[str, str]
 
@@ -137,6 +141,7 @@
         self._clock = clock
         self._entries: dict[_EntryKey, _EntryState] = {}
         self._executors: dict[str, _ExecutorSlots] = {}
+        self._plans: dict[str, plan_lib.SlotPlan] = {}
         self.learning_until_ms = self._lease_end_ms()
 
     def update(
@@ -276,9 +281,12 @@
             if record is not None:
                 service = record.announcement.service
                 wanted[service] = wanted.get(service, 0) + use.wanted
-        keep = 0.5 ** ((now_ms - entry.updated_ms) / DEMAND_HALF_LIFE_MS)
+        elapsed_ms = now_ms - entry.updated_ms
         for service, before in entry.wanted.items():
-            wanted[service] = max(wanted.get(service, 0), before * keep)
+            now = wanted.get(service, 0.0)
+            constant_ms = DEMAND_RISE_MS if now > before else DEMAND_FALL_MS
+            keep = math.exp(-elapsed_ms / constant_ms)
+            wanted[service] = now + (before - now) * keep
         entry.wanted = wanted
         entry.updated_ms = now_ms
 
@@ -299,15 +307,16 @@
         entry: _EntryState,
         executors: executors_lib.ExecutorRegistry,
     ) -> Iterator[messages.SlotGrant]:
-        for usable in _usable_by_service(executors).values():
-            total = sum(address.slots for address in usable)
-            share = self._share(entry, usable[0].service, total)
-            for index, address in enumerate(usable):
-                target = 0
-                if share is not None:
-                    target = shares_lib.slots_of(
-                        share, address.slots, index, len(usable)
-                    )
+        by_service = _usable_by_service(executors)
+        for service in self._plans.keys() - by_service.keys():
+            del self._plans[service]
+        for service, usable in by_service.items():
+            plan = self._plan(service, usable)
+            reclaimed = self._reclaimed(usable)
+            for address in usable:
+                target = plan.planned(entry.name, address.name)
+                if address is reclaimed:
+                    target = 0
                 slots = self._grant_one(key, address, target)
                 if slots > 0:
                     yield messages.SlotGrant(
@@ -316,15 +325,36 @@
                         slots=slots,
                     )
 
-    def _share(
-        self, entry: _EntryState, service: str, total: int
-    ) -> shares_lib.Share | None:
-        demands = [
-            shares_lib.EntryDemand(other.name, other.wanted.get(service, 0.0))
-            for other in self._entries.values()
-            if not other.leaving
-        ]
-        return shares_lib.divide(demands, total).get(entry.name)
+    def _plan(
+        self, service: str, usable: list[messages.ExecutorAddress]
+    ) -> plan_lib.SlotPlan:
+        plan = self._plans.setdefault(service, plan_lib.SlotPlan())
+        executors = {address.name: address.slots for address in usable}
+        wanted = {
+            entry.name: entry.wanted.get(service, 0.0)
+            for entry in self._entries.values()
+            if not entry.leaving
+        }
+        plan.update(executors, wanted)
+        return plan
+
+    def _reclaimed(
+        self, usable: list[messages.ExecutorAddress]
+    ) -> messages.ExecutorAddress | None:
+        """Returns the executor that gets nothing for a moment, if any.
+
+        Under steady load an executor never shows that lost slots are free.
+        Those with lost slots take turns in being left idle until they do.
+        """
+        now_ms = self._clock.monotonic_ms()
+        waiting = []
+        for address in usable:
+            lost = self._executors[address.name].lost
+            if lost.total() and now_ms - lost.since_ms >= RECLAIM_AFTER_MS:
+                waiting.append(address)
+        if not waiting or len(usable) == 1:
+            return None
+        return waiting[now_ms // RECLAIM_TURN_MS % len(waiting)]
 
     def _grant_one(
         self, key: _EntryKey, address: messages.ExecutorAddress, target: int
@@ -350,25 +380,8 @@
 def _usable_by_service(
     executors: executors_lib.ExecutorRegistry,
 ) -> dict[str, list[messages.ExecutorAddress]]:
-    """Lists usable executors by service, alternating availability zones."""
     by_service: dict[str, list[messages.ExecutorAddress]] = {}
     for address in executors.current.values():
         if address.usable:
             by_service.setdefault(address.service, []).append(address)
-    return {
-        service: _alternate_zones(addresses)
-        for service, addresses in by_service.items()
-    }
-
-
-def _alternate_zones(
-    addresses: list[messages.ExecutorAddress],
-) -> list[messages.ExecutorAddress]:
-    seen: dict[str, int] = {}
-    ranked = []
-    for address in sorted(addresses, key=lambda item: item.name):
-        zone = address.availability_zone
-        seen[zone] = seen.get(zone, 0) + 1
-        ranked.append((seen[zone], zone, address))
-    ranked.sort(key=lambda item: item[:2])
-    return [address for _, _, address in ranked]
+    return by_service
--- a/src/galenahook/upstreams/view.py
+++ b/src/galenahook/upstreams/view.py
@@ -72,10 +72,12 @@
     Attributes:
       current: Requests waiting or in flight.
       peak: Highest `current` since the last update.
+      refused_ms: Time that the requests refused since then would have taken.
     """
 
     current: int = 0
     peak: int = 0
+    refused_ms: float = 0.0
 
     def add(self) -> None:
         """Counts a request that arrived."""
@@ -86,6 +88,18 @@
         """Counts a request that ended."""
         self.current -= 1
 
+    def refuse(self, latency_ms: float) -> None:
+        """Counts a request refused for want of slots."""
+        self.refused_ms += latency_ms
+
+    def take(self, period_ms: int) -> int:
+        """Returns the slots wanted in the period that ends now."""
+        refused = self.refused_ms / max(1, period_ms)
+        wanted = self.peak + int(refused)
+        self.peak = self.current
+        self.refused_ms = 0.0
+        return wanted
+
 
 class EntryView:
     """An entry's lease, counted from when its update was sent.
@@ -203,11 +217,12 @@
 
         Slots above the grant that are no longer needed are thereby returned.
         """
+        before_ms = self._uses_taken_ms
         self._uses_taken_ms = self._clock.monotonic_ms()
         self._retired = [
             executor for executor in self._retired if executor.busy > 0
         ]
-        wanted = self._take_wanted()
+        wanted = self._take_wanted(self._uses_taken_ms - before_ms)
         uses = []
         for executor in (*self.executors.values(), *self._retired):
             use = self._slot_use(executor, wanted)
@@ -237,16 +252,14 @@
         granted = executor.granted if self.may_start() else 0
         return max(granted, executor.busy, executor.slots_for_connections())
 
-    def _take_wanted(self) -> dict[str, int]:
-        """Splits each service's peak demand evenly over its executors."""
+    def _take_wanted(self, period_ms: int) -> dict[str, int]:
+        """Splits each service's demand evenly over its executors."""
         wanted = {}
         for service, executors in self._by_service.items():
             demand = self.demands.get(service)
             if demand is None:
                 continue
-            peak = demand.peak
-            demand.peak = demand.current
-            share, rest = divmod(peak, len(executors))
+            share, rest = divmod(demand.take(period_ms), len(executors))
             for index, executor in enumerate(executors):
                 wanted[executor.address.name] = share + (index < rest)
         return wanted
--- /dev/null
+++ b/tests/test_callers_handler.py
@@ -0,0 +1,453 @@
+"""Outcomes of callers' requests, with executors that misbehave in tables."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import functools
+import time
+from typing import Any
+
+import curio
+import curio.io
+import pytest
+
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
+from galenahook import messages
+from galenahook import web
+from galenahook.callers import claims as claims_lib
+from galenahook.callers import handler as handler_lib
+from galenahook.platform import metrics
+from galenahook.upstreams import pool as pool_lib
+from galenahook.upstreams import routing
+from galenahook.upstreams import view as view_lib
+
+SERVICE = "prices"
+LEASE_MS = 60_000
+ROUTE = messages.ServiceRoute(
+    service=SERVICE, route="/prices", priority=50, tail_target_ms=100
+)
+OUTCOME = b"x-galenahook-outcome"
+
+
+class StubExecutor:
+    """An executor that does what each request's target says.
+
+    Attributes:
+      ran: Target of each request that it read whole.
+      silent: Connections up to this number are read and never answered.
+    """
+
+    def __init__(self, name: str, seen: set[str], zone: str = "a") -> None:
+        self.name = name
+        self.seen = seen
+        self.zone = zone
+        self.ran: list[str] = []
+        self.busy = 0
+        self.most_busy = 0
+        self.opened = 0
+        self.silent = 0
+        self.listener = curio.io.Socket(web.listen("127.0.0.1:0"))
+        self.address = web.bound_address(self.listener)
+
+    async def run(self) -> None:
+        while True:
+            sock, _ = await self.listener.accept()
+            self.opened += 1
+            await curio.spawn(self.serve, sock, self.opened, daemon=True)
+
+    async def serve(self, sock: Any, number: int) -> None:
+        try:
+            while await self.serve_one(sock, number):
+                pass
+        except OSError:
+            pass
+        await sock.close()
+
+    async def serve_one(self, sock: Any, number: int) -> bool:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = await sock.recv(65_536)
+            if not more:
+                return False
+            data += more
+        target = data.split(b" ")[1].decode()
+        self.ran.append(target)
+        if number <= self.silent:
+            await curio.sleep(60)
+        self.busy += 1
+        self.most_busy = max(self.most_busy, self.busy)
+        try:
+            return await self.answer(sock, target)
+        finally:
+            self.busy -= 1
+
+    async def answer(self, sock: Any, target: str) -> bool:
+        action = target.split("/")[2]
+        if action.startswith("sleep"):
+            await curio.sleep(int(action[5:]) / 1000)
+        first = target not in self.seen
+        self.seen.add(target)
+        body = target.encode()
+        head = (
+            b"HTTP/1.1 %d x\r\ncontent-length: %d\r\nx-galenahook-outcome: no"
+            b"\r\n\r\n" % (500 if action == "fault" else 200, len(body))
+        )
+        if action == "cut" or (action == "cut-once" and first):
+            await sock.sendall(head + body[:4])
+            return False
+        if action == "reset":
+            return False
+        await sock.sendall(head + body)
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class Rig:
+    """One entry's request path with stub executors."""
+
+    executors: list[StubExecutor]
+    view: view_lib.EntryView
+    router: routing.Router
+    handler: handler_lib.CallerHandler
+    claimed: list[tuple[messages.KeyClaim, ...]]
+    slots: int
+
+    def reply(self, **changes: Any) -> messages.EntryUpdateReply:
+        unusable = changes.pop("unusable", ())
+        out = changes.pop("out", ())
+        values: dict[str, Any] = {
+            "lease_ms": LEASE_MS,
+            "configuration": messages.EntryConfiguration(
+                revision=1, routes=(ROUTE,), availability_zones_out=out
+            ),
+            "upstreams_version": "1",
+            "executors": tuple(
+                messages.ExecutorAddress(
+                    name=executor.name,
+                    incarnation="i",
+                    service=SERVICE,
+                    address=executor.address,
+                    availability_zone=executor.zone,
+                    slots=8,
+                    connections=64,
+                    usable=executor.name not in unusable,
+                )
+                for executor in self.executors
+            ),
+            "grants": tuple(
+                messages.SlotGrant(
+                    executor=executor.name, incarnation="i", slots=self.slots
+                )
+                for executor in self.executors
+            ),
+        }
+        return messages.EntryUpdateReply(**{**values, **changes})
+
+    def apply(self, **changes: Any) -> None:
+        now_ms = clock_lib.Clock().monotonic_ms()
+        assert self.view.apply_reply(self.reply(**changes), now_ms)
+
+    async def send(self, action: str, **headers: str) -> web.Response:
+        named = [
+            (name.replace("_", "-").encode(), value.encode())
+            for name, value in headers.items()
+        ]
+        return await self.handler.handle(
+            web.Request("POST", f"/prices/{action}", named, b"x")
+        )
+
+    def ran(self) -> list[str]:
+        return [target for item in self.executors for target in item.ran]
+
+
+def run(
+    test: Callable[[Rig], Awaitable[None]], count: int = 2, slots: int = 4
+) -> None:
+    async def main() -> None:
+        clock = clock_lib.Clock()
+        view = view_lib.EntryView("entry-1", "i", "a", clock)
+        router = routing.Router(view, pool_lib.ExecutorPool(view, clock), clock)
+        claimed: list[tuple[messages.KeyClaim, ...]] = []
+        table = claims_lib.ClaimTable()
+
+        async def claim(
+            claims: tuple[messages.KeyClaim, ...],
+            released: tuple[messages.KeyClaim, ...],
+        ) -> tuple[bool, ...]:
+            claimed.append(claims)
+            await curio.sleep(0.01)
+            if any("lost" in item.key for item in claims):
+                raise errors.NoQuorumError("planned")
+            command = commands.ClaimKeys(
+                entry="entry-1", claims=claims, released=released, at_ms=1
+            )
+            return table.claim(command).granted
+
+        handler = handler_lib.CallerHandler(
+            view, router, claim, clock, metrics.Metrics("", "entry-1")
+        )
+        seen: set[str] = set()
+        executors = [
+            StubExecutor(f"x{number}", seen) for number in range(count)
+        ]
+        for executor in executors:
+            await curio.spawn(executor.run, daemon=True)
+        rig = Rig(executors, view, router, handler, claimed, slots)
+        rig.apply()
+        async with curio.timeout_after(20):
+            await test(rig)
+
+    curio.run(main)
+
+
+YES = {"x_galenahook_repeatable": "yes"}
+SOON = {"x_galenahook_deadline_ms": "250"}
+# name: action, headers, status, outcome, times run
+OUTCOMES: dict[str, tuple[str, dict[str, str], int, bytes, int]] = {
+    "answered": ("ok", {}, 200, b"answered", 1),
+    "executor's own fault": ("fault", {}, 500, b"answered", 1),
+    "cut": ("cut", {}, 504, b"unknown", 1),
+    "closed without an answer": ("reset", {}, 504, b"unknown", 1),
+    "cut, marked no": (
+        "cut-once",
+        {"x_galenahook_repeatable": "no"},
+        504,
+        b"unknown",
+        1,
+    ),
+    "cut, with a key": (
+        "cut-once",
+        {"idempotency_key": "k"},
+        504,
+        b"unknown",
+        1,
+    ),
+    "cut, repeatable": ("cut-once", YES, 200, b"answered", 2),
+    "cut each time, repeatable": ("cut", YES, 502, b"unknown", 3),
+    "deadline passes": ("sleep500", SOON, 504, b"unknown", 1),
+    "deadline passes, repeatable": (
+        "sleep500",
+        YES | SOON,
+        504,
+        b"unknown",
+        1,
+    ),
+    "deadline is no number": (
+        "ok",
+        {"x_galenahook_deadline_ms": "soon"},
+        400,
+        b"not-run",
+        0,
+    ),
+    "repeatable is neither": (
+        "ok",
+        {"x_galenahook_repeatable": "perhaps"},
+        400,
+        b"not-run",
+        0,
+    ),
+    "key can't be claimed": (
+        "ok",
+        {"idempotency_key": "lost"} | SOON,
+        503,
+        b"not-run",
+        0,
+    ),
+    "key too long": ("ok", {"idempotency_key": "k" * 300}, 400, b"not-run", 0),
+}
+
+
+@pytest.mark.parametrize("name", OUTCOMES)
+def test_outcome_tells_what_ran(name: str) -> None:
+    action, headers, status, outcome, times = OUTCOMES[name]
+
+    async def test(rig: Rig) -> None:
+        response = await rig.send(action, **headers)
+        assert response.status == status
+        assert [v for n, v in response.headers if n == OUTCOME] == [outcome]
+        assert len(rig.ran()) == times
+        if outcome == b"answered":
+            assert response.body == f"/prices/{action}".encode()
+
+    run(test)
+
+
+# name: what the leader says, whether anything may run
+REPLIES: dict[str, tuple[dict[str, Any], bool]] = {
+    "lease over": ({"lease_ms": 0}, False),
+    "no slots": ({"grants": ()}, False),
+    "all unusable": ({"unusable": ("x0", "x1")}, False),
+    "zone out": ({"out": ("a",)}, False),
+    "one leaving": ({"unusable": ("x0",)}, True),
+}
+
+
+@pytest.mark.parametrize("name", REPLIES)
+def test_nothing_new_goes_where_it_may_not(name: str) -> None:
+    reply, runs = REPLIES[name]
+
+    async def test(rig: Rig) -> None:
+        rig.view._lease_end_ms = 0
+        rig.apply(**reply)
+        for number in range(8):
+            response = await rig.send(f"ok/{number}", **SOON)
+            expected = b"answered" if runs else b"not-run"
+            assert response.header(OUTCOME) == expected
+        assert rig.executors[0].ran == []
+        assert len(rig.ran()) == (8 if runs else 0)
+
+    run(test)
+
+
+def test_unsent_request_goes_to_another_executor() -> None:
+    async def test(rig: Rig) -> None:
+        await rig.executors[0].listener.close()
+        for number in range(12):
+            response = await rig.send(f"ok/{number}")
+            assert response.header(OUTCOME) == b"answered"
+        assert len(rig.executors[1].ran) == 12
+
+    run(test)
+
+
+def test_request_is_not_run_if_no_executor_can_be_reached() -> None:
+    async def test(rig: Rig) -> None:
+        for executor in rig.executors:
+            await executor.listener.close()
+        response = await rig.send("ok")
+        assert response.status == 503
+        assert response.header(OUTCOME) == b"not-run"
+
+    run(test)
+
+
+def test_same_key_runs_once_and_claims_share_commits() -> None:
+    async def test(rig: Rig) -> None:
+        tasks = [
+            await curio.spawn(
+                functools.partial(rig.send, "ok", idempotency_key=f"{n}")
+            )
+            for n in [1] * 5 + [2, 3, 4]
+        ]
+        outcomes = [(await t.join()).header(OUTCOME) for t in tasks]
+        assert outcomes.count(b"answered") == 4
+        assert outcomes.count(b"not-run") == 4
+        assert len(rig.ran()) == 4
+        assert len(rig.claimed) <= 2
+
+    run(test)
+
+
+def test_overload_never_exceeds_slots_and_refused_is_not_run() -> None:
+    async def test(rig: Rig) -> None:
+        tasks = [
+            await curio.spawn(rig.send, f"sleep30/{number}")
+            for number in range(120)
+        ]
+        responses = [await task.join() for task in tasks]
+        outcomes = [response.header(OUTCOME) for response in responses]
+        answered = outcomes.count(b"answered")
+        assert answered >= 4
+        assert answered + outcomes.count(b"not-run") == 120
+        assert outcomes.count(b"not-run") > 0
+        assert len(rig.ran()) == answered
+        assert all(item.most_busy <= 2 for item in rig.executors)
+        assert (await rig.send("ok")).header(OUTCOME) == b"answered"
+        assert rig.handler.admission.waiting == 0
+
+    run(test, slots=2)
+
+
+def test_late_answer_reaches_nobody_and_its_slot_stays_busy() -> None:
+    async def test(rig: Rig) -> None:
+        late = await rig.send("sleep400/late", **SOON)
+        assert late.header(OUTCOME) == b"unknown"
+        [executor] = rig.view.executors.values()
+        assert executor.busy == 1
+        refused = await rig.send("ok/1", x_galenahook_deadline_ms="60")
+        assert refused.header(OUTCOME) == b"not-run"
+        deadline = time.monotonic() + 2
+        while executor.busy and time.monotonic() < deadline:
+            await curio.sleep(0.02)
+        response = await rig.send("ok/2")
+        assert response.body == b"/prices/ok/2"
+        assert executor.abandoned == 0
+        assert rig.executors[0].most_busy == 1
+
+    run(test, count=1, slots=1)
+
+
+def test_silent_connections_are_replaced_by_new_ones() -> None:
+    async def test(rig: Rig) -> None:
+        [stub] = rig.executors
+        tasks = [
+            await curio.spawn(rig.send, f"sleep50/{number}")
+            for number in range(3)
+        ]
+        for task in tasks:
+            await task.join()
+        stub.silent = stub.opened
+        started = time.monotonic()
+        response = await rig.send("ok/again", **YES)
+        assert response.body == b"/prices/ok/again"
+        response = await rig.send("ok/once")
+        assert response.body == b"/prices/ok/once"
+        assert stub.ran.count("/prices/ok/once") == 1
+        assert time.monotonic() - started < 3
+        [executor] = rig.view.executors.values()
+        assert executor.connections <= 16
+
+    run(test, count=1, slots=4)
+
+
+def test_failing_executor_is_ejected_and_returns() -> None:
+    async def test(rig: Rig) -> None:
+        first = rig.view.executors["x0"]
+        for _ in range(routing.FAILURES_TO_EJECT):
+            rig.router.record_failure(first)
+        for number in range(10):
+            await rig.send(f"ok/{number}")
+        assert rig.executors[0].ran == []
+        await curio.sleep(routing.EJECT_MIN_MS / 1000 + 0.1)
+        tasks = [
+            await curio.spawn(rig.send, f"sleep50/{number}")
+            for number in range(6)
+        ]
+        for task in tasks:
+            await task.join()
+        assert 0 < rig.executors[0].most_busy <= 2
+
+    run(test)
+
+
+def test_retries_stay_within_their_budget() -> None:
+    async def test(rig: Rig) -> None:
+        for number in range(40):
+            await rig.send(f"cut/{number}", **YES)
+        budget = (
+            routing.RETRY_TOKENS_MAX + 40 * routing.RETRY_TOKENS_PER_REQUEST
+        )
+        assert 40 < len(rig.ran()) <= 40 + budget
+
+    run(test, slots=40)
+
+
+def test_higher_priority_displaces_lower_when_too_many_wait() -> None:
+    async def test(rig: Rig) -> None:
+        admission = rig.handler.admission
+        route = messages.ServiceRoute(
+            service="urgent", route="/u", priority=90, tail_target_ms=100
+        )
+        waiting = await curio.spawn(lambda: rig.send("ok", **SOON))
+        await curio.sleep(0.02)
+        assert admission.waiting == 1
+        refused = await admission._make_room(route.priority)
+        assert refused is None
+        response = await waiting.join()
+        assert response.header(OUTCOME) == b"not-run"
+        refused = await admission._make_room(10)
+        assert refused is not None
+
+    run(test, count=1, slots=0)
--- a/tests/test_upstreams_grants.py
+++ b/tests/test_upstreams_grants.py
@@ -432,3 +432,19 @@
     for step, *arguments in FAULTS[name]:
         getattr(machine, step)(*arguments)
     machine.teardown()
+
+
+def test_lost_slots_come_back_under_full_load() -> None:
+    machine = SlotsMachine()
+    machine.use_all()
+    machine.abandon_requests("entry-1")
+    for _ in range(80):
+        for request in list(machine.requests):
+            machine.finish(request)
+        machine.use_all()
+        machine.run_quietly(1)
+    assert sum(
+        executor.granted
+        for view in machine.views.values()
+        for executor in view.executors.values()
+    ) == SLOTS * len(EXECUTORS)
