--- a/bench/decisions_cost.py
+++ b/bench/decisions_cost.py
@@ -6,7 +6,8 @@
 
 import dataclasses
 import gc
-import resource
+import os
+import pathlib
 import time
 from typing import Any
 
@@ -60,8 +61,9 @@
 
 
 def resident_mb() -> float:
-    """Returns the largest resident size so far."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    """Returns the resident size."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
 
 
 def build() -> Fleet:
@@ -196,13 +198,15 @@
         return choices
 
     scheduler.decisions.choose = timed  # type: ignore[method-assign]
-    begun = time.process_time()
-    while any(fleet.node.state.tasks.waiting):
-        before = placed
+    rounds = 0.0
+    sequence = 4
+    while fleet.node.state.tasks.waiting:
+        announce_all(fleet, sequence)
+        sequence += 1
+        begun = time.process_time()
         await scheduler.round()
-        if placed == before:
-            break
-    return choosing, time.process_time() - begun, placed
+        rounds += time.process_time() - begun
+    return choosing, rounds, placed
 
 
 async def measure() -> None:
@@ -225,28 +229,37 @@
     announce_all(fleet, 3)
     used_kb = (resident_mb() - base_mb) * 1024
     print(f"memory by attempt announced {used_kb / tasks:.2f} KB")
-    begun = time.process_time()
-    await fleet.scheduler.round()
-    print(f"first round of a term {time.process_time() - begun:.3f} s")
+    for index in range(SERVICES):
+        fleet.scheduler.decisions.model.observe(
+            f"service-{index}", 20.0, 100, {"class-1": 0.2}
+        )
+    longest = 0.0
+    while fleet.registry.changed:
+        begun = time.process_time()
+        await fleet.scheduler.round()
+        longest = max(longest, time.process_time() - begun)
+    print(f"longest round after an election {longest * 1000:.1f} ms")
     choosing, rounds, placed = await place_rest(fleet)
     print(
         f"placement         {choosing / placed * 1000:.4f} ms, {placed} placed"
     )
     print(f"placement, with commit and orders {rounds / placed * 1000:.4f} ms")
     gc.collect()
-    made = [announcement(fleet, index, 10) for index in range(ANNOUNCED)]
+    made = [announcement(fleet, index, 1_000) for index in range(ANNOUNCED)]
     begun = time.process_time()
     for one in made:
         fleet.registry.announce(one, fleet.node.state.tasks)
     spent = time.process_time() - begun
     print(f"announcement      {spent / ANNOUNCED * 1000:.4f} ms, 34 attempts")
+    announce_all(fleet, 1_001)
     encoded = messages.encode(made[0])
     begun = time.process_time()
     for _ in range(1_000):
         messages.decode(encoded, messages.WorkerAnnouncement)
     spent = time.process_time() - begun
     print(f"decoding it       {spent:.4f} ms, {len(encoded)} bytes")
-    await fleet.scheduler.round()
+    while fleet.registry.changed:
+        await fleet.scheduler.round()
     begun = time.process_time()
     for _ in range(20):
         await fleet.scheduler.round()
--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -22,7 +22,9 @@
     """Base of every message: immutable, slotted, unknown fields refused."""
 
 
-class Resources(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Resources(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
+):
     """An amount of each resource that a worker offers or a task takes.
 
     Attributes:
@@ -39,7 +41,7 @@
 # --- Upstreams: announcements ------------------------------------------------
 
 
-class AttemptStatus(Message, frozen=True, kw_only=True):
+class AttemptStatus(Message, frozen=True, kw_only=True, gc=False):
     """One attempt that a worker holds at the time of its announcement.
 
     Attributes:
--- a/src/galenahook/scheduling/colocation.py
+++ b/src/galenahook/scheduling/colocation.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 from galenahook.scheduling import context as context_lib
-from galenahook.scheduling import tasks as tasks_lib
 
 KEPT_HISTORY = 32
 
@@ -37,8 +36,9 @@
         self.services: dict[str, set[str]] = {}
         self.throttles: dict[str, int] = {}
         self._history: dict[str, collections.deque[Mixture]] = {}
-        self._beside: dict[str, frozenset[str]] = {}
         self._workers: dict[str, str] = {}
+        self._revision = -1
+        self._classes: dict[str, str] = {}
 
     def refresh(self, names: Iterable[str]) -> None:
         """Takes in that what these workers hold may have changed."""
@@ -49,7 +49,6 @@
                 self._history.pop(name, None)
                 continue
             self._workers[worker.announcement.vm] = name
-            self._beside.pop(name, None)
             shares = self._shares(name)
             history = self._history.setdefault(
                 name, collections.deque(maxlen=KEPT_HISTORY)
@@ -77,32 +76,36 @@
 
     def services_beside(self, worker: str) -> frozenset[str]:
         """Returns the services that stand on a worker's VM."""
-        known = self._beside.get(worker)
-        if known is not None:
-            return known
-        names = {
-            tasks_lib.name_of(task)
-            for task in self.context.tasks.held.get(worker, ())
-            if tasks_lib.is_service(task)
-        }
+        held = self.context.tasks.services.get(worker, {})
         registered = self.context.workers.workers.get(worker)
-        if registered is not None:
-            names |= self.services.get(registered.announcement.vm, set())
-        found = frozenset(names)
-        self._beside[worker] = found
-        return found
+        if registered is None or not self.services:
+            return frozenset(held)
+        others = self.services.get(registered.announcement.vm, ())
+        return frozenset((*held, *others))
 
     def _shares(self, name: str) -> dict[str, float]:
         worker = self.context.workers.workers[name]
         capacity = max(1, worker.announcement.capacity.cores_milli)
-        jobs = self.context.configuration.jobs
+        classes = self._classes_of_owners()
+        records = self.context.tasks.records
+        throttles = self.throttles
         shares: dict[str, float] = {}
         for task in self.context.tasks.held.get(name, ()):
-            job = jobs.get(tasks_lib.name_of(task))
-            if job is None or tasks_lib.is_service(task):
+            job_class = classes.get(task.rpartition("/")[0])
+            if job_class is None:
                 continue
-            record = self.context.tasks.records[task]
-            percent = self.throttles.get(task, 100)
-            share = record.reserved.cores_milli * percent / 100 / capacity
-            shares[job.job_class] = shares.get(job.job_class, 0.0) + share
+            share = records[task].reserved.cores_milli / capacity
+            if task in throttles:
+                share *= throttles[task] / 100
+            shares[job_class] = shares.get(job_class, 0.0) + share
         return shares
+
+    def _classes_of_owners(self) -> dict[str, str]:
+        current = self.context.configuration
+        if self._revision != current.revision:
+            self._revision = current.revision
+            self._classes = {
+                f"job/{job.name}": job.job_class
+                for job in current.jobs.values()
+            }
+        return self._classes
--- a/src/galenahook/scheduling/costs.py
+++ b/src/galenahook/scheduling/costs.py
@@ -72,6 +72,7 @@
         "_configuration",
         "_mix",
         "_model",
+        "_slowdowns",
         "mean_weights",
         "scarcity",
     )
@@ -83,21 +84,22 @@
         configuration: configuration_lib.ConfigurationRecord,
         mix: Mapping[str, float],
         used_share: float,
+        mean_weights: dict[str, float],
     ) -> None:
         self._colocation = colocation
         self._model = model
         self._configuration = configuration
         self._mix = mix
-        self.mean_weights: dict[str, float] = {}
+        self.mean_weights = mean_weights
+        self._slowdowns: dict[tuple[str, str], float] = {}
         busy = (used_share - SCARCE_FROM) / (SCARCE_TO - SCARCE_FROM)
         self.scarcity = min(1.0, max(0.0, busy))
 
     def of(self, need: Need, slot: placement.Slot) -> Harm:
         """Returns the harm of a task on a worker's VM."""
-        shares = self._colocation.shares(slot.worker)
         if tasks_lib.is_service(need.owner):
-            name = tasks_lib.name_of(f"{need.owner}/0")
-            return Harm(self._model.slowdown(name, shares))
+            name = tasks_lib.name_of(need.task)
+            return Harm(self._slowdown(name, slot.worker))
         added = need.resources.cores_milli / max(1, slot.capacity.cores_milli)
         amount = 0.0
         spared = 0.0
@@ -108,7 +110,7 @@
                 continue
             importance = 1 + service.priority / 100
             rise = self._model.weight(name, need.job_class) * added
-            over = self._is_over(service, shares, rise)
+            over = self._is_over(service, slot.worker, rise)
             factor = OVER_TARGET_FACTOR if over else 1.0
             over_target = over_target or over
             amount += rise * factor * importance
@@ -118,15 +120,25 @@
     def _is_over(
         self,
         service: commands.ServiceRow,
-        shares: Mapping[str, float],
+        worker: str,
         rise: float,
     ) -> bool:
         base = self._model.baselines.get(service.name)
         if base is None or rise < NEGLIGIBLE_RISE:
             return False
-        slowdown = 1 + self._model.slowdown(service.name, shares) + rise
+        slowdown = 1 + self._slowdown(service.name, worker) + rise
         return base.p99_ms * slowdown > service.tail_target_ms
 
+    def _slowdown(self, service: str, worker: str) -> float:
+        """Returns the slowdown by what is held, placements of a round aside."""
+        key = (service, worker)
+        known = self._slowdowns.get(key)
+        if known is None:
+            shares = self._colocation.shares(worker)
+            known = self._model.slowdown(service, shares)
+            self._slowdowns[key] = known
+        return known
+
     def _mean_weight(self, service: str) -> float:
         known = self.mean_weights.get(service)
         if known is None:
--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -2,7 +2,9 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
+import itertools
 
 from galenahook import commands
 from galenahook import messages
@@ -24,6 +26,7 @@
 MAX_TASKS_LOOKED_AT = 64
 MAX_DEFERRED_MS = 60_000
 DEFER_MARGIN_MS = 500
+SUMS_PERIOD_MS = 1_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +78,11 @@
         self._round_spread: dict[str, collections.Counter[str]] = {}
         self._no_room_for: list[messages.Resources] = []
         self._deferred_ms: dict[str, int] = {}
+        self._summed_revision = -1
+        self._summed_ms = 0
+        self._mix: dict[str, float] = {}
+        self._mean_weights: dict[str, float] = {}
+        self._follow_sums()
         self._begin_harms()
 
     def refresh(self, changed: set[str]) -> None:
@@ -91,7 +99,7 @@
             self.refill.note_returned(self._zones_out - zones_out)
             self._zones_out = zones_out
             self._drained = configuration.drained
-            changed = changed | set(self.context.workers.workers)
+            self.context.workers.changed.update(self.context.workers.workers)
         for name in changed:
             self._refresh_one(name)
         self.colocation.refresh(changed)
@@ -137,16 +145,15 @@
             context.tasks.run_times,
             context.clock.wall_ms(),
         )
-        teams = quotas.TeamUse(configuration, context.tasks)
+        teams = self._follow_sums()
         choices = Choices([], [])
         self.blocked.clear()
         self._round_spread.clear()
         self._no_room_for.clear()
         self.refill.begin_round()
         self.preemption.begin_round(context.tasks.waiting)
-        weighted = isinstance(policy, policy_lib.Weighted)
-        self.preemption.patient = weighted
-        self.refill.paced = weighted and policy.paces_refill
+        self.preemption.patient = isinstance(policy, policy_lib.Weighted)
+        self.refill.paced = policy.paces_refill
         self._begin_harms()
         for turn in turns:
             if len(choices.starts) >= MAX_STARTS_PER_ROUND:
@@ -154,6 +161,22 @@
             self._choose_for_owner(turn, policy, teams, choices)
         return choices
 
+    def _follow_sums(self) -> quotas.TeamUse:
+        """Sums over all jobs anew once their time is over."""
+        context = self.context
+        configuration = context.configuration
+        now_ms = context.clock.monotonic_ms()
+        if (
+            self._summed_revision != configuration.revision
+            or now_ms - self._summed_ms >= SUMS_PERIOD_MS
+        ):
+            self._summed_revision = configuration.revision
+            self._summed_ms = now_ms
+            self._teams = quotas.TeamUse(configuration, context.tasks)
+            self._mix = costs.class_mix(context.tasks, configuration)
+            self._mean_weights.clear()
+        return self._teams
+
     def _begin_harms(self) -> None:
         context = self.context
         capacity = sum(self.index.zone_capacity.values())
@@ -162,8 +185,9 @@
             self.colocation,
             self.model,
             context.configuration,
-            costs.class_mix(context.tasks, context.configuration),
+            self._mix,
             1 - free / capacity if capacity else 0.0,
+            self._mean_weights,
         )
         waiting = context.tasks.waiting
         self._deferred_ms = {
@@ -208,36 +232,35 @@
         )
         spread[slot.worker] += 1
 
-    def _needs(self, owner: str) -> list[costs.Need]:
-        """Returns what the first waiting tasks of an owner ask for."""
+    def _needs(self, owner: str) -> Iterator[costs.Need]:
+        """Yields what the first waiting tasks of an owner ask for."""
         context = self.context
         row = row_of(context, owner)
         if row is None:
-            return []
+            return
+        blamed = context.quarantine.is_owner_blamed(owner)
+        if blamed:
+            self.blocked[owner] = "its tasks fail on several workers"
+        if blamed and owner in context.tasks.spread:
+            return
         job_class = row.job_class if isinstance(row, commands.JobRow) else ""
         size = self.sizes.reserve(size_key(row), row.resources)
         now_ms = context.clock.wall_ms()
         waiting = context.tasks.waiting[owner]
-        needs = []
-        for task, _ in zip(waiting, range(MAX_TASKS_LOOKED_AT), strict=False):
+        most = 1 if blamed else MAX_TASKS_LOOKED_AT
+        for task in list(itertools.islice(waiting, most)):
             record = context.tasks.records[task]
             if retries.is_waiting(record.not_before_ms, now_ms):
                 self.blocked[owner] = f"waits after a failure: {record.reason}"
                 continue
-            needs.append(
-                costs.Need(
-                    task,
-                    owner,
-                    row.team,
-                    job_class,
-                    self.sizes.reserve_again(task, size),
-                    record.failed_workers,
-                )
+            yield costs.Need(
+                task,
+                owner,
+                row.team,
+                job_class,
+                self.sizes.reserve_again(task, size),
+                record.failed_workers,
             )
-        if context.quarantine.is_owner_blamed(owner):
-            self.blocked[owner] = "its tasks fail on several workers"
-            return [] if owner in context.tasks.spread else needs[:1]
-        return needs
 
     def _place(
         self, need: costs.Need, policy: policy_lib.Policy
@@ -246,21 +269,29 @@
             placement.fits(size, need.resources) for size in self._no_room_for
         ):
             return None
-        slots = self.index.candidates(
+        for slot in self._ranked(need, policy):
+            if self._is_allowed(need, slot):
+                return slot
+        rest = self.index.first_fitting(
             need.resources, lambda slot: self._is_allowed(need, slot)
         )
-        if not slots:
-            if not need.avoid:
-                self._no_room_for.append(need.resources)
-            return None
+        if rest is None and not need.avoid:
+            self._no_room_for.append(need.resources)
+        return rest
+
+    def _ranked(
+        self, need: costs.Need, policy: policy_lib.Policy
+    ) -> list[placement.Slot]:
+        """Returns candidates, the best first."""
+        slots = self.index.candidates(need.resources)
         match policy:
             case policy_lib.FirstFit():
-                return min(
+                return sorted(
                     slots,
                     key=lambda slot: (self._near(need, slot), slot.worker),
                 )
             case policy_lib.LeastLoaded():
-                return min(
+                return sorted(
                     slots,
                     key=lambda slot: (
                         self._near(need, slot),
@@ -268,7 +299,7 @@
                     ),
                 )
             case policy_lib.Weighted():
-                return min(
+                return sorted(
                     slots, key=lambda slot: self._cost(need, slot, policy)
                 )
 
--- a/src/galenahook/scheduling/losses.py
+++ b/src/galenahook/scheduling/losses.py
@@ -52,9 +52,7 @@
     renews anything for them.
     """
     ends = []
-    for name in list(context.tasks.held):
-        if not context.workers.is_lease_over(name):
-            continue
+    for name in context.workers.over_leases(context.tasks.held):
         context.workers.fence(name)
         for task in context.tasks.held[name]:
             record = context.tasks.records[task]
--- a/src/galenahook/scheduling/placement.py
+++ b/src/galenahook/scheduling/placement.py
@@ -7,12 +7,13 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import random
 
 from galenahook import messages
 
-SAMPLE_SIZE = 16
+SAMPLE_SIZE = 8
 BUCKET_BASE_MILLI = 250
 BUCKETS_PER_DOUBLING = 4
 FULL_SCAN_UP_TO = 40
@@ -110,51 +111,37 @@
             self._places[last] = (bucket, position)
 
     def candidates(
-        self,
-        need: messages.Resources,
-        allowed: Callable[[Slot], bool],
-        sample_size: int = SAMPLE_SIZE,
+        self, need: messages.Resources, sample_size: int = SAMPLE_SIZE
     ) -> list[Slot]:
-        """Returns a few workers with room, or none only if none has room.
+        """Returns a few workers with room; all of them in a small fleet.
 
         Half of the sample is drawn from the tightest buckets that fit and
-        half from the roomiest.
+        half from the roomiest. It may miss the only worker with room, which
+        `first_fitting` finds.
         """
         if len(self.slots) <= FULL_SCAN_UP_TO:
             return [
-                slot
-                for slot in self.slots.values()
-                if fits(need, slot.free) and allowed(slot)
+                slot for slot in self.slots.values() if fits(need, slot.free)
             ]
         first = bucket_of(need.cores_milli)
-        order = list(range(first, len(self._buckets)))
         half = sample_size // 2
-        found = self._draw(order, need, allowed, half)
-        found.update(self._draw(order[::-1], need, allowed, half))
-        if found:
-            return list(found.values())
-        return self._first_fitting(order, need, allowed)
+        last = len(self._buckets)
+        found = self._draw(range(first, last), need, half)
+        found.update(self._draw(range(last - 1, first - 1, -1), need, half))
+        return list(found.values())
 
     def _draw(
-        self,
-        order: list[int],
-        need: messages.Resources,
-        allowed: Callable[[Slot], bool],
-        wanted: int,
+        self, order: Iterable[int], need: messages.Resources, wanted: int
     ) -> dict[str, Slot]:
         found: dict[str, Slot] = {}
         tries = 2 * wanted
+        draw = self._random.random
         for bucket in order:
             names = self._buckets[bucket]
-            if not names:
-                continue
-            draws = min(len(names), tries)
-            for _ in range(draws):
+            for _ in range(min(len(names), tries)):
                 tries -= 1
-                slot = self.slots[
-                    names[int(self._random.random() * len(names))]
-                ]
-                if fits(need, slot.free) and allowed(slot):
+                slot = self.slots[names[int(draw() * len(names))]]
+                if fits(need, slot.free):
                     found[slot.worker] = slot
                     if len(found) >= wanted:
                         return found
@@ -169,18 +156,16 @@
             names = self._random.sample(names, count)
         return [self.slots[name] for name in names]
 
-    def _first_fitting(
-        self,
-        order: list[int],
-        need: messages.Resources,
-        allowed: Callable[[Slot], bool],
-    ) -> list[Slot]:
-        for bucket in order:
+    def first_fitting(
+        self, need: messages.Resources, allowed: Callable[[Slot], bool]
+    ) -> Slot | None:
+        """Returns a worker with room, the tightest first, if there is one."""
+        for bucket in range(bucket_of(need.cores_milli), len(self._buckets)):
             for name in self._buckets[bucket]:
                 slot = self.slots[name]
                 if fits(need, slot.free) and allowed(slot):
-                    return [slot]
-        return []
+                    return slot
+        return None
 
 
 def bucket_of(cores_milli: int) -> int:
--- a/src/galenahook/scheduling/policy.py
+++ b/src/galenahook/scheduling/policy.py
@@ -54,6 +54,7 @@
 
     limits: TailLimits | None = None
     checkpoints: bool = True
+    paces_refill: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -62,6 +63,7 @@
 
     limits: TailLimits | None = None
     checkpoints: bool = True
+    paces_refill: bool = False
 
 
 Policy = Weighted | FirstFit | LeastLoaded
--- a/src/galenahook/scheduling/quotas.py
+++ b/src/galenahook/scheduling/quotas.py
@@ -16,7 +16,11 @@
 
 
 class TeamUse:
-    """What each team reserves, followed through a round of decisions."""
+    """What each team reserves, followed through rounds of decisions.
+
+    Ends of attempts are left out until it is built again, so that it never
+    shows less than is reserved.
+    """
 
     __slots__ = ("quotas", "use")
 
--- a/src/galenahook/scheduling/removals.py
+++ b/src/galenahook/scheduling/removals.py
@@ -11,7 +11,7 @@
 from galenahook.scheduling import context as context_lib
 from galenahook.scheduling import tasks as tasks_lib
 
-MAX_BATCH_AT_ONCE = 64
+MAX_BATCH_AT_ONCE = 256
 
 
 def from_closed_workers(
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import itertools
 
 import curio
 
@@ -34,6 +35,7 @@
 ROUND_PERIOD_MS = 100
 WAKE_PERIOD_MS = 20
 LEASE_CHECK_PERIOD_MS = 500
+MAX_CHANGED_PER_ROUND = 250
 TAIL_PERIOD_MS = 250
 
 
@@ -117,7 +119,6 @@
         changed = self._take_changed()
         await self.context.commit_ends(self._losses(changed))
         await self.context.commit_ends(await self.starts.follow_up())
-        changed.update(self._take_changed())
         changed.update(self.context.quarantine.take_reopened())
         self.decisions.refresh(changed)
         closed = self.decisions.closed
@@ -136,9 +137,11 @@
             self._reset()
 
     def _take_changed(self) -> set[str]:
-        changed = set(self.context.workers.changed)
-        self.context.workers.changed.clear()
-        return changed
+        """Takes some of the workers that changed; the rest waits."""
+        waiting = self.context.workers.changed
+        taken = set(itertools.islice(waiting, MAX_CHANGED_PER_ROUND))
+        waiting -= taken
+        return taken
 
     def _losses(self, changed: set[str]) -> list[commands.AttemptEnd]:
         ends = []
--- a/src/galenahook/scheduling/tasks.py
+++ b/src/galenahook/scheduling/tasks.py
@@ -39,7 +39,9 @@
 ENDED_PHASES = (Phase.DONE, Phase.FAILED, Phase.CANCELLED)
 
 
-class TaskRecord(messages.Message, frozen=True, kw_only=True, tag="task"):
+class TaskRecord(
+    messages.Message, frozen=True, kw_only=True, tag="task", gc=False
+):
     """One task.
 
     Attributes:
@@ -126,6 +128,7 @@
       owner_reserved: What held tasks reserve, by owner.
       sizes: Number of task records by owner.
       spread: Number of held tasks by owner and worker.
+      services: Number of held instances by worker and service.
     """
 
     __slots__ = (
@@ -137,6 +140,7 @@
         "records",
         "reserved",
         "run_times",
+        "services",
         "sizes",
         "spread",
         "waiting",
@@ -153,6 +157,7 @@
         self.owner_reserved: dict[str, Reserved] = {}
         self.sizes: dict[str, int] = {}
         self.spread: dict[str, dict[str, int]] = {}
+        self.services: dict[str, dict[str, int]] = {}
         self._wanted: dict[str, int] = {}
 
     # --- Configuration -------------------------------------------------------
@@ -423,7 +428,10 @@
                 _mark(self.held, record.worker, record.task, sign)
                 _sum(self.reserved, record.worker, record.reserved, sign)
                 _sum(self.owner_reserved, owner, record.reserved, sign)
-                _count(self.spread.setdefault(owner, {}), record.worker, sign)
+                _count(self.spread, owner, record.worker, sign)
+                if is_service(owner):
+                    service = owner.partition("/")[2]
+                    _count(self.services, record.worker, service, sign)
                 if record.evicting:
                     _toggle(self.evicting, record.task, sign)
             case Phase.IN_DOUBT:
@@ -543,10 +551,15 @@
         del groups[group]
 
 
-def _count(counts: dict[str, int], name: str, sign: int) -> None:
+def _count(
+    groups: dict[str, dict[str, int]], group: str, name: str, sign: int
+) -> None:
+    counts = groups.setdefault(group, {})
     counts[name] = counts.get(name, 0) + sign
     if not counts[name]:
         del counts[name]
+    if not counts:
+        del groups[group]
 
 
 def _sum(
--- a/src/galenahook/upstreams/workers.py
+++ b/src/galenahook/upstreams/workers.py
@@ -5,6 +5,7 @@
 own count, plus a margin for the rate of its clock.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
@@ -168,14 +169,20 @@
         A worker not heard of in this term is given a full lease from its
         start.
         """
-        if name in self.fenced:
-            return True
-        worker = self.workers.get(name)
-        renewed_ms = worker.answered_ms if worker else self._elected_ms
+        return bool(self.over_leases((name,)))
+
+    def over_leases(self, names: Iterable[str]) -> list[str]:
+        """Returns those of some workers whose leases are over."""
         lease_ms = self.timing.worker_lease_ms
         margin_ms = lease_ms * defaults.CLOCK_RATE_MARGIN_PERCENT // 100 + 1
-        elapsed_ms = self.clock.monotonic_ms() - renewed_ms
-        return elapsed_ms > lease_ms + margin_ms
+        oldest_ms = self.clock.monotonic_ms() - lease_ms - margin_ms
+        found = []
+        for name in names:
+            worker = self.workers.get(name)
+            renewed_ms = worker.answered_ms if worker else self._elected_ms
+            if renewed_ms < oldest_ms or name in self.fenced:
+                found.append(name)
+        return found
 
     def is_settled(self) -> bool:
         """Returns whether every living worker has had time to announce."""
