--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -156,15 +156,15 @@
 
 
 def test_urgent_job_waits_for_what_ends_soon(site: model.ModelSite) -> None:
-    filler = model.job("filler", tasks=4, resources=QUARTER, run_ms=3_000)
+    filler = model.job("filler", tasks=8, resources=QUARTER, run_ms=3_000)
     fill(site, 1, filler)
     urgent = model.job("urgent", urgent=True, resources=HALF)
     site.change(commands.PutJob(job=urgent))
-    site.pass_time(1_000)
+    site.pass_time(500)
     for index in range(2):
         site.workers["w0"].finish(f"job/filler/{index}")
-    site.report("w0")
-    site.pass_time(500)
+        site.report("w0")
+        site.pass_time(500)
     assert site.places("job/urgent/0") == ["w0"]
     assert site.record("job/filler/3").evictions == 0
 
@@ -177,14 +177,14 @@
         1,
         model.job("night", resources=QUARTER, unbroken=True),
         model.job("plan", resources=HALF, repeatable=False),
-        model.job("filler", resources=QUARTER),
+        model.job("spare", resources=QUARTER),
     )
     site.change(
         commands.PutJob(job=model.job("urgent", urgent=True, resources=QUARTER))
     )
     site.pass_time(4_000)
     assert site.places("job/urgent/0") == ["w0"]
-    assert site.record("job/filler/0").evictions == 1
+    assert site.record("job/spare/0").evictions == 1
 
 
 def test_impossible_job_is_reported_and_blocks_nobody(
@@ -267,12 +267,10 @@
 
 
 def test_services_leave_a_zone_before_batch(site: model.ModelSite) -> None:
-    fill(
-        site,
-        4,
-        model.service("prices", instances=4),
-        model.job("plan", tasks=8),
-    )
+    fill(site, 4, model.job("plan", tasks=8))
+    prices = model.service("prices", instances=4)
+    site.change(commands.PutService(service=prices))
+    site.pass_time(1_000)
     order: list[str] = []
     submit = site.node.submit
 
