--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,286 @@
+"""Changes of configuration: races, resends, conflicts, retention, sheets."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+import builders
+from galenahook import commands
+from galenahook import configuration as configuration_lib
+from galenahook import state as state_lib
+
+ZONES = ("a", "b", "c")
+QUOTA = commands.TeamQuota(team="cutting", resources=builders.CAPACITY)
+
+
+def _out(name: str = "a") -> commands.AvailabilityZoneOut:
+    return commands.AvailabilityZoneOut(availability_zone=name)
+
+
+def _change(
+    state: configuration_lib.ConfigurationState,
+    change: commands.Change,
+    **asked: object,
+) -> commands.ChangeResult:
+    """Makes a change on the current revision unless told otherwise."""
+    revision = state.current.revision
+    asked = {"number": revision + 1, "base_revision": revision, **asked}
+    return state.change(builders.change(change, **asked))
+
+
+@dataclasses.dataclass
+class _Asked:
+    operator: str
+    number: int
+    base_revision: int
+    change: commands.Change
+
+
+class RacingOperators(stateful.RuleBasedStateMachine):
+    """Operators with the same numbers, against an oracle of what they see.
+
+    The oracle keeps the accepted requests and which zones are out. It never
+    looks at change records, and each request may go to a state that was
+    restored from a snapshot, as after a failover.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = configuration_lib.ConfigurationState()
+        self.accepted: dict[int, _Asked] = {}
+        self.revisions: dict[int, int] = {}
+        self.asked: list[_Asked] = []
+        self.out: set[str] = set()
+
+    def _ask(self, asked: _Asked) -> None:
+        revision = len(self.accepted)
+        result = self.state.change(
+            builders.change(
+                asked.change,
+                number=asked.number,
+                base_revision=asked.base_revision,
+                operator=asked.operator,
+            )
+        )
+        first = self.accepted.get(asked.number)
+        if first is not None:
+            same = (
+                first.operator == asked.operator
+                and first.change == asked.change
+            )
+            if same:
+                answer = commands.ChangeAccepted(
+                    revision=self.revisions[asked.number]
+                )
+                assert result == answer
+            else:
+                assert isinstance(result, commands.ChangeConflict)
+                assert first.operator in result.reason
+        elif asked.base_revision == revision:
+            assert result == commands.ChangeAccepted(revision=revision + 1)
+            self.accepted[asked.number] = asked
+            self.revisions[asked.number] = revision + 1
+            self._follow(asked.change)
+        elif asked.base_revision < revision:
+            assert isinstance(result, commands.ChangeConflict)
+            assert f"revision {revision} by" in result.reason
+        else:
+            assert isinstance(result, commands.ChangeInvalid)
+
+    def _follow(self, change: commands.Change) -> None:
+        match change:
+            case commands.AvailabilityZoneOut(availability_zone=name):
+                self.out.add(name)
+            case commands.AvailabilityZoneIn(availability_zone=name):
+                self.out.discard(name)
+
+    @stateful.rule(
+        operator=st.sampled_from(("ana", "bo")),
+        number=st.integers(1, 8),
+        behind=st.sampled_from((0, 0, 0, 1, 2, -1)),
+        zone=st.sampled_from(ZONES),
+        goes_out=st.booleans(),
+    )
+    def ask(self, operator, number, behind, zone, goes_out):
+        change: commands.Change = commands.AvailabilityZoneIn(
+            availability_zone=zone
+        )
+        if goes_out:
+            change = _out(zone)
+        base_revision = max(0, len(self.accepted) - behind)
+        asked = _Asked(operator, number, base_revision, change)
+        self.asked.append(asked)
+        self._ask(asked)
+
+    @stateful.precondition(lambda self: self.asked)
+    @stateful.rule(data=st.data())
+    def resend(self, data):
+        self._ask(data.draw(st.sampled_from(self.asked)))
+
+    @stateful.rule()
+    def fail_over(self):
+        encoded = [
+            state_lib.encode_record(record)
+            for record in self.state.snapshot_records()
+        ]
+        self.state = configuration_lib.ConfigurationState()
+        for data in encoded:
+            self.state.restore_record(state_lib.decode_record(data))
+
+    @stateful.invariant()
+    def nothing_reverts(self):
+        assert self.state.current.revision == len(self.accepted)
+        assert self.state.current.availability_zones_out == self.out
+
+
+TestRacingOperators = RacingOperators.TestCase
+
+
+def _refused_changes() -> Iterator[tuple[str, commands.Change, str]]:
+    """Yields changes that the sheet of `_with_sheet` makes impossible."""
+    taken = builders.service("holds", route="/prices", team="cutting")
+    yield "service", commands.RemoveService(name="none"), "'none'"
+    yield "zone out", _out("d"), "known: a, b, c"
+    zone_in = commands.AvailabilityZoneIn(availability_zone="d")
+    yield "zone in", zone_in, "known: a, b, c"
+    yield "drain", commands.UndrainUpstream(name="w"), "not drained"
+    job = builders.job("other", team="cuting")
+    yield "team", commands.PutJob(job=job), "'cuting'"
+    yield "route", commands.PutService(service=taken), "'prices'"
+
+
+def _with_sheet() -> configuration_lib.ConfigurationState:
+    state = configuration_lib.ConfigurationState()
+    sheet = builders.apply_sheet(
+        (builders.service(team="cutting"),),
+        (builders.job(),),
+        quotas=(QUOTA,),
+        availability_zones=ZONES,
+    )
+    assert isinstance(_change(state, sheet), commands.ChangeAccepted)
+    return state
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [(change, reason) for _, change, reason in _refused_changes()],
+    ids=[name for name, _, _ in _refused_changes()],
+)
+def test_impossible_changes_are_invalid_and_change_nothing(change, reason):
+    state = _with_sheet()
+    before = state.current
+    result = _change(state, change)
+    assert isinstance(result, commands.ChangeInvalid)
+    assert reason in result.reason
+    assert state.current is before
+    # The number of a refused change is still free.
+    accepted = _change(state, _out("a"))
+    assert isinstance(accepted, commands.ChangeAccepted)
+
+
+def test_a_conflict_names_what_moved(snapshot):
+    state = _with_sheet()
+    _change(state, _out("b"), operator="bo")
+    _change(state, commands.CancelJobs(names=("plan",)), operator="bo")
+    result = _change(state, _out("c"), base_revision=1, number=9)
+    assert result == snapshot
+
+
+def test_an_answer_outlives_later_changes_of_the_same_item():
+    state = configuration_lib.ConfigurationState()
+    first = _change(state, _out("a"), number=7)
+    _change(state, commands.AvailabilityZoneIn(availability_zone="a"))
+    assert _change(state, _out("a"), number=7, base_revision=0) == first
+    assert not state.current.availability_zones_out
+
+
+def test_change_records_are_bounded_and_old_resends_change_nothing():
+    state = configuration_lib.ConfigurationState()
+    limit = configuration_lib.MAX_CHANGE_RECORDS
+    for _ in range(limit + 10):
+        _change(state, _out("a"))
+    assert len(state.changes) == limit
+    before = state.current
+    forgotten = _change(state, _out("a"), number=1, base_revision=0)
+    assert isinstance(forgotten, commands.ChangeConflict)
+    assert "earlier changes" in forgotten.reason
+    assert state.current is before
+
+
+def test_large_sheets_do_not_pile_up_in_the_change_records():
+    state = configuration_lib.ConfigurationState()
+    count = configuration_lib.MAX_ITEMS_PER_CHANGE + 5
+    for index in range(60):
+        jobs = tuple(
+            builders.job(f"p{i}", priority=index) for i in range(count)
+        )
+        _change(state, builders.apply_sheet((), jobs))
+    records = list(state.changes.values())
+    assert records[-1].items_omitted == 5
+    kept = sum(len(record.items) for record in records)
+    assert kept <= configuration_lib.MAX_RETAINED_ITEMS
+
+
+def test_no_snapshot_record_holds_the_whole_sheet():
+    state = configuration_lib.ConfigurationState()
+    for index in range(200):
+        _change(state, commands.PutJob(job=builders.job(f"p{index}")))
+    sizes = [len(state_lib.encode_record(r)) for r in state.snapshot_records()]
+    assert len(sizes) == 401
+    assert max(sizes) < 2_000
+
+
+# --- The next morning's sheet, with the real task table ----------------------
+
+
+def _state_with_running_job() -> state_lib.State:
+    state = state_lib.State()
+    jobs = (builders.job("night", tasks=2), builders.job("unstarted"))
+    state.apply(builders.change(builders.apply_sheet((), jobs)))
+    start = builders.attempt_start("job/night/0")
+    state.apply(builders.start_attempts(start))
+    return state
+
+
+def test_the_next_sheet_lets_started_jobs_end_and_withdraws_the_others():
+    state = _state_with_running_job()
+    sheet = builders.apply_sheet((), (builders.job("today"),))
+    state.apply(builders.change(sheet, number=2, base_revision=1))
+    assert set(state.configuration.current.jobs) == {"night", "today"}
+    assert not state.tasks.records["job/night/0"].evicting
+    ended = commands.AttemptEnd(
+        task="job/night/0",
+        attempt=1,
+        outcome=commands.AttemptCompleted(run_ms=1),
+    )
+    state.apply(builders.end_attempts(ended))
+    state.apply(builders.start_attempts(builders.attempt_start("job/night/1")))
+    second = msgspec.structs.replace(ended, task="job/night/1")
+    state.apply(builders.end_attempts(second))
+    state.apply(builders.change(sheet, number=3, base_revision=2))
+    assert set(state.configuration.current.jobs) == {"today"}
+
+
+def test_a_cancellation_outlives_the_same_sheet_applied_again():
+    state = _state_with_running_job()
+    cancel = commands.CancelJobs(names=("unstarted", "never-heard-of"))
+    state.apply(builders.change(cancel, number=2, base_revision=1))
+    again = builders.apply_sheet((), (builders.job("unstarted"),))
+    state.apply(builders.change(again, number=3, base_revision=2))
+    assert state.configuration.current.cancelled == {"unstarted"}
+    put = commands.PutJob(job=builders.job("unstarted"))
+    state.apply(builders.change(put, number=4, base_revision=3))
+    assert not state.configuration.current.cancelled
+
+
+def test_zones_out_and_drains_outlive_a_sheet():
+    state = _with_sheet()
+    _change(state, _out("a"))
+    _change(state, commands.DrainUpstream(name="worker-1"))
+    _change(state, builders.apply_sheet())
+    assert state.current.availability_zones_out == {"a"}
+    assert state.current.drained == {"worker-1"}
