--- a/src/galenahook/audit.py
+++ b/src/galenahook/audit.py
@@ -8,8 +8,8 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import os
 import pathlib
 import threading
@@ -168,25 +168,31 @@
         for change in missing:
             yield record_of(change)
 
-    def _append(self, lines: Iterable[AuditLine]) -> None:
+    def _append(self, lines: Sequence[AuditLine]) -> None:
         # A thread whose task was cancelled still writes to its end.
         with self._append_lock:
+            left = [
+                line for line in lines if line.revision > self.last_revision
+            ]
             try:
-                for line in lines:
-                    if line.revision > self.last_revision:
-                        self._append_one(line)
+                while left:
+                    left = left[self._append_some(left) :]
             except OSError as error:
                 raise errors.StorageError(f"audit trail: {error}") from error
 
-    def _append_one(self, line: AuditLine) -> None:
+    def _append_some(self, lines: Sequence[AuditLine]) -> int:
+        """Writes what fits into one segment, synced once; returns how many."""
         segments = self._segments()
         if not segments or self._segment_records >= SEGMENT_RECORDS:
-            path = self._new_segment(line.revision)
+            path = self._new_segment(lines[0].revision)
         else:
             path = segments[-1]
-        _append_synced(path, messages.encode(line) + b"\n")
-        self._segment_records += 1
-        self.last_revision = last_revision_of(line)
+        written = lines[: SEGMENT_RECORDS - self._segment_records]
+        data = b"".join(messages.encode(line) + b"\n" for line in written)
+        _append_synced(path, data)
+        self._segment_records += len(written)
+        self.last_revision = last_revision_of(written[-1])
+        return len(written)
 
     def _new_segment(self, revision: int) -> pathlib.Path:
         name = f"{revision:0{_REVISION_DIGITS}}{_SUFFIX}"
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,165 @@
+"""The audit trail: one synced record for each change, after any crash."""
+
+import os
+import pathlib
+
+import curio
+import pytest
+
+import builders
+from galenahook import audit as audit_lib
+from galenahook import commands
+from galenahook import configuration as configuration_lib
+from galenahook import errors
+
+ALL = 10**9
+
+
+def _with_changes(
+    count: int, state: configuration_lib.ConfigurationState | None = None
+) -> configuration_lib.ConfigurationState:
+    state = state or configuration_lib.ConfigurationState()
+    for _ in range(count):
+        revision = state.current.revision
+        job = builders.job(priority=revision % 100)
+        state.change(
+            builders.change(
+                commands.PutJob(job=job),
+                number=revision + 1,
+                base_revision=revision,
+            )
+        )
+    return state
+
+
+def _write(
+    folder: pathlib.Path, state: configuration_lib.ConfigurationState
+) -> audit_lib.AuditTrail:
+    trail = audit_lib.AuditTrail(str(folder))
+    curio.run(trail.write_through, state)
+    return trail
+
+
+def _revisions(folder: pathlib.Path, first: int = 1, last: int = ALL) -> list:
+    trail = audit_lib.AuditTrail(str(folder))
+    return [line.revision for line in curio.run(trail.read, first, last)]
+
+
+def test_a_record_has_the_change_before_and_after(tmp_path, snapshot):
+    state = _with_changes(2)
+    trail = _write(tmp_path, state)
+    assert curio.run(trail.read, 2, 2) == snapshot
+
+
+def test_each_change_is_written_once_however_often_the_process_restarts(
+    tmp_path,
+):
+    state = configuration_lib.ConfigurationState()
+    for _ in range(5):
+        _write(tmp_path, _with_changes(3, state))
+        _write(tmp_path, state)
+    assert _revisions(tmp_path) == list(range(1, 16))
+
+
+def test_a_torn_last_line_at_every_byte_leaves_no_gap_and_no_duplicate(
+    tmp_path,
+):
+    state = _with_changes(3)
+    _write(tmp_path, state)
+    (path,) = (tmp_path / "audit").iterdir()
+    whole = path.read_bytes()
+    start_of_last = whole[:-1].rfind(b"\n") + 1
+    for size in range(start_of_last, len(whole)):
+        path.write_bytes(whole[:size])
+        _write(tmp_path, state)
+        assert path.read_bytes() == whole, size
+
+
+def test_segments_are_read_by_range_and_survive_a_restart(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(audit_lib, "SEGMENT_RECORDS", 4)
+    state = _with_changes(10)
+    _write(tmp_path, state)
+    _write(tmp_path, _with_changes(1, state))
+    assert len(list((tmp_path / "audit").iterdir())) == 3
+    assert _revisions(tmp_path) == list(range(1, 12))
+    assert _revisions(tmp_path, 4, 9) == [4, 5, 6, 7, 8, 9]
+    assert _revisions(tmp_path, 12) == []
+
+
+def test_a_long_range_is_read_in_parts(tmp_path, monkeypatch):
+    monkeypatch.setattr(audit_lib, "MAX_RECORDS_READ", 4)
+    _write(tmp_path, _with_changes(6))
+    assert _revisions(tmp_path) == [1, 2, 3, 4]
+    assert _revisions(tmp_path, 5) == [5, 6]
+
+
+def test_changes_missed_beyond_retention_are_told_as_a_gap(tmp_path):
+    state = _with_changes(2)
+    _write(tmp_path, state)
+    _with_changes(configuration_lib.MAX_CHANGE_RECORDS + 1, state)
+    trail = _write(tmp_path, state)
+    lines = curio.run(trail.read, 1, 4)
+    assert lines[2] == audit_lib.AuditGap(revision=3, last_revision=3)
+    assert lines[3].revision == 4
+    assert trail.last_revision == state.current.revision
+
+
+class _Disk:
+    """Replaces `os.fsync` and notes or refuses its calls."""
+
+    def __init__(self) -> None:
+        self.synced = 0
+        self.full = False
+
+    def fsync(self, descriptor: int) -> None:
+        del descriptor
+        if self.full:
+            raise OSError(28, "No space left on device")
+        self.synced += 1
+
+
+def test_a_failed_sync_leaves_the_trail_as_it_was(tmp_path, monkeypatch):
+    state = _with_changes(1)
+    trail = _write(tmp_path, state)
+    (path,) = (tmp_path / "audit").iterdir()
+    whole = path.read_bytes()
+    disk = _Disk()
+    disk.full = True
+    monkeypatch.setattr(os, "fsync", disk.fsync)
+    _with_changes(2, state)
+    with pytest.raises(errors.StorageError):
+        curio.run(trail.write_through, state)
+    assert path.read_bytes() == whole
+    disk.full = False
+    curio.run(trail.write_through, state)
+    assert disk.synced == 1
+    assert _revisions(tmp_path) == [1, 2, 3]
+
+
+def test_concurrent_writers_and_a_cancelled_one_write_each_record_once(
+    tmp_path,
+):
+    state = _with_changes(50)
+
+    async def race() -> None:
+        trail = audit_lib.AuditTrail(str(tmp_path))
+        tasks = [
+            await curio.spawn(trail.write_through, state) for _ in range(4)
+        ]
+        await curio.sleep(0.002)
+        await tasks[0].cancel()
+        for task in tasks[1:]:
+            await task.join()
+
+    curio.run(race)
+    assert _revisions(tmp_path) == list(range(1, 51))
+
+
+def test_a_damaged_line_is_an_error_with_its_file(tmp_path):
+    _write(tmp_path, _with_changes(2))
+    (path,) = (tmp_path / "audit").iterdir()
+    path.write_bytes(b"{}\n" + path.read_bytes())
+    with pytest.raises(errors.StorageError, match=path.name):
+        _revisions(tmp_path)
