--- a/src/galenahook/operators/sheets.py
+++ b/src/galenahook/operators/sheets.py
@@ -32,9 +32,14 @@
     findings = findings_lib.Findings()
     placed = sheet_csv.read(data, file, findings)
     sheet_rules.check(placed, findings)
+    findings.items.sort(key=_row_of)
     return _result(placed, findings)
 
 
+def _row_of(finding: findings_lib.Finding) -> int:
+    return int(finding.place.rsplit(":", 2)[1])
+
+
 def read_json(data: bytes, file: str) -> SheetResult:
     """Reads and checks a sheet in JSON, the form of `commands.Sheet`."""
     decoded = json_input.decode(data, commands.Sheet, f"{file}:$")
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import threading
 
 import curio
 import pytest
@@ -138,23 +139,38 @@
     assert _revisions(tmp_path) == [1, 2, 3]
 
 
-def test_concurrent_writers_and_a_cancelled_one_write_each_record_once(
-    tmp_path,
+class _SlowDisk:
+    """Replaces `os.fsync` by one that waits to be released."""
+
+    def __init__(self) -> None:
+        self.entered = threading.Event()
+        self.released = threading.Event()
+
+    def fsync(self, descriptor: int) -> None:
+        del descriptor
+        self.entered.set()
+        assert self.released.wait(5)
+
+
+def test_a_cancelled_writer_that_still_syncs_leads_to_no_duplicate(
+    tmp_path, monkeypatch
 ):
-    state = _with_changes(50)
+    state = _with_changes(3)
+    trail = audit_lib.AuditTrail(str(tmp_path))
+    disk = _SlowDisk()
+    monkeypatch.setattr(os, "fsync", disk.fsync)
 
     async def race() -> None:
-        trail = audit_lib.AuditTrail(str(tmp_path))
-        tasks = [
-            await curio.spawn(trail.write_through, state) for _ in range(4)
-        ]
-        await curio.sleep(0.002)
-        await tasks[0].cancel()
-        for task in tasks[1:]:
-            await task.join()
+        first = await curio.spawn(trail.write_through, state)
+        await curio.run_in_thread(disk.entered.wait, 5)
+        await first.cancel()
+        second = await curio.spawn(trail.write_through, state)
+        await curio.sleep(0.05)
+        disk.released.set()
+        await second.join()
 
     curio.run(race)
-    assert _revisions(tmp_path) == list(range(1, 51))
+    assert _revisions(tmp_path) == [1, 2, 3]
 
 
 def test_a_damaged_line_is_an_error_with_its_file(tmp_path):
