--- a/src/galenahook/operators/sheets.py
+++ b/src/galenahook/operators/sheets.py
@@ -32,12 +32,13 @@
     findings = findings_lib.Findings()
     placed = sheet_csv.read(data, file, findings)
     sheet_rules.check(placed, findings)
-    findings.items.sort(key=_row_of)
+    findings.items.sort(key=lambda finding: _row_of(finding, file))
     return _result(placed, findings)
 
 
-def _row_of(finding: findings_lib.Finding) -> int:
-    return int(finding.place.rsplit(":", 2)[1])
+def _row_of(finding: findings_lib.Finding, file: str) -> int:
+    # A column that a file names may hold a colon itself.
+    return int(finding.place.removeprefix(f"{file}:").partition(":")[0])
 
 
 def read_json(data: bytes, file: str) -> SheetResult:
