--- a/src/galenahook/operators/explanations.py
+++ b/src/galenahook/operators/explanations.py
@@ -5,9 +5,7 @@
 
 from galenahook import clock as clock_lib
 from galenahook.operators import wire
-from galenahook.scheduling import tasks as tasks_lib
-
-_MAX_TASKS = 20
+from galenahook.scheduling import explanations as scheduling_explanations
 
 
 def explain(leader: Any, query: dict[str, str]) -> wire.Explanation | None:
@@ -16,14 +14,15 @@
         case {"job": name}:
             return _explain_job(leader, name)
         case {"service": name}:
-            return _explain_service(leader, name)
+            explained = leader.scheduler.explain(f"service/{name}")
+            return _explanation(f"service {name}", explained, ())
         case {"request": identifier}:
             return wire.Explanation(
                 subject=f"request {identifier}",
                 known=False,
                 lines=(
-                    "requests are explained by the entry that answered; look"
-                    " for the identifier in the entries' logs",
+                    "only the entry that answered it knows; look for the"
+                    " identifier in the entries' logs",
                 ),
             )
     return None
@@ -31,68 +30,43 @@
 
 def _explain_job(leader: Any, name: str) -> wire.Explanation:
     current = leader.node.state.configuration.current
-    row = current.jobs.get(name)
     lines = []
     if name in current.cancelled:
         lines.append("cancelled by an operator")
-    if row is None:
-        return wire.Explanation(
-            subject=f"job {name}",
-            known=False,
-            lines=(f"no such job in revision {current.revision}",),
-        )
-    if row.deadline_ms:
+    row = current.jobs.get(name)
+    if row is not None and row.deadline_ms:
         lines.append(f"due {clock_lib.iso_from_wall_ms(row.deadline_ms)}")
-    tasks = (f"job/{name}/{index}" for index in range(row.tasks))
-    lines.extend(_explain_tasks(leader, tasks))
-    return wire.Explanation(
-        subject=f"job {name}", known=True, lines=tuple(lines)
-    )
+    explained = leader.scheduler.explain(f"job/{name}")
+    return _explanation(f"job {name}", explained, tuple(lines))
 
 
-def _explain_service(leader: Any, name: str) -> wire.Explanation:
-    current = leader.node.state.configuration.current
-    row = current.services.get(name)
-    if row is None:
-        return wire.Explanation(
-            subject=f"service {name}",
-            known=False,
-            lines=(f"no such service in revision {current.revision}",),
-        )
-    tasks = (f"service/{name}/{index}" for index in range(row.instances))
+def _explanation(
+    subject: str,
+    explained: scheduling_explanations.Explanation,
+    lines: tuple[str, ...],
+) -> wire.Explanation:
     return wire.Explanation(
-        subject=f"service {name}",
-        known=True,
-        lines=tuple(_explain_tasks(leader, tasks)),
+        subject=subject,
+        known=explained.known,
+        lines=(explained.summary, *lines, *_detail_lines(explained)),
     )
 
 
-def _explain_tasks(leader: Any, tasks: Iterator[str]) -> Iterator[str]:
-    records = leader.node.state.tasks.records
-    shown = 0
-    for task in tasks:
-        record = records.get(task)
-        if record is None or record.phase is tasks_lib.Phase.DONE:
-            continue
-        shown += 1
-        if shown > _MAX_TASKS:
-            yield "and further tasks"
-            return
-        yield _explain_task(leader, record)
-    if not shown:
-        yield "every task is done"
-
-
-def _explain_task(leader: Any, record: tasks_lib.TaskRecord) -> str:
-    text = f"{record.task}: {record.phase.value}"
-    if record.phase is tasks_lib.Phase.HELD:
-        text += f", attempt {record.attempt} on {record.worker}"
-        if record.evicting:
-            text += f", being evicted: {record.evicting}"
-    explain_task = getattr(leader.scheduler, "explain", None)
-    if record.phase is tasks_lib.Phase.PENDING and explain_task is not None:
-        text += f": {explain_task(record.task)}"
-    if record.failures:
-        workers = ", ".join(record.failed_workers)
-        text += f"; failed {record.failures} times, on {workers}"
-    return text
+def _detail_lines(
+    explained: scheduling_explanations.Explanation,
+) -> Iterator[str]:
+    if explained.phases:
+        counts = sorted(explained.phases.items())
+        yield ", ".join(f"{count} {phase}" for phase, count in counts)
+    if explained.run_ms:
+        yield f"a task is expected to run {explained.run_ms} ms"
+    if explained.latest_start_ms:
+        latest = clock_lib.iso_from_wall_ms(explained.latest_start_ms)
+        yield f"its tasks should start by {latest}"
+    for task in explained.tasks:
+        place = f" on {task.worker}" if task.worker else ""
+        yield (
+            f"{task.task}: {task.phase}, attempt {task.attempt}{place},"
+            f" {task.evictions} evictions, {task.failures} failures:"
+            f" {task.reason}"
+        )
--- a/src/galenahook/operators/reports.py
+++ b/src/galenahook/operators/reports.py
@@ -61,6 +61,8 @@
         ("leaving", status.leaving),
         ("silent", status.silent),
         ("drained", status.drained),
+        ("quarantined", status.quarantined),
+        ("in doubt", status.in_doubt),
     ):
         if names:
             yield f"{label}: {', '.join(names)}"
--- a/src/galenahook/operators/status.py
+++ b/src/galenahook/operators/status.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import itertools
 from typing import Any
 
 from galenahook import commands
@@ -27,6 +28,9 @@
       records: Tasks by identifier.
       workers: Workers heard of, by name.
       silent: Workers that have not announced themselves lately.
+      quarantined: Workers that get no work, since they failed too much.
+      in_doubt: Tasks that may or may not have run.
+      blocked: Why jobs and services wait, by `job/NAME` or `service/NAME`.
       executors: Executors heard of, by name.
       entries: Entries heard of.
       replicas: Replicas of the group.
@@ -40,6 +44,9 @@
     records: Mapping[str, tasks_lib.TaskRecord]
     workers: Mapping[str, Any]
     silent: tuple[str, ...]
+    quarantined: tuple[str, ...]
+    in_doubt: tuple[str, ...]
+    blocked: Mapping[str, str]
     executors: Mapping[str, Any]
     entries: tuple[wire.EntryStatus, ...]
     replicas: tuple[wire.ReplicaLine, ...]
@@ -64,6 +71,9 @@
                 if leader.workers.is_silent(worker)
             )
         ),
+        quarantined=tuple(_quarantined(leader)),
+        in_doubt=tuple(node.state.tasks.in_doubt),
+        blocked=dict(leader.scheduler.decisions.blocked),
         executors=dict(leader.executors.records),
         entries=tuple(_entries(leader, revision)),
         replicas=tuple(_replicas(node)),
@@ -71,6 +81,13 @@
     )
 
 
+def _quarantined(leader: Any) -> Iterator[str]:
+    quarantine = leader.scheduler.context.quarantine
+    for name in sorted(leader.workers.workers):
+        if quarantine.is_closed(name):
+            yield name
+
+
 def _entries(
     leader: Any, revision: wire.RevisionReply
 ) -> Iterator[wire.EntryStatus]:
@@ -127,6 +144,8 @@
         leaving=_leaving(view),
         silent=view.silent[:_MAX_NAMES],
         drained=tuple(sorted(current.drained))[:_MAX_NAMES],
+        quarantined=view.quarantined[:_MAX_NAMES],
+        in_doubt=view.in_doubt[:_MAX_NAMES],
         short=tuple(_short(view, phases)),
     )
 
@@ -247,6 +266,8 @@
         failed = phases.get(f"job/{name}", {}).get(tasks_lib.Phase.FAILED, 0)
         if failed:
             yield f"job {name}: {failed} tasks failed for good"
+    for owner, reason in itertools.islice(view.blocked.items(), _MAX_NAMES):
+        yield f"{owner.replace('/', ' ', 1)}: {reason}"
     for replica in view.replicas:
         if replica.silent_ms < 0:
             yield f"replica {replica.name}: not heard from in this term"
--- a/src/galenahook/operators/wire.py
+++ b/src/galenahook/operators/wire.py
@@ -195,6 +195,9 @@
       leaving: Upstreams that plan to stop.
       silent: Workers not heard of lately.
       drained: Upstreams that operators drained.
+      quarantined: Workers that get no work, since they failed too much.
+      in_doubt: Tasks that must not be repeated and may or may not have run;
+        an operator has to decide on each.
       short: What is missing, for a person.
     """
 
@@ -213,6 +216,8 @@
     leaving: tuple[str, ...]
     silent: tuple[str, ...]
     drained: tuple[str, ...]
+    quarantined: tuple[str, ...]
+    in_doubt: tuple[str, ...]
     short: tuple[str, ...]
 
 
