Test the command line against a whole local site

An availability zone that the sheet forgot can now be taken out: the leader refuses a name only when neither the sheet nor any announcement has it. An option that must be a number raised a traceback (seen in test_misuse_exits_2_and_says_so); it is a usage error now.

--- a/src/galenahook/cli.py
+++ b/src/galenahook/cli.py
@@ -91,7 +91,9 @@
             lambda: daemons.run(settings, settings_lib.ReplicaSettings)
         )
 
-    @fire.decorators.SetParseFns(sheet=str, folder=str, first_port=int)
+    @fire.decorators.SetParseFns(
+        sheet=str, folder=str, first_port=cli_actions.parse_whole
+    )
     def local(
         self,
         sheet: str,
@@ -174,7 +176,9 @@
 
         return self._options.action(run)
 
-    @fire.decorators.SetParseFns(first=int, last=int)
+    @fire.decorators.SetParseFns(
+        first=cli_actions.parse_whole, last=cli_actions.parse_whole
+    )
     def audit(self, first: int = 1, last: int = 0) -> cli_actions.Action:
         """Shows accepted changes by revision.
 
@@ -201,7 +205,9 @@
 
     # --- Changes ---
 
-    @fire.decorators.SetParseFns(name=str, wait=str, timeout_s=int)
+    @fire.decorators.SetParseFns(
+        name=str, wait=str, timeout_s=cli_actions.parse_whole
+    )
     def _availability_zone_out(
         self,
         name: str,
@@ -219,7 +225,9 @@
             availability_zones.take_out, name, wait, timeout_s
         )
 
-    @fire.decorators.SetParseFns(name=str, wait=str, timeout_s=int)
+    @fire.decorators.SetParseFns(
+        name=str, wait=str, timeout_s=cli_actions.parse_whole
+    )
     def _availability_zone_in(
         self,
         name: str,
--- a/src/galenahook/commands.py
+++ b/src/galenahook/commands.py
@@ -79,8 +79,8 @@
 
     Attributes:
       objective: `tail` or `throughput`; chooses the weights of decisions.
-      availability_zones: Availability zones of the site; none if not listed,
-        and then operators may name any.
+      availability_zones: Availability zones of the site; upstreams may stand
+        in others too.
     """
 
     services: tuple[ServiceRow, ...] = ()
--- a/src/galenahook/configuration_changes.py
+++ b/src/galenahook/configuration_changes.py
@@ -22,6 +22,9 @@
 ) -> str:
     """Returns why a change can't be applied, or an empty string.
 
+    An availability zone that the sheet forgot can still be taken out; whether
+    anything stands there is known to the leader only.
+
     Only what depends on the configuration is looked at; `row_checks` has the
     checks of the rows themselves.
     """
@@ -35,10 +38,7 @@
         case commands.RemoveService(name=name):
             if name not in current.services:
                 return f"unknown service {name!r}"
-        case (
-            commands.AvailabilityZoneOut(availability_zone=name)
-            | commands.AvailabilityZoneIn(availability_zone=name)
-        ):
+        case commands.AvailabilityZoneIn(availability_zone=name):
             return _fault_of_availability_zone(current, name)
         case commands.UndrainUpstream(name=name):
             if name not in current.drained:
--- a/src/galenahook/configuration_items.py
+++ b/src/galenahook/configuration_items.py
@@ -49,8 +49,7 @@
       jobs: Jobs by name.
       quotas: Quotas by team.
       objective: `tail` or `throughput`.
-      availability_zones: Availability zones of the site as the sheet lists
-        them; if it lists none, any name is taken for one.
+      availability_zones: Availability zones that the sheet lists.
       availability_zones_out: Availability zones out of service.
       drained: Upstreams that get no new work.
       cancelled: Jobs that an operator cancelled.
--- a/src/galenahook/operators/cli_actions.py
+++ b/src/galenahook/operators/cli_actions.py
@@ -87,6 +87,19 @@
         return self.action(run)
 
 
+def parse_whole(text: str) -> int:
+    """Parses an option that is a whole number.
+
+    Raises:
+      CommandError: It is none.
+    """
+    if not text.isascii() or not text.lstrip("-").isdigit():
+        raise CommandError(
+            exit_codes.USAGE, f"{text!r}: expected a whole number"
+        )
+    return int(text)
+
+
 def load_sheet(file: str) -> commands.Sheet:
     """Loads a sheet.
 
--- a/src/galenahook/operators/cli_groups.py
+++ b/src/galenahook/operators/cli_groups.py
@@ -67,7 +67,11 @@
 
         return self._options.action(run)
 
-    @fire.decorators.SetParseFns(number=int, base_revision=int, file=str)
+    @fire.decorators.SetParseFns(
+        number=cli_actions.parse_whole,
+        base_revision=cli_actions.parse_whole,
+        file=str,
+    )
     def apply(
         self, file: str, number: int = 0, base_revision: int = -1
     ) -> cli_actions.Action:
@@ -130,7 +134,11 @@
             session_lib.ChangeOptions(rebase=True),
         )
 
-    @fire.decorators.SetParseFns(number=int, base_revision=int, file=str)
+    @fire.decorators.SetParseFns(
+        number=cli_actions.parse_whole,
+        base_revision=cli_actions.parse_whole,
+        file=str,
+    )
     def put(
         self, file: str, number: int = 0, base_revision: int = -1
     ) -> cli_actions.Action:
@@ -176,7 +184,9 @@
 
         return self._options.action(run)
 
-    @fire.decorators.SetParseFns(name=str, address=str, timeout_s=int)
+    @fire.decorators.SetParseFns(
+        name=str, address=str, timeout_s=cli_actions.parse_whole
+    )
     def add(
         self,
         name: str,
@@ -209,7 +219,9 @@
             lambda session: replica_members.remove(session, name)
         )
 
-    @fire.decorators.SetParseFns(name=str, address=str, timeout_s=int)
+    @fire.decorators.SetParseFns(
+        name=str, address=str, timeout_s=cli_actions.parse_whole
+    )
     def replace(
         self,
         name: str,
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,213 @@
+"""The command line: exit codes, output, and a whole site behind it."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from galenahook import cli
+from galenahook.operators import exit_codes
+
+ROOT = pathlib.Path(__file__).parent.parent
+SHEET = str(ROOT / "examples" / "order-service.csv")
+
+
+def _run(capsys, *arguments: str) -> tuple[int, str, str]:
+    try:
+        cli.main(list(arguments))
+        code = exit_codes.OK
+    except SystemExit as stop:
+        code = stop.code
+    captured = capsys.readouterr()
+    return code, captured.out, captured.err
+
+
+USAGE = [
+    ["sheet", "check"],
+    ["sheet", "check", SHEET, "--colour", "red"],
+    ["sheet"],
+    ["nothing"],
+    ["status"],
+    ["explain"],
+    ["explain", "--job", "a", "--service", "b"],
+    ["job", "cancel"],
+    ["availability-zone", "out"],
+    ["availability-zone", "out", "a", "--wait", "forever"],
+    ["audit", "--first", "one"],
+]
+
+
+@pytest.mark.parametrize("arguments", USAGE, ids=" ".join)
+def test_misuse_exits_2_and_says_so(capsys, monkeypatch, arguments):
+    monkeypatch.delenv("GALENAHOOK_CLIENT", raising=False)
+    code, out, err = _run(capsys, *arguments)
+    assert code == exit_codes.USAGE
+    assert out or err
+
+
+def test_a_line_is_understood_whole_before_anything_runs(capsys, monkeypatch):
+    ran = []
+    monkeypatch.setattr(cli.cli_actions, "perform", ran.append)
+    code, _, _ = _run(capsys, "job", "cancel", "plan", "--clinet", "c.json")
+    assert code == exit_codes.USAGE
+    assert not ran
+
+
+def test_a_sound_sheet_exits_0(capsys):
+    code, out, _ = _run(capsys, "sheet", "check", SHEET)
+    assert code == exit_codes.OK
+    assert "no faults; 2 services, 17 jobs, 4 quotas" in out
+
+
+def test_a_bad_sheet_exits_3_with_every_place(capsys, tmp_path):
+    path = tmp_path / "bad.csv"
+    path.write_text("kind;name;colour\nzone;;\nzone;a b;\n")
+    code, out, err = _run(capsys, "sheet", "check", str(path))
+    assert code == exit_codes.INVALID
+    assert not out
+    for place in ("bad.csv:1:colour", "bad.csv:2:name", "bad.csv:3:name"):
+        assert place in err
+    code, out, _ = _run(capsys, "sheet", "check", str(path), "--json")
+    assert code == exit_codes.INVALID
+    assert len(json.loads(out)["findings"]) == 3
+
+
+@pytest.mark.parametrize("role", ["entry", "replica", "check"])
+def test_bad_settings_exit_3_and_start_nothing(capsys, tmp_path, role):
+    path = tmp_path / "settings.json"
+    path.write_text('{"name": "", "callers": {"listen": "x"}}')
+    code, _, err = _run(capsys, role, "--settings", str(path))
+    assert code == exit_codes.INVALID
+    assert "$.name" in err
+    assert list(tmp_path.iterdir()) == [path]
+
+
+def test_help_shows_examples_and_exit_codes(capsys):
+    _, out, err = _run(capsys, "--help")
+    shown = out + err
+    for text in ("Examples:", "availability-zone out", "Exit codes:"):
+        assert text in shown
+    _, out, err = _run(capsys, "sheet", "--help")
+    assert "galenahook sheet diff today.csv" in out + err
+
+
+def test_no_answer_exits_5_and_names_the_number_to_resend(
+    capsys, tmp_path, monkeypatch
+):
+    (tmp_path / "token").write_text("t" * 16)
+    (tmp_path / "client.json").write_text(
+        json.dumps({"entries": ["127.0.0.1:1"], "token_file": "token"})
+    )
+    monkeypatch.setattr(cli.client_lib, "CHANGE_TIMEOUT_MS", 100)
+    client = str(tmp_path / "client.json")
+    code, _, err = _run(
+        capsys, "sheet", "apply", SHEET, "--base-revision", "3",
+        "--number", "77", "--client", client,
+    )  # fmt: skip
+    assert code == exit_codes.NO_QUORUM
+    assert "--number 77 --base-revision 3" in err
+
+
+# --- A whole site in one process ---------------------------------------------
+
+
+class _LocalSite:
+    """`galenahook local` in a process of its own."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.first_port = 20_000 + os.getpid() % 20_000
+        self.process = subprocess.Popen(
+            [
+                sys.executable, "-m", "galenahook", "local",
+                "--sheet", SHEET, "--folder", str(folder),
+                "--first-port", str(self.first_port),
+            ],
+            stdout=subprocess.PIPE,
+            text=True,
+        )  # fmt: skip
+        self._stop_late = threading.Timer(50, self.process.kill)
+        self._stop_late.start()
+        assert self.process.stdout is not None
+        self.first_line = self.process.stdout.readline()
+
+    def run(self, *arguments: str) -> subprocess.CompletedProcess:
+        client = str(self.folder / "client.json")
+        return subprocess.run(
+            [sys.executable, "-m", "galenahook", *arguments,
+             "--client", client],
+            capture_output=True,
+            check=False,
+            text=True,
+            timeout=30,
+        )  # fmt: skip
+
+    def stop(self) -> int:
+        self.process.terminate()
+        self.process.communicate(timeout=30)
+        self._stop_late.cancel()
+        return self.process.returncode
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    local = _LocalSite(tmp_path_factory.mktemp("local"))
+    yield local
+    local.process.kill()
+    local.process.communicate(timeout=30)
+    local._stop_late.cancel()
+
+
+# Arguments, exit code, and what the output must have.
+COMMANDS = [
+    (["status"], 0, "leader      replica-1"),
+    (["job", "list"], 0, "cutting-plan-line-1@2026-03-31"),
+    (["sheet", "diff", SHEET], 0, "nothing changes"),
+    (["job", "cancel", "invoices@2026-03-31"], 0, "accepted as revision"),
+    (["explain", "--job", "invoices@2026-03-31"], 0, "cancelled"),
+    (["explain", "--service", "nothing"], 3, "not in the sheet"),
+    (["availability-zone", "in", "lj-x"], 3, "known: lj-a, lj-b"),
+    (["availability-zone", "out", "lj-b"], 0, "no work is left there"),
+    (["availability-zone", "in", "lj-b"], 0, "work returns gradually"),
+    (["sheet", "apply", SHEET, "--base-revision", "1"], 4, "lj-b no longer"),
+    (["sheet", "apply", SHEET], 0, "applied as revision"),
+    (["audit", "--first", "2"], 0, "availability-zone-out"),
+    (["replica-member", "list"], 0, "replica-1"),
+    (["replica-member", "remove", "replica-1"], 4, "last voter"),
+    (["replica-member", "add", "r2", "127.0.0.1:1"], 4, "does not answer"),
+]
+
+
+def test_an_operators_day_at_a_local_site(site):
+    assert site.first_line == "sheet applied as revision 1\n"
+    for arguments, code, text in COMMANDS:
+        done = site.run(*arguments)
+        shown = done.stdout + done.stderr
+        assert done.returncode == code, (arguments, shown)
+        assert text in shown, (arguments, shown)
+
+
+def test_one_request_can_be_followed_in_the_log(site):
+    site.run("revision-is-no-command")
+    site.run("status")
+    end = time.monotonic() + 10
+    while time.monotonic() < end:
+        lines = (site.folder / "log.jsonl").read_text().splitlines()
+        records = [json.loads(line) for line in lines]
+        changes = [r for r in records if r["message_type"] == "operator:change"]
+        if changes:
+            break
+    request = changes[0]["request"]
+    kinds = {r["message_type"] for r in records if r.get("request") == request}
+    assert kinds == {"operator:change", "operator:answered"}
+    token = (site.folder / "operator.token").read_text()
+    assert token not in "\n".join(lines)
+
+
+def test_a_planned_stop_exits_0(site):
+    assert site.stop() == 0
