--- a/bench/fakes/executor.py
+++ b/bench/fakes/executor.py
@@ -145,6 +145,14 @@
         )
         self._tasks: set[Any] = set()
 
+    def restart(self) -> None:
+        """Makes it a new incarnation, to be run again."""
+        self.incarnation = secrets.token_hex(8)
+        self.busy = 0
+        self.open_connections = 0
+        self._sequence = itertools.count(1)
+        self._client = web.ControlClient(self._clock, [])
+
     async def run(self) -> None:
         """Announces and serves until cancelled, which closes everything."""
         sock = web.listen(self._listen)
--- a/bench/fakes/oracle.py
+++ b/bench/fakes/oracle.py
@@ -333,3 +333,17 @@
             )
         highest[place] = max(revision, highest.get(place, 0))
     return faults
+
+
+def accepted_twice(accepted: Iterable[tuple[int, int]]) -> list[str]:
+    """No two accepted changes have the same revision.
+
+    Args:
+      accepted: Time of the answer and revision of each change.
+    """
+    revisions = [revision for _, revision in accepted]
+    return [
+        f"revision {revision} was given to two changes"
+        for revision in sorted(set(revisions))
+        if revisions.count(revision) > 1
+    ]
--- a/bench/fakes/site.py
+++ b/bench/fakes/site.py
@@ -347,6 +347,13 @@
         shutil.rmtree(folder)
         pathlib.Path(folder).mkdir()
 
+    def tear_log(self, name: str) -> None:
+        """Appends half a record to the log of a replica that is down."""
+        folder = pathlib.Path(self.processes[name].data_folder)
+        newest = max(folder.glob("log-*"))
+        with open(newest, "ab") as log:
+            log.write(b"\x40\x00\x00\x00torn")
+
     async def wait_ready(self, timeout_ms: int = READY_TIMEOUT_MS) -> None:
         """Waits until every entry that runs says that it is ready.
 
--- a/bench/fakes/worker.py
+++ b/bench/fakes/worker.py
@@ -119,6 +119,17 @@
         self._group: curio.TaskGroup | None = None
         self._dead = False
 
+    def restart(self) -> None:
+        """Makes it a new incarnation, to be run again, with nothing known."""
+        self.incarnation = secrets.token_hex(8)
+        self.lease_until_ms = 0
+        self._dead = False
+        self._sequence = itertools.count(1)
+        self._client = web.ControlClient(self._clock, [])
+        for memory in (self._sent, self._highest, self._answers):
+            memory.clear()
+        self._stopped.clear()
+
     async def run(self) -> None:
         """Announces and serves until cancelled, which ends all its work."""
         sock = web.listen(self._listen)
