--- a/src/galenahook/scheduling/tail_control.py
+++ b/src/galenahook/scheduling/tail_control.py
@@ -13,6 +13,7 @@
 from galenahook import messages
 from galenahook.scheduling import colocation as colocation_lib
 from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import estimates
 from galenahook.scheduling import interference as interference_lib
 from galenahook.scheduling import policy as policy_lib
 from galenahook.scheduling import tails as tails_lib
@@ -98,7 +99,7 @@
     def observe(
         self,
         readings: Iterable[tails_lib.TailReading],
-        weights: policy_lib.Weighted,
+        limits: policy_lib.TailLimits | None,
     ) -> list[Action]:
         """Learns from new windows and returns the steps to take."""
         actions: list[Action] = []
@@ -110,8 +111,8 @@
                 continue
             watch.seen_ms = taken_ms(reading)
             self._learn(reading)
-            if weights.controls_tail:
-                actions += self._control(watch, reading, weights)
+            if limits is not None:
+                actions += self._control(watch, reading, limits)
         self.colocation.services = services
         return actions
 
@@ -128,19 +129,19 @@
         self,
         watch: Watch,
         reading: tails_lib.TailReading,
-        weights: policy_lib.Weighted,
+        limits: policy_lib.TailLimits,
     ) -> list[Action]:
         service = self.context.configuration.services.get(reading.service)
         if service is None or taken_ms(reading) < watch.acted_ms + SETTLE_MS:
             return []
         if reading.sample.count < interference_lib.MIN_REQUESTS:
             return []
-        limit_ms = service.tail_target_ms * weights.tail_slack
+        limit_ms = service.tail_target_ms * limits.slack
         self._count(watch, reading.sample.p99_ms, limit_ms)
         now_ms = self.context.clock.monotonic_ms()
         worker = self.colocation.worker_on(reading.vm)
         if watch.bad >= BAD_WINDOWS:
-            action = self._relieve(worker, reading.service, weights, now_ms)
+            action = self._relieve(worker, reading.service, limits, now_ms)
             if action is not None:
                 watch.acted_ms = now_ms
                 watch.bad = 0
@@ -167,14 +168,14 @@
         self,
         worker: str,
         service: str,
-        weights: policy_lib.Weighted,
+        limits: policy_lib.TailLimits,
         now_ms: int,
     ) -> Action | None:
-        ranked = self._by_harm(worker, service)
-        for task in ranked:
+        ranked = self._by_harm(worker, service, limits)
+        for task in ranked if limits.throttles_first else ():
             if self.colocation.throttles.get(task, 100) > THROTTLE_PERCENT:
                 return Throttle(task, THROTTLE_PERCENT)
-        if not self._may_evict(weights, now_ms):
+        if not self._may_evict(limits, now_ms):
             return None
         for task in ranked:
             if self._is_evictable(task):
@@ -196,23 +197,31 @@
                 return Evict(task, TAIL + service)
         return None
 
-    def _may_evict(self, weights: policy_lib.Weighted, now_ms: int) -> bool:
+    def _may_evict(self, limits: policy_lib.TailLimits, now_ms: int) -> bool:
         self.evicted_ms = [
             at_ms for at_ms in self.evicted_ms if now_ms - at_ms < MINUTE_MS
         ]
-        return len(self.evicted_ms) < weights.evictions_per_minute
+        return len(self.evicted_ms) < limits.evictions_per_minute
 
-    def _by_harm(self, worker: str, service: str) -> list[str]:
+    def _by_harm(
+        self, worker: str, service: str, limits: policy_lib.TailLimits
+    ) -> list[str]:
         """Returns the batch tasks on a VM, the most harmful first.
 
         Unbroken work comes after all other work.
         """
         found = []
+        run_times = self.context.tasks.run_times
+        now_ms = self.context.clock.wall_ms()
         for task in self.context.tasks.held.get(worker, ()):
             job = self.context.configuration.jobs.get(tasks_lib.name_of(task))
             record = self.context.tasks.records[task]
             if job is None or tasks_lib.is_service(task) or record.evicting:
                 continue
+            if limits.spares_deadlines and estimates.is_pressed(
+                job, record, run_times, now_ms
+            ):
+                continue
             weight = self.model.weight(service, job.job_class)
             percent = self.colocation.throttles.get(task, 100)
             harm = weight * record.reserved.cores_milli * percent
