--- a/bench/fakes/worker.py
+++ b/bench/fakes/worker.py
@@ -38,7 +38,7 @@
     held: tuple[tuple[str, int, str], ...]
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Attempt:
     """An attempt that this worker holds."""
 
@@ -73,7 +73,8 @@
     Attributes:
       name: Name announced.
       events: Where everything is recorded.
-      attempts: Attempts held, by task.
+      attempts: Attempts that run, by task.
+      ended: Attempts that ended and whose reports are not acknowledged.
       fails_all: Fails everything it starts.
       leaving: Announced as leaving.
       silent: Answers nothing and announces nothing, while its tasks run.
@@ -106,6 +107,7 @@
         self.events = events or events_lib.EventLog()
         self.period_ms = period_ms
         self.attempts: dict[str, Attempt] = {}
+        self.ended: list[Attempt] = []
         self.fails_all = False
         self.leaving = False
         self.silent = False
@@ -155,15 +157,18 @@
                 await group.spawn(self._announce_always)
                 await group.spawn(self._watch_lease)
         finally:
-            self._die()
+            await self._die()
             sock.close()
 
-    def _die(self) -> None:
+    async def _die(self) -> None:
         self._dead = True
-        for attempt in list(self.attempts.values()):
-            if attempt.phase != "ended":
-                self._record("die", attempt)
+        for attempt in self.attempts.values():
+            self._record("die", attempt)
+        held = [*self.attempts.values(), *self.ended]
         self.attempts.clear()
+        self.ended.clear()
+        for attempt in held:
+            await attempt.handle.cancel(blocking=False)
         self.vm.running.clear()
 
     # --- Announcements ---
@@ -279,8 +284,7 @@
 
     async def _stop_everything(self) -> None:
         for attempt in list(self.attempts.values()):
-            if attempt.phase != "ended":
-                await self._end_work(attempt, "expire", "lease over")
+            await self._end_work(attempt, "expire", "lease over")
 
     # --- Orders ---
 
@@ -349,7 +353,7 @@
         if now_ms >= self.lease_until_ms:
             return "no lease"
         if order.task in self.attempts:
-            return "another attempt is held"
+            return "another attempt runs"
         return ""
 
     async def _begin(self, order: messages.StartOrder) -> None:
@@ -395,6 +399,8 @@
     async def _finish(self, attempt: Attempt) -> None:
         run_ms = int(attempt.done_ms)
         attempt.phase = "ended"
+        del self.attempts[attempt.order.task]
+        self.ended.append(attempt)
         self.vm.running.pop(attempt.order.task, None)
         outcome: messages.Outcome
         if attempt.fails:
@@ -425,8 +431,8 @@
             await curio.sleep(clock_lib.seconds(REPORT_RETRY_MS))
         detail = "current" if reply and reply.current else "out of date"
         self._record("acknowledge", attempt, detail)
-        if self.attempts.get(attempt.order.task) is attempt:
-            del self.attempts[attempt.order.task]
+        if attempt in self.ended:
+            self.ended.remove(attempt)
         await self._changed.set()
 
     async def _post_report(
@@ -449,16 +455,13 @@
         attempt = self.attempts.get(task)
         if attempt is None or attempt.order.attempt != number:
             return
-        if attempt.phase != "ended":
-            if self.stop_ms:
-                await curio.sleep(clock_lib.seconds(self.stop_ms))
-            await self._end_work(attempt, "stop", reason)
+        if self.stop_ms:
+            await curio.sleep(clock_lib.seconds(self.stop_ms))
+        await self._end_work(attempt, "stop", reason)
 
     async def _end_work(self, attempt: Attempt, kind: str, reason: str) -> None:
         if self.attempts.get(attempt.order.task) is not attempt:
             return
-        if attempt.phase == "ended":
-            return
         del self.attempts[attempt.order.task]
         self.vm.running.pop(attempt.order.task, None)
         await attempt.handle.cancel(blocking=False)
@@ -471,8 +474,6 @@
         attempt = self.attempts.get(order.task)
         if attempt is None or attempt.order.attempt != order.attempt:
             return messages.CheckpointReply()
-        if attempt.phase == "ended":
-            return messages.CheckpointReply()
         done_ms = attempt.done_ms
         await curio.sleep(clock_lib.seconds(self.checkpoint_ms))
         attempt.checkpoints += 1
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -221,6 +221,8 @@
         out_of_date = messages.ReportReply(acknowledged=True, current=False)
         if record is None or not _is_from(record, report):
             return out_of_date
+        if _is_accepted(record, report):
+            return messages.ReportReply(acknowledged=True)
         end = self._end_of(report)
         if not tasks_lib.may_end(record, end):
             return out_of_date
@@ -265,3 +267,12 @@
         and record.incarnation == report.incarnation
         and record.attempt == report.attempt
     )
+
+
+def _is_accepted(
+    record: tasks_lib.TaskRecord, report: messages.AttemptReport
+) -> bool:
+    """Returns whether a report is the resend of one that was committed."""
+    return record.phase is tasks_lib.Phase.DONE and isinstance(
+        report.outcome, messages.Completed
+    )
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -93,6 +93,7 @@
         await script(stub, worker)
         await running.cancel()
         await server.cancel()
+        await curio.sleep(0.05)
 
     curio.run(main)
 
@@ -177,7 +178,8 @@
         assert 60 <= done_ms <= 1_000
         stop = messages.StopOrder(task="job/plan/0", attempt=1)
         await post(worker, "/v1/stop", stop, messages.StopReply)
-        await start(worker, attempt=2, checkpoint=reply.reference)
+        long = {"command": "run_ms=60000"}
+        await start(worker, attempt=2, checkpoint=reply.reference, **long)
         assert worker.attempts["job/plan/0"].done_ms >= done_ms
 
     run_with_worker(script)
@@ -201,6 +203,7 @@
         await caller.close()
         await running.cancel()
         await server.cancel()
+        await curio.sleep(0.05)
 
     curio.run(main)
 
