--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -46,6 +46,7 @@
       settings: Its settings.
       view: Its lease, configuration, executors and slots.
       draining: Whether a planned stop has begun.
+      leaving: Whether it takes no more connections and gives back its slots.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.settings = settings
         self.clock = clock
         self.draining = False
+        self.leaving = False
         incarnation = secrets.token_hex(_INCARNATION_BYTES)
         key = process.read_key(settings.site_key_file)
         self.client = web.ControlClient(clock, [(process.KEY_HEADER, key)])
@@ -123,6 +125,7 @@
         timing = self.settings.timing
         await curio.sleep(clock_lib.seconds(timing.drain_notice_ms))
         await self.callers_server.close_listener()
+        self.leaving = True
         end_ms = self.clock.monotonic_ms() + timing.drain_timeout_ms
         while self._busy() and self.clock.monotonic_ms() < end_ms:
             await curio.sleep(clock_lib.seconds(_DRAIN_POLL_MS))
@@ -206,7 +209,7 @@
             upstreams_version=self.view.upstreams_version,
             announcements=tuple(item.announcement for item in pending),
             slots=self.view.slot_uses(),
-            leaving=self.draining,
+            leaving=self.leaving,
         )
         sent_at_ms = self.clock.monotonic_ms()
         try:
