--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -24,6 +24,7 @@
 POLL_MS = 5
 WATCH_MS = 1
 SUBMITTERS = 200
+TOKEN_BYTES = 8
 KEY = (b"x-galenahook-key", b"key of the site")
 FAST_TIMING = settings_lib.Timing(
     heartbeat_period_ms=40,
@@ -221,11 +222,10 @@
     async def claim(self, key: str, timeout_ms: int = 5_000) -> bool:
         """Claims a key at whichever replica leads, until it is committed."""
         end_ms = self.clock.monotonic_ms() + timeout_ms
-        command = claim_of(key)
         while True:
             leader = await self.wait_for_leader(timeout_ms)
             try:
-                result = await leader.submit(command)
+                result = await leader.submit(claim_of(key))
             except (
                 errors.NotLeaderError,
                 errors.NoQuorumError,
@@ -325,7 +325,6 @@
 
 
 def claim_of(key: str) -> commands.ClaimKeys:
-    """Returns a small command: a claim by a request of its own."""
-    token = secrets.token_hex(8)
-    claim = messages.KeyClaim(key=key, token=token)
+    """Returns a claim of a key, each time of another request."""
+    claim = messages.KeyClaim(key=key, token=secrets.token_hex(TOKEN_BYTES))
     return commands.ClaimKeys(entry="entry-1", claims=(claim,), at_ms=0)
--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -41,7 +41,7 @@
 # --- Upstreams: announcements ------------------------------------------------
 
 
-class AttemptStatus(Message, frozen=True, kw_only=True):
+class AttemptStatus(Message, frozen=True, kw_only=True, gc=False):
     """One attempt that a worker holds at the time of its announcement.
 
     Attributes:
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import itertools
 
 import curio
 
@@ -34,6 +35,7 @@
 ROUND_PERIOD_MS = 100
 WAKE_PERIOD_MS = 20
 LEASE_CHECK_PERIOD_MS = 500
+MAX_CHANGED_PER_ROUND = 250
 TAIL_PERIOD_MS = 250
 
 
@@ -117,7 +119,6 @@
         changed = self._take_changed()
         await self.context.commit_ends(self._losses(changed))
         await self.context.commit_ends(await self.starts.follow_up())
-        changed.update(self._take_changed())
         changed.update(self.context.quarantine.take_reopened())
         self.decisions.refresh(changed)
         closed = self.decisions.closed
@@ -136,9 +137,11 @@
             self._reset()
 
     def _take_changed(self) -> set[str]:
-        changed = set(self.context.workers.changed)
-        self.context.workers.changed.clear()
-        return changed
+        """Takes some of the workers that changed; the rest waits."""
+        waiting = self.context.workers.changed
+        taken = set(itertools.islice(waiting, MAX_CHANGED_PER_ROUND))
+        waiting -= taken
+        return taken
 
     def _losses(self, changed: set[str]) -> list[commands.AttemptEnd]:
         ends = []
@@ -221,6 +224,8 @@
         out_of_date = messages.ReportReply(acknowledged=True, current=False)
         if record is None or not _is_from(record, report):
             return out_of_date
+        if _is_accepted(record, report):
+            return messages.ReportReply(acknowledged=True)
         end = self._end_of(report)
         if not tasks_lib.may_end(record, end):
             return out_of_date
@@ -265,3 +270,12 @@
         and record.incarnation == report.incarnation
         and record.attempt == report.attempt
     )
+
+
+def _is_accepted(
+    record: tasks_lib.TaskRecord, report: messages.AttemptReport
+) -> bool:
+    """Returns whether a report is the resend of one that was committed."""
+    return record.phase is tasks_lib.Phase.DONE and isinstance(
+        report.outcome, messages.Completed
+    )
