Resume cut-off work that must not repeat once its worker proves it unfinished

Also: a lost give-back of a throttle left a task slow for good, a new leader did not know the throttles of the earlier one, a failure resent while there was no quorum was counted against its worker each time, and work that must not repeat stayed paused after a failed checkpoint.

--- a/src/galenahook/scheduling/evictions.py
+++ b/src/galenahook/scheduling/evictions.py
@@ -15,6 +15,7 @@
 
 RETRY_MS = 1_000
 PAUSED_PERCENT = 1
+FULL_PERCENT = 100
 
 
 class Evictions:
@@ -109,15 +110,17 @@
 
     async def _without_checkpoint(self, record: tasks_lib.TaskRecord) -> bool:
         """Decides after a failed checkpoint whether to stop all the same."""
+        repeatable = tasks_lib.is_repeatable(
+            self.context.configuration, record.task
+        )
+        if not repeatable:
+            await self.throttle(record, FULL_PERCENT)
         if self.context.is_closed(record.worker):
-            return tasks_lib.is_repeatable(
-                self.context.configuration, record.task
-            )
+            return repeatable
         ref = messages.AttemptRef(task=record.task, attempt=record.attempt)
         await self.context.commit(
             commands.EvictAttempts(attempts=(ref,), reason="")
         )
-        await self.throttle(record, 100)
         return False
 
     async def _pause(self, record: tasks_lib.TaskRecord) -> None:
--- a/src/galenahook/scheduling/losses.py
+++ b/src/galenahook/scheduling/losses.py
@@ -59,3 +59,44 @@
             end = context_lib.gone(record, "lease over", in_doubt=True)
             ends.append(end)
     return ends
+
+
+class Doubts:
+    """Tasks in doubt that the return of their worker may clear.
+
+    A worker that returns under the same incarnation lists attempts that ended
+    by themselves until they are acknowledged. One that it does not list, in
+    an announcement made after its lease had ended, was cut off unfinished and
+    may resume from its checkpoint.
+
+    Attributes:
+      context: What the scheduler's parts share.
+      noted_ms: Worker's clock at the last announcement before the doubt was
+        noted, by task and attempt.
+    """
+
+    def __init__(self, context: context_lib.Context) -> None:
+        self.context = context
+        self.noted_ms: dict[tuple[str, int], int] = {}
+
+    def cleared(self) -> list[commands.AttemptEnd]:
+        """Returns ends of attempts that are proven to be unfinished."""
+        ends = []
+        noted_ms = {}
+        for task in self.context.tasks.in_doubt:
+            record = self.context.tasks.records[task]
+            worker = self.context.workers.workers.get(record.worker)
+            if worker is None or not record.checkpoint:
+                continue
+            announcement = worker.announcement
+            if announcement.incarnation != record.incarnation:
+                continue
+            key = (task, record.attempt)
+            sent_ms = announcement.sent_at_ms
+            noted_ms[key] = self.noted_ms.get(key, sent_ms)
+            lease_ms = self.context.timing.worker_lease_ms
+            is_later = sent_ms >= noted_ms[key] + lease_ms
+            if is_later and task not in worker.attempts:
+                ends.append(context_lib.gone(record, "cut off unfinished"))
+        self.noted_ms = noted_ms
+        return ends
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -46,6 +46,7 @@
       context: What the scheduler's parts share.
       decisions: Chooses placements.
       starts: Starts on their way.
+      doubts: Tasks in doubt that their workers may clear.
       evictions: Evictions under way.
       throttles: Throttles in force.
       tail_control: Watches the tails of services.
@@ -72,6 +73,7 @@
         self.executors = executors
         self.policy = policy
         self._woken = False
+        self._blames: dict[tuple[str, int], bool] = {}
         self._term = -1
         self._leases_checked_ms = 0
         self._tails_read_ms = 0
@@ -80,6 +82,8 @@
     def _reset(self) -> None:
         self.context.quarantine.clear()
         self.starts = starts_lib.Starts(self.context)
+        self.doubts = losses.Doubts(self.context)
+        self._blames.clear()
         self.evictions = evictions_lib.Evictions(self.context)
         self.decisions = decisions_lib.Decisions(self.context, self.policy)
         colocation = self.decisions.colocation
@@ -118,13 +122,14 @@
         self._follow_term()
         changed = self._take_changed()
         await self.context.commit_ends(self._losses(changed))
+        await self.context.commit_ends(self.doubts.cleared())
         await self.context.commit_ends(await self.starts.follow_up())
         changed.update(self.context.quarantine.take_reopened())
         self.decisions.refresh(changed)
         closed = self.decisions.closed
         await self._mark(removals.from_closed_workers(self.context, closed))
         await self._mark(overload.relief(self.context, changed))
-        await self._control_tails()
+        await self._control_tails(changed)
         policy = self.policy(self.context.configuration.objective)
         await self.evictions.follow_up(policy.checkpoints)
         await self._start_waiting()
@@ -161,8 +166,10 @@
         for command in marks:
             await self.context.commit(command)
 
-    async def _control_tails(self) -> None:
+    async def _control_tails(self, changed: set[str]) -> None:
         policy = self.policy(self.context.configuration.objective)
+        self.throttles.adopt(changed)
+        await self.throttles.follow_up()
         now_ms = self.context.clock.monotonic_ms()
         if now_ms - self._tails_read_ms < TAIL_PERIOD_MS:
             return
@@ -175,7 +182,6 @@
                 await self.throttles.set(action.task, action.percent)
         mark = tail_control_lib.eviction_command(self.context.tasks, actions)
         await self._mark([mark] if mark else [])
-        await self.throttles.follow_up()
 
     async def _start_waiting(self) -> None:
         choices = self.decisions.choose()
@@ -230,6 +236,7 @@
         result = await context.node.submit(
             commands.EndAttempts(ends=(end,), at_ms=context.clock.wall_ms())
         )
+        self._blames.pop((report.task, report.attempt), None)
         context.workers.changed.add(report.worker)
         self.wake()
         applied = isinstance(result, commands.AttemptsApplied) and all(
@@ -237,6 +244,15 @@
         )
         return messages.ReportReply(acknowledged=True, current=applied)
 
+    def _blame(self, report: messages.AttemptReport, owner: str) -> bool:
+        """Returns whether the worker is to blame; counts a resend once."""
+        key = (report.task, report.attempt)
+        if key not in self._blames:
+            self._blames[key] = self.context.quarantine.note_failure(
+                report.worker, owner
+            )
+        return self._blames[key]
+
     def _end_of(self, report: messages.AttemptReport) -> commands.AttemptEnd:
         owner = tasks_lib.owner_of(report.task)
         quarantine = self.context.quarantine
@@ -246,7 +262,7 @@
                 quarantine.note_success(report.worker, owner)
                 outcome = commands.AttemptCompleted(run_ms=run_ms)
             case messages.Failed(run_ms=run_ms, reason=reason):
-                blamed = quarantine.note_failure(report.worker, owner)
+                blamed = self._blame(report, owner)
                 outcome = commands.AttemptFailed(
                     run_ms=run_ms, reason=reason, on_worker=blamed
                 )
--- a/src/galenahook/scheduling/throttles.py
+++ b/src/galenahook/scheduling/throttles.py
@@ -1,5 +1,7 @@
 """Throttles of running attempts, kept in force until they are taken back."""
 
+from collections.abc import Iterable
+import contextlib
 import dataclasses
 
 import curio
@@ -11,12 +13,14 @@
 from galenahook.scheduling import tasks as tasks_lib
 
 FULL_PERCENT = 100
+RESEND_MS = 1_500
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class _Wanted:
     attempt: int
     percent: int
+    sent_ms: int
 
 
 class Throttles:
@@ -39,31 +43,62 @@
     async def set(self, task: str, percent: int) -> None:
         """Throttles a task's current attempt to a share of its processors."""
         record = self.context.tasks.records[task]
-        self._wanted[task] = _Wanted(record.attempt, percent)
-        self.colocation.throttles[task] = percent
+        self._want(record, percent)
         self.colocation.refresh([record.worker])
         await curio.spawn(self._send, record, percent, daemon=True)
 
+    def adopt(self, names: Iterable[str]) -> None:
+        """Takes over throttles that an earlier leader had set."""
+        for name in names:
+            worker = self.context.workers.workers.get(name)
+            for task in worker.throttled if worker else ():
+                record = self.context.tasks.records.get(task)
+                if worker is None or record is None or task in self._wanted:
+                    continue
+                status = worker.attempts[task]
+                if tasks_lib.is_current(record, task, status.attempt):
+                    self._want(record, status.throttle_percent)
+
+    def _want(self, record: tasks_lib.TaskRecord, percent: int) -> None:
+        now_ms = self.context.clock.monotonic_ms()
+        self._wanted[record.task] = _Wanted(record.attempt, percent, now_ms)
+        self.colocation.throttles[record.task] = percent
+
     async def follow_up(self) -> None:
-        """Forgets throttles of attempts that ended."""
+        """Sends again what a worker does not show, and forgets what ended."""
+        now_ms = self.context.clock.monotonic_ms()
         for task, wanted in list(self._wanted.items()):
             record = self.context.tasks.records.get(task)
-            if (
-                record is None
-                or not tasks_lib.is_current(record, task, wanted.attempt)
-                or wanted.percent == FULL_PERCENT
+            if record is None or not tasks_lib.is_current(
+                record, task, wanted.attempt
             ):
-                del self._wanted[task]
-                self.colocation.throttles.pop(task, None)
+                self._forget(task)
+                continue
+            if now_ms - wanted.sent_ms < RESEND_MS:
+                continue
+            shown = self._shown_percent(record)
+            if shown != wanted.percent:
+                wanted.sent_ms = now_ms
+                await curio.spawn(
+                    self._send, record, wanted.percent, daemon=True
+                )
+            elif wanted.percent == FULL_PERCENT:
+                self._forget(task)
+
+    def _forget(self, task: str) -> None:
+        del self._wanted[task]
+        self.colocation.throttles.pop(task, None)
+
+    def _shown_percent(self, record: tasks_lib.TaskRecord) -> int:
+        worker = self.context.workers.workers.get(record.worker)
+        status = worker.attempts.get(record.task) if worker else None
+        return status.throttle_percent if status else FULL_PERCENT
 
     async def _send(self, record: tasks_lib.TaskRecord, percent: int) -> None:
         order = messages.ThrottleOrder(
             task=record.task, attempt=record.attempt, percent=percent
         )
-        try:
+        with contextlib.suppress(errors.ExchangeError):
             await self.context.post(
                 record.worker, "/v1/throttle", order, messages.ThrottleReply
             )
-        except errors.ExchangeError:
-            self._wanted.pop(record.task, None)
-            self.colocation.throttles.pop(record.task, None)
--- a/src/galenahook/upstreams/workers.py
+++ b/src/galenahook/upstreams/workers.py
@@ -19,6 +19,7 @@
 
 MAX_RETIRED_INCARNATIONS = 8
 MIN_ANNOUNCEMENTS = 2
+FULL_PERCENT = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +34,7 @@
       attempts_sequence: Announcement that last listed them.
       excess: Use above what is reserved, as far as measured.
       over: Tasks that use more than they reserve.
+      throttled: Tasks that may not use all of their processors.
       taken: Announcements taken from this incarnation.
       retired: Earlier incarnations, which are refused.
       missing: Its held tasks that the last announcement did not list.
@@ -46,6 +48,7 @@
     attempts_sequence: int = 0
     excess: messages.Resources = messages.Resources()
     over: tuple[str, ...] = ()
+    throttled: tuple[str, ...] = ()
     taken: int = 0
     retired: tuple[str, ...] = ()
     missing: tuple[str, ...] = ()
@@ -156,6 +159,11 @@
         if not announcement.attempts_as_of:
             worker.attempts_sequence = announcement.sequence
         worker.missing = missing
+        worker.throttled = tuple(
+            status.task
+            for status in announcement.attempts
+            if status.throttle_percent < FULL_PERCENT
+        )
         excess, worker.over = _excess(worker, held)
         if missing or excess != worker.excess:
             self.changed.add(announcement.name)
--- a/tests/scheduling_model.py
+++ b/tests/scheduling_model.py
@@ -48,12 +48,15 @@
         self.state = state_lib.State()
         self.leads = True
         self.current_term = 1
+        self.quorum = True
         self.before_commit: Callable[[], None] | None = None
 
     async def submit(self, command: commands.Command) -> commands.Result:
         """Applies a command at once."""
         if not self.leads:
             raise errors.NotLeaderError("r2")
+        if not self.quorum:
+            raise errors.NoQuorumError("no quorum")
         if self.before_commit:
             self.before_commit()
         return self.state.apply(command)
@@ -82,7 +85,7 @@
     order: messages.StartOrder
     phase: str = "running"
     outcome: messages.Outcome | None = None
-    done: int = 0
+    percent: int = 100
 
 
 class ModelWorker:
@@ -144,6 +147,7 @@
                     attempt=running.order.attempt,
                     phase=running.phase,
                     usage=self.usage,
+                    throttle_percent=running.percent,
                 )
                 for task, running in self.attempts.items()
             ),
@@ -183,8 +187,10 @@
                 return messages.StopReply(stopped=True)
             case messages.CheckpointOrder():
                 return self.checkpoint(message)
+            case messages.ThrottleOrder():
+                return self.throttle(message)
             case _:
-                return messages.ThrottleReply(applied=True)
+                raise AssertionError(message)
 
     def start(self, order: messages.StartOrder) -> messages.StartReply:
         """Starts an attempt, or refuses it."""
@@ -218,6 +224,14 @@
         if running.phase != "ended":
             del self.attempts[task]
 
+    def throttle(self, order: messages.ThrottleOrder) -> messages.ThrottleReply:
+        """Sets the share of processors of an attempt."""
+        running = self.attempts.get(order.task)
+        if running is None or running.order.attempt != order.attempt:
+            return messages.ThrottleReply(applied=False)
+        running.percent = order.percent
+        return messages.ThrottleReply(applied=True)
+
     def checkpoint(
         self, order: messages.CheckpointOrder
     ) -> messages.CheckpointReply:
--- a/tests/test_scheduling_races.py
+++ b/tests/test_scheduling_races.py
@@ -6,6 +6,7 @@
 import pytest
 
 from galenahook import commands
+from galenahook import errors
 from galenahook import messages
 from galenahook.scheduling import tasks as tasks_lib
 import scheduling_model as model
@@ -146,3 +147,82 @@
     with pytest.raises(Exception, match="not the leader"):
         site.report("w0")
     assert site.record(TASK).phase is Phase.HELD
+
+
+@pytest.mark.parametrize(
+    ("checkpointed", "ended", "phase"),
+    [
+        (True, False, Phase.HELD),
+        (False, False, Phase.IN_DOUBT),
+        (True, True, Phase.IN_DOUBT),
+    ],
+)
+def test_cut_off_work_that_must_not_repeat_resumes_if_its_worker_returns(
+    site: model.ModelSite, checkpointed: bool, ended: bool, phase: Phase
+) -> None:
+    site.change(model.sheet(model.job("plan", repeatable=False)))
+    site.pass_time(1_000)
+    if checkpointed:
+        reference = site.workers["w0"].checkpoint(
+            messages.CheckpointOrder(task=TASK, attempt=1)
+        )
+        taken = commands.CheckpointTaken(
+            task=TASK, attempt=1, reference=reference.reference
+        )
+        site.node.state.apply(commands.RecordCheckpoints(checkpoints=(taken,)))
+    site.workers["w0"].connected = False
+    if ended:
+        site.workers["w0"].finish(TASK)
+    site.pass_time(10_000)
+    assert site.record(TASK).phase is Phase.IN_DOUBT
+    site.workers["w0"].connected = True
+    site.pass_time(15_000)
+    assert site.record(TASK).phase is phase
+    assert site.record(TASK).attempt == (2 if phase is Phase.HELD else 1)
+
+
+def test_lost_give_back_of_a_throttle_is_sent_again(
+    site: model.ModelSite,
+) -> None:
+    site.change(model.sheet(model.job("plan")))
+    site.pass_time(1_000)
+    throttles = site.scheduler.throttles
+    site.kernel.run(throttles.set, TASK, 40)
+    site.pass_time(1_000)
+    assert site.workers["w0"].attempts[TASK].percent == 40
+    site.client.lose_request.add("w0")
+    site.kernel.run(throttles.set, TASK, 100)
+    site.pass_time(1_000)
+    site.client.lose_request.clear()
+    site.pass_time(3_000)
+    assert site.workers["w0"].attempts[TASK].percent == 100
+    assert site.scheduler.decisions.colocation.throttles == {}
+
+
+def test_new_leader_knows_the_throttles_of_the_earlier_one(
+    site: model.ModelSite,
+) -> None:
+    site.change(model.sheet(model.job("plan")))
+    site.pass_time(1_000)
+    site.kernel.run(site.scheduler.throttles.set, TASK, 40)
+    site.pass_time(500)
+    site.elect()
+    site.pass_time(1_500)
+    assert site.scheduler.decisions.colocation.throttles == {TASK: 40}
+
+
+def test_failure_resent_without_a_quorum_is_counted_once(
+    site: model.ModelSite,
+) -> None:
+    site.change(model.sheet(model.job("plan")))
+    site.pass_time(1_000)
+    worker = site.workers["w0"]
+    worker.finish(TASK, messages.Failed(run_ms=1, reason="x"))
+    site.node.quorum = False
+    for _ in range(5):
+        with pytest.raises(errors.NoQuorumError):
+            site.report("w0")
+    site.node.quorum = True
+    site.report("w0")
+    assert not site.scheduler.context.quarantine.is_closed("w0")
+    assert site.record(TASK).failures == 1
