--- a/bench/decisions_stage.py
+++ b/bench/decisions_stage.py
@@ -21,6 +21,7 @@
 from galenahook import web
 from galenahook.scheduling import policy as policy_lib
 from galenahook.scheduling import scheduler as scheduler_lib
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 from galenahook.upstreams import executors as executors_lib
 from galenahook.upstreams import workers as workers_lib
@@ -186,7 +187,7 @@
         )
 
     @property
-    def tasks(self) -> tasks_lib.TaskTable:
+    def tasks(self) -> task_table.TaskTable:
         """Every task."""
         return self.node.state.tasks
 
--- a/src/galenahook/scheduling/context.py
+++ b/src/galenahook/scheduling/context.py
@@ -15,6 +15,7 @@
 from galenahook import web
 from galenahook.replicas import node as node_lib
 from galenahook.scheduling import quarantine as quarantine_lib
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 from galenahook.upstreams import workers as workers_lib
 
@@ -51,7 +52,7 @@
     quarantine: quarantine_lib.Quarantine
 
     @property
-    def tasks(self) -> tasks_lib.TaskTable:
+    def tasks(self) -> task_table.TaskTable:
         """Every task."""
         return self.node.state.tasks
 
--- a/src/galenahook/scheduling/costs.py
+++ b/src/galenahook/scheduling/costs.py
@@ -9,6 +9,7 @@
 from galenahook.scheduling import colocation as colocation_lib
 from galenahook.scheduling import interference as interference_lib
 from galenahook.scheduling import placement
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 
 SAME_WORKER = 1.0
@@ -151,7 +152,7 @@
 
 
 def class_mix(
-    table: tasks_lib.TaskTable,
+    table: task_table.TaskTable,
     configuration: configuration_lib.ConfigurationRecord,
 ) -> dict[str, float]:
     """Returns the share of each job class in the processors held by jobs."""
--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -13,6 +13,7 @@
 from galenahook.scheduling import context as context_lib
 from galenahook.scheduling import costs
 from galenahook.scheduling import estimates
+from galenahook.scheduling import explanations
 from galenahook.scheduling import interference as interference_lib
 from galenahook.scheduling import placement
 from galenahook.scheduling import policy as policy_lib
@@ -20,6 +21,7 @@
 from galenahook.scheduling import quotas
 from galenahook.scheduling import refill as refill_lib
 from galenahook.scheduling import retries
+from galenahook.scheduling import rows
 from galenahook.scheduling import tasks as tasks_lib
 
 MAX_STARTS_PER_ROUND = 100
@@ -212,7 +214,9 @@
                 return
             slot = self._place(need, policy)
             if slot is None:
-                self.blocked[owner] = self._why_no_room(need)
+                self.blocked[owner] = explanations.why_no_room(
+                    self.context, need.resources
+                )
                 self._make_room(turn, need, choices)
                 return
             if self._should_wait(turn, need, slot, policy):
@@ -235,7 +239,7 @@
     def _needs(self, owner: str) -> Iterator[costs.Need]:
         """Yields what the first waiting tasks of an owner ask for."""
         context = self.context
-        row = row_of(context, owner)
+        row = rows.row_of(context.configuration, owner)
         if row is None:
             return
         blamed = context.quarantine.is_owner_blamed(owner)
@@ -244,7 +248,7 @@
         if blamed and owner in context.tasks.spread:
             return
         job_class = row.job_class if isinstance(row, commands.JobRow) else ""
-        size = self.sizes.reserve(size_key(row), row.resources)
+        size = self.sizes.reserve(rows.size_key(row), row.resources)
         now_ms = context.clock.wall_ms()
         waiting = context.tasks.waiting[owner]
         most = 1 if blamed else MAX_TASKS_LOOKED_AT
@@ -371,25 +375,6 @@
         crowding = costs.crowding(near, slot, self.index)
         return crowding + costs.OTHER_SERVICE * len(others)
 
-    def _why_no_room(self, need: costs.Need) -> str:
-        """Returns why no worker takes a task."""
-        capacities = list(self.context.workers.capacities())
-        if any(placement.fits(need.resources, one) for one in capacities):
-            return "no worker has room now"
-        if not capacities:
-            return "no worker has announced itself"
-        largest = capacities[0]
-        for one in capacities:
-            largest = placement.larger(largest, one)
-        asked = need.resources
-        return (
-            f"unschedulable: a task takes {asked.cores_milli} thousandths of"
-            f" a core, {asked.memory_mb} MB and {asked.accelerators}"
-            f" accelerators, and no VM holds that; VMs offer at most"
-            f" {largest.cores_milli}, {largest.memory_mb} MB and"
-            f" {largest.accelerators}"
-        )
-
     def _make_room(
         self, turn: batch_order.Turn, need: costs.Need, choices: Choices
     ) -> None:
@@ -416,20 +401,3 @@
             incarnation=worker.announcement.incarnation,
             reserved=need.resources,
         )
-
-
-def row_of(
-    context: context_lib.Context, owner: str
-) -> commands.ServiceRow | commands.JobRow | None:
-    """Returns the row of the sheet for an owner."""
-    name = owner.partition("/")[2]
-    if tasks_lib.is_service(owner):
-        return context.configuration.services.get(name)
-    return context.configuration.jobs.get(name)
-
-
-def size_key(row: commands.ServiceRow | commands.JobRow) -> str:
-    """Returns under which name the sizes of a row's tasks are learned."""
-    if isinstance(row, commands.JobRow):
-        return f"class/{row.job_class}"
-    return f"service/{row.name}"
--- a/src/galenahook/scheduling/explanations.py
+++ b/src/galenahook/scheduling/explanations.py
@@ -7,6 +7,7 @@
 from galenahook import messages
 from galenahook.scheduling import context as context_lib
 from galenahook.scheduling import estimates
+from galenahook.scheduling import placement
 from galenahook.scheduling import tasks as tasks_lib
 
 MAX_TASKS_SHOWN = 50
@@ -224,3 +225,21 @@
     if context.quarantine.is_closed(name):
         return "quarantined"
     return "usable"
+
+
+def why_no_room(context: context_lib.Context, asked: messages.Resources) -> str:
+    """Returns why no worker takes a task of some size."""
+    capacities = list(context.workers.capacities())
+    if any(placement.fits(asked, one) for one in capacities):
+        return "no worker has room now"
+    if not capacities:
+        return "no worker has announced itself"
+    largest = capacities[0]
+    for one in capacities:
+        largest = placement.larger(largest, one)
+    return (
+        f"unschedulable: a task takes {asked.cores_milli} thousandths of a"
+        f" core, {asked.memory_mb} MB and {asked.accelerators} accelerators,"
+        f" and no VM holds that; VMs offer at most {largest.cores_milli},"
+        f" {largest.memory_mb} MB and {largest.accelerators}"
+    )
--- a/src/galenahook/scheduling/quotas.py
+++ b/src/galenahook/scheduling/quotas.py
@@ -2,17 +2,9 @@
 
 from galenahook import configuration as configuration_lib
 from galenahook import messages
-from galenahook.scheduling import tasks as tasks_lib
-
-
-def team_of(current: configuration_lib.ConfigurationRecord, owner: str) -> str:
-    """Returns the team of a job or service, or an empty string."""
-    name = owner.partition("/")[2]
-    if tasks_lib.is_service(owner):
-        service = current.services.get(name)
-        return service.team if service else ""
-    job = current.jobs.get(name)
-    return job.team if job else ""
+from galenahook.scheduling import rows
+from galenahook.scheduling import task_index
+from galenahook.scheduling import task_table
 
 
 class TeamUse:
@@ -27,20 +19,20 @@
     def __init__(
         self,
         current: configuration_lib.ConfigurationRecord,
-        table: tasks_lib.TaskTable,
+        table: task_table.TaskTable,
     ) -> None:
         self.quotas = current.quotas
-        self.use: dict[str, tasks_lib.Reserved] = {}
+        self.use: dict[str, task_index.Reserved] = {}
         if not self.quotas:
             return
         for owner, reserved in table.owner_reserved.items():
-            total = self._total(team_of(current, owner))
+            total = self._total(rows.team_of(current, owner))
             total.cores_milli += reserved.cores_milli
             total.memory_mb += reserved.memory_mb
             total.accelerators += reserved.accelerators
 
-    def _total(self, team: str) -> tasks_lib.Reserved:
-        return self.use.setdefault(team, tasks_lib.Reserved())
+    def _total(self, team: str) -> task_index.Reserved:
+        return self.use.setdefault(team, task_index.Reserved())
 
     def allows(self, team: str, amount: messages.Resources) -> bool:
         """Returns whether a team may reserve an amount more."""
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -25,6 +25,7 @@
 from galenahook.scheduling import policy as policy_lib
 from galenahook.scheduling import quarantine as quarantine_lib
 from galenahook.scheduling import removals
+from galenahook.scheduling import rows
 from galenahook.scheduling import starts as starts_lib
 from galenahook.scheduling import tail_control as tail_control_lib
 from galenahook.scheduling import tails as tails_lib
@@ -268,9 +269,9 @@
                 outcome = commands.AttemptFailed(
                     run_ms=run_ms, reason=reason, on_worker=blamed
                 )
-        row = decisions_lib.row_of(self.context, owner)
+        row = rows.row_of(self.context.configuration, owner)
         if row is not None:
-            key = decisions_lib.size_key(row)
+            key = rows.size_key(row)
             reserved = self.context.tasks.records[report.task].reserved
             self.decisions.sizes.finish(report.task, key, reserved)
         return commands.AttemptEnd(
--- a/src/galenahook/scheduling/starts.py
+++ b/src/galenahook/scheduling/starts.py
@@ -16,6 +16,7 @@
 from galenahook import errors
 from galenahook import messages
 from galenahook.scheduling import context as context_lib
+from galenahook.scheduling import rows
 from galenahook.scheduling import tasks as tasks_lib
 from galenahook.upstreams import workers as workers_lib
 
@@ -189,7 +190,9 @@
             basis_sequence=announcement.sequence,
             ttl_ms=context.timing.start_ttl_ms,
             resources=record.reserved,
-            command=_command(context, sent.task),
+            command=rows.command_of(
+                context.configuration, tasks_lib.owner_of(sent.task)
+            ),
             checkpoint=record.checkpoint,
         )
 
@@ -206,13 +209,3 @@
 
 def _incarnation(worker: workers_lib.Worker) -> str:
     return worker.announcement.incarnation
-
-
-def _command(context: context_lib.Context, task: str) -> str:
-    name = tasks_lib.name_of(task)
-    configuration = context.configuration
-    if tasks_lib.is_service(task):
-        service = configuration.services.get(name)
-        return service.command if service else ""
-    job = configuration.jobs.get(name)
-    return job.command if job else ""
--- a/src/galenahook/scheduling/tail_control.py
+++ b/src/galenahook/scheduling/tail_control.py
@@ -17,6 +17,7 @@
 from galenahook.scheduling import interference as interference_lib
 from galenahook.scheduling import policy as policy_lib
 from galenahook.scheduling import tails as tails_lib
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 
 SETTLE_MS = 300
@@ -250,7 +251,7 @@
 
 
 def eviction_command(
-    table: tasks_lib.TaskTable, actions: Iterable[Action]
+    table: task_table.TaskTable, actions: Iterable[Action]
 ) -> commands.EvictAttempts | None:
     """Returns the command that marks what is to be evicted, if anything."""
     evictions = [action for action in actions if isinstance(action, Evict)]
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -13,6 +13,7 @@
 from galenahook import configuration as configuration_lib
 from galenahook import messages
 from galenahook.callers import claims as claims_lib
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 
 SnapshotRecord = (
@@ -36,7 +37,7 @@
 
     def __init__(self) -> None:
         self.configuration = configuration_lib.ConfigurationState()
-        self.tasks = tasks_lib.TaskTable()
+        self.tasks = task_table.TaskTable()
         self.claims = claims_lib.ClaimTable()
 
     def apply(self, command: commands.Command) -> commands.Result:
--- a/src/galenahook/upstreams/workers.py
+++ b/src/galenahook/upstreams/workers.py
@@ -15,6 +15,7 @@
 from galenahook import defaults
 from galenahook import messages
 from galenahook import settings
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 
 MAX_RETIRED_INCARNATIONS = 8
@@ -88,7 +89,7 @@
     def announce(
         self,
         announcement: messages.WorkerAnnouncement,
-        held: tasks_lib.TaskTable,
+        held: task_table.TaskTable,
     ) -> messages.AnnouncementReply:
         """Takes an announcement and renews the worker's lease.
 
@@ -118,7 +119,7 @@
             stop=_out_of_date(announcement, held),
         )
 
-    def _must_refuse(self, name: str, held: tasks_lib.TaskTable) -> bool:
+    def _must_refuse(self, name: str, held: task_table.TaskTable) -> bool:
         """Returns whether a lease that was over has work left to end."""
         if not self.is_lease_over(name):
             return False
@@ -133,7 +134,7 @@
         self,
         worker: Worker | None,
         announcement: messages.WorkerAnnouncement,
-        held: tasks_lib.TaskTable,
+        held: task_table.TaskTable,
         now_ms: int,
     ) -> Worker:
         attempts = {status.task: status for status in announcement.attempts}
@@ -239,7 +240,7 @@
         age_ms = self.clock.monotonic_ms() - worker.heard_ms
         return age_ms > self.timing.start_ttl_ms
 
-    def free(self, name: str, held: tasks_lib.TaskTable) -> messages.Resources:
+    def free(self, name: str, held: task_table.TaskTable) -> messages.Resources:
         """Returns what a worker has left beside all that is reserved.
 
         What it uses above its reservations is taken off too; amounts may be
@@ -297,7 +298,7 @@
 def _missing(
     announcement: messages.WorkerAnnouncement,
     attempts: dict[str, messages.AttemptStatus],
-    held: tasks_lib.TaskTable,
+    held: task_table.TaskTable,
 ) -> Iterator[str]:
     for task in held.held.get(announcement.name, ()):
         status = attempts.get(task)
@@ -306,7 +307,7 @@
 
 
 def _vanished(
-    worker: Worker, missing: tuple[str, ...], held: tasks_lib.TaskTable
+    worker: Worker, missing: tuple[str, ...], held: task_table.TaskTable
 ) -> frozenset[tuple[str, int]]:
     """Returns missing attempts that this incarnation had announced."""
     found = []
@@ -335,7 +336,7 @@
 
 
 def _out_of_date(
-    announcement: messages.WorkerAnnouncement, held: tasks_lib.TaskTable
+    announcement: messages.WorkerAnnouncement, held: task_table.TaskTable
 ) -> tuple[messages.AttemptRef, ...]:
     return tuple(
         messages.AttemptRef(task=status.task, attempt=status.attempt)
@@ -347,7 +348,7 @@
 def _is_its_own(
     announcement: messages.WorkerAnnouncement,
     status: messages.AttemptStatus,
-    held: tasks_lib.TaskTable,
+    held: task_table.TaskTable,
 ) -> bool:
     record = held.records.get(status.task)
     return (
@@ -359,7 +360,7 @@
 
 
 def _excess(
-    worker: Worker, held: tasks_lib.TaskTable
+    worker: Worker, held: task_table.TaskTable
 ) -> tuple[messages.Resources, tuple[str, ...]]:
     """Sums use above reservations, and all use of attempts out of date.
 
--- a/tests/scheduling_model.py
+++ b/tests/scheduling_model.py
@@ -18,6 +18,7 @@
 from galenahook import state as state_lib
 from galenahook import web
 from galenahook.scheduling import scheduler as scheduler_lib
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 from galenahook.upstreams import workers as workers_lib
 
@@ -371,7 +372,7 @@
         )
 
     @property
-    def tasks(self) -> tasks_lib.TaskTable:
+    def tasks(self) -> task_table.TaskTable:
         """Every task."""
         return self.node.state.tasks
 
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -9,6 +9,7 @@
 from galenahook import messages
 from galenahook import state as state_lib
 from galenahook.scheduling import retries
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 import scheduling_model as model
 
@@ -187,7 +188,7 @@
     table.change(model.sheet(model.job("other")))
     table.change(model.sheet(model.job("plan", repeatable=False)))
     assert table.record().phase is Phase.DONE
-    old_ms = tasks_lib.ENDED_RETENTION_MS + 1
+    old_ms = task_table.ENDED_RETENTION_MS + 1
     table.change(model.sheet(model.job("other")), at_ms=old_ms)
     assert TASK not in table.state.tasks.records
 
@@ -234,7 +235,7 @@
         table.start(f"job/plan/{index}")
         table.end(COMPLETED, f"job/plan/{index}")
     learned = table.state.tasks.run_times["coating"]
-    assert learned.ratios == (5.0,) * tasks_lib.MAX_RUN_TIMES
+    assert learned.ratios == (5.0,) * task_table.MAX_RUN_TIMES
 
 
 def test_snapshot_restores_records_and_indexes() -> None:
@@ -250,7 +251,7 @@
     table.end(COMPLETED, "job/plan/2")
     restored = state_lib.State()
     restored.restore(list(table.state.snapshot_records()))
-    names = [name for name in tasks_lib.TaskTable.__slots__ if name[0] != "_"]
+    names = [name for name in task_table.TaskTable.__slots__ if name[0] != "_"]
     for name in set(names) - {"reserved", "owner_reserved", "spread"}:
         left = getattr(restored.tasks, name)
         assert left == getattr(table.state.tasks, name), name
