--- a/src/galenahook/operators/replica_members.py
+++ b/src/galenahook/operators/replica_members.py
@@ -55,7 +55,14 @@
         raise output_lib.CommandError(
             exit_codes.USAGE, f"{name} is no member: give its --address"
         )
-    await add(session, name, address, timeout_ms)
+    try:
+        await add(session, name, address, timeout_ms)
+    except output_lib.CommandError as error:
+        raise output_lib.CommandError(
+            error.exit_code,
+            f"{error}; it is not readmitted yet: go on with galenahook"
+            f" replica-member add {name} {address}",
+        ) from error
 
 
 async def _change(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,8 +1,10 @@
 """The command line: exit codes, output, and a whole site behind it."""
 
+import contextlib
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import threading
@@ -52,7 +54,14 @@
 
 def test_a_line_is_understood_whole_before_anything_runs(capsys, monkeypatch):
     ran = []
-    monkeypatch.setattr(cli.cli_actions, "perform", ran.append)
+
+    def load(*arguments):
+        ran.append(arguments)
+        raise cli.cli_actions.CommandError(exit_codes.FAILURE, "ran")
+
+    monkeypatch.setattr(cli.cli_actions.client_settings, "load", load)
+    assert _run(capsys, "job", "cancel", "plan")[0] == exit_codes.FAILURE
+    ran.clear()
     code, _, _ = _run(capsys, "job", "cancel", "plan", "--clinet", "c.json")
     assert code == exit_codes.USAGE
     assert not ran
@@ -116,12 +125,23 @@
 # --- A whole site in one process ---------------------------------------------
 
 
+def _free_ports() -> int:
+    """Returns the first of five free ports, below those of the kernel."""
+    for first in range(20_000 + os.getpid() % 5_000, 32_000, 5):
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for port in range(first, first + 5):
+                sock = stack.enter_context(socket.socket())
+                sock.bind(("127.0.0.1", port))
+            return first
+    raise AssertionError("no free ports")
+
+
 class _LocalSite:
     """`galenahook local` in a process of its own."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
-        self.first_port = 20_000 + os.getpid() % 20_000
+        self.first_port = _free_ports()
         self.process = subprocess.Popen(
             [
                 sys.executable, "-m", "galenahook", "local",
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,96 @@
+"""Logs: JSON lines that never hold the process up."""
+
+import json
+import threading
+import time
+
+import eliot
+import pytest
+
+from galenahook import logs
+
+BOUND_MS = 500
+
+
+class _StuckStream:
+    """A file whose disk hangs until it is released."""
+
+    def __init__(self) -> None:
+        self.released = threading.Event()
+        self.entered = threading.Event()
+        self.lines = 0
+
+    def write(self, data: bytes) -> None:
+        self.entered.set()
+        assert self.released.wait(10)
+        self.lines += data.count(b"\n")
+
+    def flush(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+@pytest.fixture
+def log_file(tmp_path):
+    return tmp_path / "log.jsonl"
+
+
+def _lines(path):
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def test_messages_are_json_lines_with_process_and_identifier(log_file):
+    writer = logs.start("entry-1", str(log_file))
+    logs.info("caller:answered", request="ab12", status=200)
+    logs.warning("odd", value=object(), text="é\n")
+    logs.stop(writer)
+    logs.info("after the end")
+    first, second = _lines(log_file)
+    assert first["process"] == "entry-1"
+    assert first["message_type"] == "caller:answered"
+    assert (first["request"], first["status"]) == ("ab12", 200)
+    assert (second["level"], second["text"]) == ("warning", "é\n")
+
+
+def test_a_restart_appends(log_file):
+    for name in ("first", "second"):
+        writer = logs.start(name, str(log_file))
+        logs.info("started")
+        logs.stop(writer)
+    processes = [line["process"] for line in _lines(log_file)]
+    assert processes == ["first", "second"]
+
+
+def test_a_hanging_disk_holds_nobody_up_and_drops_are_counted():
+    stream = _StuckStream()
+    writer = logs.LogWriter(stream, "entry-1")
+    eliot.add_destinations(writer)
+    try:
+        logs.info("first")
+        assert stream.entered.wait(5)
+        started = time.monotonic()
+        for index in range(logs.MAX_QUEUED_LINES + 50):
+            logs.info("many", index=index)
+        elapsed_ms = 1_000 * (time.monotonic() - started)
+    finally:
+        stream.released.set()
+        logs.stop(writer)
+    assert elapsed_ms / logs.MAX_QUEUED_LINES < BOUND_MS / 1_000
+    assert writer.dropped == 50
+    assert stream.lines == logs.MAX_QUEUED_LINES + 1
+
+
+def test_a_full_disk_is_counted_and_raises_nothing(monkeypatch):
+    stream = _StuckStream()
+
+    def refuse(_: bytes) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(stream, "write", refuse)
+    writer = logs.LogWriter(stream, "entry-1")
+    eliot.add_destinations(writer)
+    logs.info("lost")
+    logs.stop(writer)
+    assert writer.dropped == 1
