--- a/src/galenahook/upstreams/view.py
+++ b/src/galenahook/upstreams/view.py
@@ -1,6 +1,5 @@
 """What an entry knows: its lease, configuration, executors and slots."""
 
-from collections.abc import Iterator
 import dataclasses
 
 from galenahook import clock as clock_lib
@@ -9,6 +8,25 @@
 _REVISION_UNKNOWN = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Learned:
+    """What routing has learned of one incarnation of an executor.
+
+    Attributes:
+      latency_ms: Mean latency of its answers, 0 before the first.
+      sampled_ms: When the last answer came.
+      failures: Failures since the last answer.
+      ejections: Ejections since it last worked for a while.
+      eject_until_ms: End of the last ejection.
+    """
+
+    latency_ms: float = 0.0
+    sampled_ms: int = 0
+    failures: int = 0
+    ejections: int = 0
+    eject_until_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Executor:
     """One incarnation of an executor, as this entry uses it.
@@ -21,6 +39,7 @@
         while they may still have been running there.
       abandoned_reported: `abandoned` as the last update gave it.
       connections: Connections that the executor may count as open.
+      learned: What routing has learned of it.
     """
 
     address: messages.ExecutorAddress
@@ -29,6 +48,7 @@
     abandoned: int = 0
     abandoned_reported: int = 0
     connections: int = 0
+    learned: Learned = dataclasses.field(default_factory=Learned)
 
     @property
     def connections_per_slot(self) -> int:
@@ -52,10 +72,12 @@
     Attributes:
       current: Requests waiting or in flight.
       peak: Highest `current` since the last update.
+      refused_ms: Time that the requests refused since then would have taken.
     """
 
     current: int = 0
     peak: int = 0
+    refused_ms: float = 0.0
 
     def add(self) -> None:
         """Counts a request that arrived."""
@@ -66,6 +88,18 @@
         """Counts a request that ended."""
         self.current -= 1
 
+    def refuse(self, latency_ms: float) -> None:
+        """Counts a request refused for want of slots."""
+        self.refused_ms += latency_ms
+
+    def take(self, period_ms: int) -> int:
+        """Returns the slots wanted in the period that ends now."""
+        refused = self.refused_ms / max(1, period_ms)
+        wanted = self.peak + int(refused)
+        self.peak = self.current
+        self.refused_ms = 0.0
+        return wanted
+
 
 class EntryView:
     """An entry's lease, counted from when its update was sent.
@@ -104,6 +138,7 @@
         self._clock = clock
         self._retired: list[Executor] = []
         self._by_service: dict[str, list[Executor]] = {}
+        self._usable: dict[str, list[Executor]] = {}
         self._lease_end_ms = 0
         self._uses_taken_ms = 0
 
@@ -142,6 +177,7 @@
             self._replace_executors(reply.executors)
             self.upstreams_version = reply.upstreams_version
         self._replace_grants(reply.grants)
+        self._list_usable()
         lease_end_ms = sent_at_ms + reply.lease_ms
         self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
         self.changes += 1
@@ -181,11 +217,12 @@
 
         Slots above the grant that are no longer needed are thereby returned.
         """
+        before_ms = self._uses_taken_ms
         self._uses_taken_ms = self._clock.monotonic_ms()
         self._retired = [
             executor for executor in self._retired if executor.busy > 0
         ]
-        wanted = self._take_wanted()
+        wanted = self._take_wanted(self._uses_taken_ms - before_ms)
         uses = []
         for executor in (*self.executors.values(), *self._retired):
             use = self._slot_use(executor, wanted)
@@ -215,32 +252,33 @@
         granted = executor.granted if self.may_start() else 0
         return max(granted, executor.busy, executor.slots_for_connections())
 
-    def _take_wanted(self) -> dict[str, int]:
-        """Splits each service's peak demand evenly over its executors."""
+    def _take_wanted(self, period_ms: int) -> dict[str, int]:
+        """Splits each service's demand evenly over its executors."""
         wanted = {}
         for service, executors in self._by_service.items():
             demand = self.demands.get(service)
             if demand is None:
                 continue
-            peak = demand.peak
-            demand.peak = demand.current
-            share, rest = divmod(peak, len(executors))
+            share, rest = divmod(demand.take(period_ms), len(executors))
             for index, executor in enumerate(executors):
                 wanted[executor.address.name] = share + (index < rest)
         return wanted
 
-    def executors_of(self, service: str) -> list[Executor]:
-        """Returns the current executors of a service."""
-        return self._by_service.get(service, [])
-
-    def usable_executors(self, service: str) -> Iterator[Executor]:
-        """Returns executors that may be given new requests now."""
+    def _list_usable(self) -> None:
         out = self.configuration.availability_zones_out
-        for executor in self.executors_of(service):
-            if not executor.address.usable:
-                continue
-            if executor.address.availability_zone not in out:
-                yield executor
+        self._usable = {
+            service: [
+                executor
+                for executor in executors
+                if executor.address.usable
+                and executor.address.availability_zone not in out
+            ]
+            for service, executors in self._by_service.items()
+        }
+
+    def usable_executors(self, service: str) -> list[Executor]:
+        """Returns the executors that may be given new requests now."""
+        return self._usable.get(service, [])
 
     def demand(self, service: str) -> Demand:
         """Returns the demand record of a service."""
