--- a/src/galenahook/callers/handler.py
+++ b/src/galenahook/callers/handler.py
@@ -14,6 +14,7 @@
 from galenahook.callers import attempts
 from galenahook.callers import calls
 from galenahook.callers import claimant as claimant_lib
+from galenahook.callers import recent as recent_lib
 from galenahook.platform import metrics as metrics_lib
 from galenahook.upstreams import routing
 from galenahook.upstreams import view as view_lib
@@ -56,6 +57,7 @@
         self._claimant = claimant_lib.Claimant(claim_keys, clock)
         self._clock = clock
         self._metrics = metrics
+        self.recent = recent_lib.RecentRequests(clock)
         self.handled = 0
         self._pump_started = False
 
@@ -77,6 +79,8 @@
         )
         elapsed_ms = self._clock.monotonic_ms() - started_ms
         self._count(response, elapsed_ms)
+        outcome = response.header(calls.OUTCOME_HEADER).decode("ascii")
+        self.recent.note(identifier, request, response, outcome, elapsed_ms)
         return response
 
     def _count(self, response: web.Response, elapsed_ms: int) -> None:
--- a/src/galenahook/cli.py
+++ b/src/galenahook/cli.py
@@ -159,13 +159,7 @@
             )
 
         async def run(session: session_lib.Session) -> None:
-            explanation = await session.client.get(
-                wire.EXPLAIN_TARGET,
-                wire.Explanation,
-                job=job,
-                service=service,
-                request=request,
-            )
+            explanation = await session.explain(job, service, request)
             self._options.output.show(
                 explanation, [explanation.subject, *explanation.lines]
             )
--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -72,7 +72,10 @@
             self.view, self.router, self._claim, clock, self.metrics
         )
         self.operators_handler = operators_relay.OperatorRelay(
-            self.leader, settings.operator_tokens_file, clock
+            self.leader,
+            settings.operator_tokens_file,
+            clock,
+            self.callers_handler.recent.explain,
         )
         self.health = health_lib.Health(self._is_ready)
         self.callers_server = self._server(
--- a/src/galenahook/operators/client.py
+++ b/src/galenahook/operators/client.py
@@ -62,6 +62,13 @@
         self.access = access
         self._clock = clock
 
+    def only(self, address: str) -> "OperatorClient":
+        """Returns a client of one entry."""
+        access = client_settings.Access(
+            entries=(address,), token=self.access.token
+        )
+        return OperatorClient(access, self._clock)
+
     async def get(
         self, target: str, reply_type: type[_ReplyT], **query: str
     ) -> _ReplyT:
--- a/src/galenahook/operators/explanations.py
+++ b/src/galenahook/operators/explanations.py
@@ -9,22 +9,13 @@
 
 
 def explain(leader: Any, query: dict[str, str]) -> wire.Explanation | None:
-    """Explains a job, a service or a request; None if none is asked for."""
+    """Explains a job or a service; None if neither is asked for."""
     match query:
         case {"job": name}:
             return _explain_job(leader, name)
         case {"service": name}:
             explained = leader.scheduler.explain(f"service/{name}")
             return _explanation(f"service {name}", explained, ())
-        case {"request": identifier}:
-            return wire.Explanation(
-                subject=f"request {identifier}",
-                known=False,
-                lines=(
-                    "only the entry that answered it knows; look for the"
-                    " identifier in the entries' logs",
-                ),
-            )
     return None
 
 
--- a/src/galenahook/operators/handler.py
+++ b/src/galenahook/operators/handler.py
@@ -227,7 +227,7 @@
         explained = explanations.explain(self.leader, query)
         if explained is None:
             return web.refusal(
-                400, "expected one of ?job=NAME, ?service=NAME or ?request=ID"
+                400, "expected ?job=NAME, ?service=NAME or ?request=ID"
             )
         return web.json_response(explained, 200 if explained.known else 404)
 
--- a/src/galenahook/operators/relay.py
+++ b/src/galenahook/operators/relay.py
@@ -1,7 +1,9 @@
 """The entry's side of operators: who they are, and the way to the leader."""
 
+from collections.abc import Callable
 import secrets
 from typing import Protocol
+import urllib.parse
 
 import curio
 
@@ -53,10 +55,20 @@
     """
 
     def __init__(
-        self, leader: Leader, tokens_file: str, clock: clock_lib.Clock
+        self,
+        leader: Leader,
+        tokens_file: str,
+        clock: clock_lib.Clock,
+        explain_request: Callable[[str], tuple[str, ...]] | None = None,
     ) -> None:
         """Reads the operators' tokens.
 
+        Args:
+          leader: The way to the leader.
+          tokens_file: JSON object of tokens by operator.
+          clock: Clock of the process.
+          explain_request: Tells why a caller's request was refused here.
+
         Raises:
           errors.InvalidInputError: The tokens' file has faults.
         """
@@ -65,6 +77,7 @@
             raise errors.InvalidInputError(loaded.error)
         self.tokens = loaded.ok
         self._leader = leader
+        self._explain_request = explain_request
         self._clock = clock
 
     async def handle(self, request: web.Request) -> web.Response:
@@ -75,6 +88,8 @@
         path, _, query = request.target.partition("?")
         if (request.method, path) not in _ROUTES:
             return web.refusal(404, "no such route")
+        if path == wire.EXPLAIN_TARGET and query.startswith("request="):
+            return self._explain(query)
         identifier = secrets.token_hex(_REQUEST_ID_BYTES)
         relayed = web.Request(
             request.method,
@@ -93,6 +108,19 @@
         )
         return response
 
+    def _explain(self, query: str) -> web.Response:
+        """Explains a caller's request, which only its entry knows."""
+        identifier = urllib.parse.unquote(query.removeprefix("request="))
+        lines: tuple[str, ...] = ()
+        if self._explain_request is not None:
+            lines = self._explain_request(identifier)
+        explanation = wire.Explanation(
+            subject=f"request {identifier}",
+            known=bool(lines),
+            lines=lines or ("not refused at this entry lately",),
+        )
+        return web.json_response(explanation, 200 if lines else 404)
+
     async def _send(self, request: web.Request) -> web.Response:
         """Sends until answered; every operator's request is idempotent."""
         extra_ms = len(request.body) // BODY_BYTES_PER_MS
--- a/src/galenahook/operators/session.py
+++ b/src/galenahook/operators/session.py
@@ -1,6 +1,7 @@
 """One command of an operator: asks, changes and waits, and says so."""
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 
 import curio
@@ -59,6 +60,27 @@
         """Returns the state of the site."""
         return await self.client.get(wire.STATUS_TARGET, wire.StatusReply)
 
+    async def explain(
+        self, job: str, service: str, request: str
+    ) -> wire.Explanation:
+        """Explains one of them; a request is asked for at every entry."""
+        client = self.client
+        if not request:
+            return await client.get(
+                wire.EXPLAIN_TARGET, wire.Explanation, job=job, service=service
+            )
+        explanation: wire.Explanation | None = None
+        for address in client.access.entries:
+            with contextlib.suppress(errors.NoQuorumError):
+                explanation = await client.only(address).get(
+                    wire.EXPLAIN_TARGET, wire.Explanation, request=request
+                )
+                if explanation.known:
+                    return explanation
+        if explanation is None:
+            raise errors.NoQuorumError("no entry answered")
+        return explanation
+
     async def change(
         self, change: commands.Change, options: ChangeOptions
     ) -> commands.ChangeAccepted:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,7 @@
 """The command line: exit codes, output, and a whole site behind it."""
 
 import contextlib
+import http.client
 import json
 import os
 import pathlib
@@ -229,5 +230,21 @@
     assert token not in "\n".join(lines)
 
 
+def test_a_refused_request_is_explained(site):
+    caller = http.client.HTTPConnection(
+        "127.0.0.1", site.first_port, timeout=10
+    )
+    caller.request("GET", "/no-such-service")
+    answer = caller.getresponse()
+    caller.close()
+    assert answer.getheader("x-galenahook-outcome") == "not-run"
+    request = answer.getheader("x-galenahook-request")
+    explained = site.run("explain", "--request", request)
+    assert explained.returncode == exit_codes.OK, explained
+    assert "no service has this route" in explained.stdout
+    unknown = site.run("explain", "--request", "none")
+    assert unknown.returncode == exit_codes.INVALID
+
+
 def test_a_planned_stop_exits_0(site):
     assert site.stop() == 0
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -8,6 +8,9 @@
 import pytest
 
 from galenahook import logs
+from galenahook import web
+from galenahook.callers import recent
+import scheduling_model
 
 BOUND_MS = 500
 
@@ -32,6 +35,18 @@
         pass
 
 
+@pytest.fixture(autouse=True)
+def no_earlier_messages():
+    """Drops what eliot keeps until it has its first destination."""
+    eliot.add_destinations(_ignore)
+    yield
+    eliot.remove_destination(_ignore)
+
+
+def _ignore(message):
+    del message
+
+
 @pytest.fixture
 def log_file(tmp_path):
     return tmp_path / "log.jsonl"
@@ -82,6 +97,31 @@
     assert stream.lines == logs.MAX_QUEUED_LINES + 1
 
 
+def test_requests_over_the_budget_are_counted_and_kept_ones_bounded():
+    clock = scheduling_model.ManualClock()
+    requests = recent.RecentRequests(clock)
+    lines = []
+    eliot.add_destinations(lines.append)
+    try:
+        for index in range(recent.MAX_KEPT + 1):
+            response = web.refusal(503, "no slot")
+            asked = web.Request("GET", "/prices")
+            requests.note(f"r{index}", asked, response, "not-run", 3)
+        clock.now_ms += 1_000
+        answered = web.Response(200)
+        requests.note("late", asked, answered, "answered", 3)
+    finally:
+        eliot.remove_destination(lines.append)
+    assert len(requests.unanswered) == recent.MAX_KEPT
+    assert not requests.explain("r0")
+    assert requests.explain("r1")[1] == "no slot"
+    assert not requests.explain("late")
+    assert len(lines) == recent.MAX_LINES_PER_SECOND + 1
+    assert lines[-1]["request"] == "late"
+    logged = recent.MAX_LINES_PER_SECOND
+    assert requests.unlogged == recent.MAX_KEPT + 1 - logged
+
+
 def test_a_full_disk_is_counted_and_raises_nothing(monkeypatch):
     stream = _StuckStream()
 
