Make the work of a change grow with what it touches

Cause: each change compared the whole sheet with the task table. Change: the state tells the task table which owners a change concerns (scheduling/tasks.py); a large change's rows are checked in a thread.

Planted and seen to fail: removed service, cancelled job not followed; cancelled job still wanted.

--- a/src/galenahook/configuration_changes.py
+++ b/src/galenahook/configuration_changes.py
@@ -133,6 +133,22 @@
     )
 
 
+def touched_owners(change: commands.Change) -> tuple[str, ...] | None:
+    """Returns the owners of tasks that a change concerns; None for all."""
+    match change:
+        case commands.ApplySheet():
+            return None
+        case commands.PutService(service=service):
+            return (f"service/{service.name}",)
+        case commands.RemoveService(name=name):
+            return (f"service/{name}",)
+        case commands.PutJob(job=job):
+            return (f"job/{job.name}",)
+        case commands.CancelJobs(names=names):
+            return tuple(f"job/{name}" for name in names)
+    return ()
+
+
 def changed_items(
     before: items_lib.ConfigurationRecord,
     after: items_lib.ConfigurationRecord,
--- a/src/galenahook/operators/handler.py
+++ b/src/galenahook/operators/handler.py
@@ -25,6 +25,7 @@
 
 _COMMIT_TIMEOUT_MS = 900
 _COMMIT_BYTES_PER_MS = 10_000
+_MAX_INLINE_BYTES = 64 * 1_024
 _UPLOADED_FILE = "sheet"
 _MAX_NUMBER = 2**63 - 1
 
@@ -102,7 +103,8 @@
 
     async def _change(self, request: web.Request) -> web.Response:
         asked = messages.decode(request.body, wire.OperatorChange)
-        findings = _check_numbers(asked) + change_checks.check(asked.change)
+        findings = _check_numbers(asked)
+        findings += await _check_change(asked.change, len(request.body))
         if findings:
             return _refuse(422, "invalid change", findings)
         invalid = self._find_unknown(asked)
@@ -249,6 +251,15 @@
         )
 
 
+async def _check_change(
+    change: commands.Change, body_bytes: int
+) -> list[findings_lib.Finding]:
+    """Checks a change; a large one in a thread, so as not to stall the loop."""
+    if body_bytes <= _MAX_INLINE_BYTES:
+        return change_checks.check(change)
+    return await curio.run_in_thread(change_checks.check, change)
+
+
 def _status_of(result: commands.ChangeResult) -> int:
     match result:
         case commands.ChangeAccepted():
--- a/src/galenahook/scheduling/tasks.py
+++ b/src/galenahook/scheduling/tasks.py
@@ -4,6 +4,7 @@
 may run anywhere; while that attempt is not proven gone, it stays reserved.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterator
 import enum
 
@@ -163,23 +164,33 @@
     # --- Configuration -------------------------------------------------------
 
     def follow(
-        self, current: configuration_lib.ConfigurationRecord, at_ms: int
+        self,
+        current: configuration_lib.ConfigurationRecord,
+        at_ms: int,
+        touched: Collection[str] | None = None,
     ) -> None:
         """Adds, cancels and removes tasks to match a new configuration.
 
         An owner whose number of tasks is unchanged costs nothing.
+
+        Args:
+          current: The new configuration.
+          at_ms: Wall time of the change.
+          touched: Owners that may have changed; all of them if None, and
+            then long ended tasks of owners that are gone are dropped too.
         """
-        wanted = wanted_tasks(current)
+        wanted = wanted_tasks(current, touched)
         for owner, count in wanted.items():
             if self._wanted.get(owner) != count:
                 self._follow_owner(current, owner, count)
+            self._wanted[owner] = count
+        if touched is not None:
+            return
         for owner in [name for name in self.sizes if name not in wanted]:
             if self._wanted.get(owner) != 0:
                 self._follow_owner(current, owner, 0)
+            self._wanted[owner] = 0
             self._purge(owner, at_ms)
-        self._wanted = wanted
-        for owner in self.sizes:
-            self._wanted.setdefault(owner, 0)
 
     def _follow_owner(
         self,
@@ -227,6 +238,7 @@
             for record in records:
                 self._store(record, None)
             del self.sizes[owner]
+            del self._wanted[owner]
 
     # --- Starts and ends -----------------------------------------------------
 
@@ -523,8 +535,11 @@
 
 def wanted_tasks(
     current: configuration_lib.ConfigurationRecord,
+    owners: Collection[str] | None = None,
 ) -> dict[str, int]:
-    """Returns how many tasks each owner should have."""
+    """Returns how many tasks each owner should have; of all if None."""
+    if owners is not None:
+        return {owner: _wanted_count(current, owner) for owner in owners}
     wanted = {
         f"service/{service.name}": service.instances
         for service in current.services.values()
@@ -535,6 +550,19 @@
     return wanted
 
 
+def _wanted_count(
+    current: configuration_lib.ConfigurationRecord, owner: str
+) -> int:
+    kind, _, name = owner.partition("/")
+    if kind == "service":
+        service = current.services.get(name)
+        return service.instances if service else 0
+    job = current.jobs.get(name)
+    if job is None or name in current.cancelled:
+        return 0
+    return job.tasks
+
+
 def _toggle(names: dict[str, None], name: str, sign: int) -> None:
     if sign > 0:
         names[name] = None
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -11,6 +11,7 @@
 
 from galenahook import commands
 from galenahook import configuration as configuration_lib
+from galenahook import configuration_changes as changes_lib
 from galenahook import messages
 from galenahook.callers import claims as claims_lib
 from galenahook.scheduling import tasks as tasks_lib
@@ -63,7 +64,11 @@
         before = self.configuration.current
         result = self.configuration.change(command, self.has_unfinished_work)
         if self.configuration.current is not before:
-            self.tasks.follow(self.configuration.current, command.at_ms)
+            self.tasks.follow(
+                self.configuration.current,
+                command.at_ms,
+                changes_lib.touched_owners(command.change),
+            )
         return result
 
     def has_unfinished_work(self, job: str) -> bool:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import dataclasses
 
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 import msgspec
@@ -283,3 +284,39 @@
     _change(state, builders.apply_sheet())
     assert state.current.availability_zones_out == {"a"}
     assert state.current.drained == {"worker-1"}
+
+
+_JOBS = tuple(
+    builders.job(name, tasks=tasks) for name in ("x", "y") for tasks in (1, 3)
+)
+_SERVICES = tuple(builders.service("s", instances=n) for n in (1, 2))
+_CHANGES = (
+    *(commands.PutJob(job=row) for row in _JOBS),
+    *(commands.PutService(service=row) for row in _SERVICES),
+    commands.RemoveService(name="s"),
+    commands.CancelJobs(names=("x",)),
+    commands.CancelJobs(names=("x", "y", "never-heard-of")),
+    builders.apply_sheet(_SERVICES[:1], _JOBS[1:3]),
+    builders.apply_sheet((), (builders.job("z"),)),
+    _out("a"),
+)
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.sampled_from(_CHANGES), st.booleans()), max_size=12)
+)
+def test_tasks_follow_a_change_as_they_follow_the_whole_configuration(steps):
+    state = state_lib.State()
+    whole = state_lib.State()
+    for number, (change, starts) in enumerate(steps, 1):
+        revision = state.configuration.current.revision
+        made = builders.change(change, number=number, base_revision=revision)
+        assert state.apply(made) == whole.apply(made)
+        whole.tasks.follow(whole.configuration.current, builders.WALL_MS)
+        if starts:
+            for task in list(state.tasks.records):
+                attempt = state.tasks.records[task].attempt + 1
+                start = builders.attempt_start(task, attempt)
+                for each in (state, whole):
+                    each.apply(builders.start_attempts(start))
+        assert state.tasks.records == whole.tasks.records
