--- a/src/galenahook/scheduling/tasks.py
+++ b/src/galenahook/scheduling/tasks.py
@@ -4,6 +4,7 @@
 proven gone, it stays reserved.
 """
 
+from collections.abc import Collection
 import enum
 
 from galenahook import commands
@@ -151,8 +152,11 @@
 
 def wanted_tasks(
     current: configuration_lib.ConfigurationRecord,
+    owners: Collection[str] | None = None,
 ) -> dict[str, int]:
-    """Returns how many tasks each owner should have."""
+    """Returns how many tasks each owner should have; of all if None."""
+    if owners is not None:
+        return {owner: _wanted_count(current, owner) for owner in owners}
     wanted = {
         f"service/{service.name}": service.instances
         for service in current.services.values()
@@ -161,3 +165,16 @@
         count = 0 if job.name in current.cancelled else job.tasks
         wanted[f"job/{job.name}"] = count
     return wanted
+
+
+def _wanted_count(
+    current: configuration_lib.ConfigurationRecord, owner: str
+) -> int:
+    kind, _, name = owner.partition("/")
+    if kind == "service":
+        service = current.services.get(name)
+        return service.instances if service else 0
+    job = current.jobs.get(name)
+    if job is None or name in current.cancelled:
+        return 0
+    return job.tasks
