--- a/src/galenahook/callers/attempts.py
+++ b/src/galenahook/callers/attempts.py
@@ -73,6 +73,10 @@
         except BaseException:
             self.router.release(executor)
             raise
+        if not self.router.view.may_start():
+            await self.pool.put(executor, connection)
+            self.router.release(executor)
+            return Unsent("the lease ended before the request was sent")
         had_run = call.may_have_run
         call.may_have_run = True
         try:
--- /dev/null
+++ b/tests/test_faults_requests.py
@@ -0,0 +1,237 @@
+"""Executors and connections that misbehave, seen by callers of one entry."""
+
+import curio
+import pytest
+
+import builders
+from fakes import caller as caller_lib
+from fakes import events as events_lib
+from fakes import executor as executor_lib
+from fakes import oracle
+from fakes import relay as relay_lib
+from fakes import site as site_lib
+from galenahook import clock as clock_lib
+from galenahook import messages
+from galenahook import web
+from galenahook.callers import attempts
+from galenahook.callers import calls
+from galenahook.upstreams import pool as pool_lib
+from galenahook.upstreams import routing
+from galenahook.upstreams import view as view_lib
+
+LEASE_MS = 2_500
+
+
+class Started:
+    """One replica, one entry and one executor behind a relay."""
+
+    def __init__(self, make_site):
+        layout = site_lib.Layout(replicas=1, entries=1)
+        self.site = make_site(layout)
+        self.events = events_lib.EventLog()
+
+    async def begin(self):
+        self.site.start()
+        await self.site.wait_ready()
+        address = site_lib.free_addresses(1)[0]
+        self.relay = relay_lib.TcpRelay(address)
+        await curio.spawn(self.relay.run, daemon=True)
+        self.executor = executor_lib.FakeExecutor(
+            "x",
+            "prices",
+            self.site.upstreams(),
+            listen=address,
+            advertise=self.relay.address,
+            events=self.events,
+        )
+        await curio.spawn(self.executor.run, daemon=True)
+        answer = await self.site.operator().apply(
+            builders.apply_sheet((builders.service(tail_target_ms=2_000),))
+        )
+        assert answer.status == 200
+        self.caller = caller_lib.FakeCaller(self.site.callers())
+        await self.wait_answered()
+        self.caller.tally.results.clear()
+
+    async def wait_answered(self):
+        async def answered():
+            result = await self.caller.send("/prices/1", repeatable=True)
+            return result.outcome == "answered"
+
+        await site_lib.poll(answered, 15_000, "not answered")
+
+    def faults(self):
+        """Returns what broke a rule for callers so far."""
+        results = self.caller.tally.results
+        return [
+            *oracle.wrong_answers(results),
+            *oracle.ran_though_refused(results, self.events.items),
+            *oracle.violations(self.events.items),
+        ]
+
+
+def run(make_site, script):
+    async def main():
+        started = Started(make_site)
+        await started.begin()
+        await script(started)
+        assert started.faults() == []
+
+    curio.run(main)
+
+
+def test_body_cut_at_any_byte_is_never_answered(make_site):
+    async def script(started):
+        behaviour = started.executor.behaviour
+        for chunked in (False, True):
+            behaviour.chunked = chunked
+            behaviour.cut_body_after = -1
+            await started.wait_answered()
+            length = len(started.caller.tally.results[-1].body)
+            for cut in range(0, length, 7):
+                behaviour.cut_body_after = cut
+                result = await started.caller.send("/prices/1", method="POST")
+                assert result.outcome in ("unknown", "not-run")
+                behaviour.cut_body_after = -1
+                await started.wait_answered()
+        assert started.caller.tally.count("unknown") > 10
+
+    run(make_site, script)
+
+
+BEHAVIOURS = {
+    "chunked": {"chunked": True},
+    "closes after each answer": {"close_each": True},
+    "closes idle connections at once": {"close_idle_ms": 10},
+    "long answers": {"padding_bytes": 300_000},
+    "error status": {"status": 500},
+    "slow": {"extra_ms": 40},
+}
+
+
+@pytest.mark.parametrize("name", list(BEHAVIOURS))
+def test_every_caller_gets_its_own_whole_answer(make_site, name):
+    async def script(started):
+        for field, value in BEHAVIOURS[name].items():
+            setattr(started.executor.behaviour, field, value)
+        async with curio.TaskGroup() as group:
+            for number in range(60):
+                await group.spawn(send, started.caller, number)
+                await curio.sleep(0.01)
+        results = started.caller.tally.results
+        answered = [item for item in results if item.outcome == "answered"]
+        assert len(answered) >= 40, [item.outcome for item in results]
+        assert not oracle.ran_more_than_once(
+            event for event in started.events.items if event.kind == "serve"
+        )
+
+    run(make_site, script)
+
+
+async def send(caller, number):
+    body = b"" if number % 3 == 0 else f"order {number}".encode()
+    method = ("GET", "POST", "HEAD")[number % 3]
+    await caller.send(f"/prices/{number}", method=method, body=body)
+
+
+def test_late_answers_reach_nobody_else(make_site):
+    """Answers that come after their deadlines are not given to others."""
+
+    async def script(started):
+        behaviour = started.executor.behaviour
+        for _ in range(4):
+            behaviour.extra_ms = 300
+            async with curio.TaskGroup() as group:
+                for _ in range(4):
+                    await group.spawn(send_with_deadline, started.caller)
+            behaviour.extra_ms = 0
+            async with curio.TaskGroup() as group:
+                for number in range(4):
+                    await group.spawn(send, started.caller, number)
+        assert started.caller.tally.count("unknown") > 0
+
+    run(make_site, script)
+
+
+async def send_with_deadline(caller):
+    await caller.send("/prices/late", method="POST", deadline_ms=100)
+
+
+def test_silent_connections_are_replaced_within_an_attempt(make_site):
+    async def script(started):
+        clock = clock_lib.Clock()
+        for _ in range(3):
+            async with curio.TaskGroup() as group:
+                for number in range(4):
+                    await group.spawn(send, started.caller, number)
+            started.relay.lose_track()
+            began_ms = clock.monotonic_ms()
+            result = await started.caller.send("/prices/s", repeatable=True)
+            assert result.outcome == "answered"
+            assert clock.monotonic_ms() - began_ms < 3_000
+
+    run(make_site, script)
+
+
+class FrozenClock(clock_lib.Clock):
+    """A clock that the test moves."""
+
+    def __init__(self):
+        self.now_ms = 1_000
+
+    def monotonic_ms(self):
+        return self.now_ms
+
+
+def test_request_is_not_sent_once_the_lease_is_over():
+    """A process that froze between its slot and the send sends nothing."""
+    clock = FrozenClock()
+    view = view_lib.EntryView("e", "i", "a", clock)
+    pool = pool_lib.ExecutorPool(view, clock)
+    router = routing.Router(view, pool, clock)
+    sent = []
+
+    class ThawedConnection:
+        """Its connect took longer than the lease."""
+
+        address = "127.0.0.1:1"
+        reusable = False
+
+        async def send(self, request, timeout_ms):
+            sent.append((request, timeout_ms))
+            raise OSError("not to be reached")
+
+        async def close(self):
+            self.reusable = False
+
+    async def take(executor, repeatable, timeout_ms):
+        del executor, repeatable, timeout_ms
+        clock.now_ms += 10 * LEASE_MS
+        return ThawedConnection()
+
+    pool.take = take
+    address = messages.ExecutorAddress(
+        name="x",
+        incarnation="i",
+        service="prices",
+        address="127.0.0.1:1",
+        availability_zone="a",
+        slots=4,
+        connections=64,
+    )
+    reply = messages.EntryUpdateReply(
+        lease_ms=LEASE_MS,
+        configuration=messages.EntryConfiguration(revision=1),
+        upstreams_version="v",
+        executors=(address,),
+        grants=(messages.SlotGrant(executor="x", incarnation="i", slots=4),),
+    )
+    view.apply_reply(reply, clock.now_ms)
+    slot = router.reserve("prices")
+    request = web.Request("POST", "/prices/1")
+    call = calls.parse(request, "r", clock).ok
+    attempter = attempts.Attempter(router, clock)
+    result = curio.run(attempter.attempt, call, slot)
+    assert isinstance(result, attempts.Unsent)
+    assert not sent
+    assert not call.may_have_run
