--- a/tests/test_faults_site.py
+++ b/tests/test_faults_site.py
@@ -9,6 +9,7 @@
 import random
 
 import curio
+
 from fakes import relay as relay_lib
 from fakes import scenario as scenario_lib
 
