--- a/src/galenahook/callers/attempts.py
+++ b/src/galenahook/callers/attempts.py
@@ -70,6 +70,10 @@
             connection = await self._connect(call, executor)
         except errors.ExchangeError as error:
             return Unsent(str(error))
+        if not self.router.view.may_start():
+            await self.pool.put(executor, connection)
+            self.router.release(executor)
+            return Unsent("the lease ended before the request was sent")
         had_run = call.may_have_run
         call.may_have_run = True
         try:
