--- a/bench/replicas.py
+++ b/bench/replicas.py
@@ -5,12 +5,15 @@
 """
 
 import dataclasses
+import functools
+import multiprocessing
 import pathlib
 import resource
 import statistics
 import sys
 import tempfile
 import time
+from typing import Any
 
 import curio
 
@@ -32,6 +35,7 @@
 COMMITS = 1_000
 COMMITS_AT_ONCE = 10_000
 IDLE_SECONDS = 10
+SETTLE_SECONDS = 2
 TICK_SECONDS = 0.001
 DEFAULT_TIMING = settings_lib.Timing()
 
@@ -165,7 +169,9 @@
     group = replica_group.ReplicaGroup(folder, "a", DEFAULT_TIMING)
     await group.start()
     node = await group.wait_for_leader()
+    before_mb = _memory_mb()
     _fill(node)
+    filled_mb = _memory_mb() - before_mb
     quiet_ms = await _longest_hold(curio.sleep(1))
     started = time.perf_counter()
     hold_ms = await _longest_hold(snapshot.write(node.core))
@@ -177,7 +183,6 @@
     load_hold_ms = await _longest_hold(snapshot.load(path))
     loaded_ms = (time.perf_counter() - started) * 1000
     await group.close()
-    memory_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
     name = f"{TASK_RECORDS} tasks"
     bound = LOOP_HOLD_BOUND_MS
     return [
@@ -187,7 +192,7 @@
         Figure(f"{name}: time to write the snapshot", wrote_ms, "ms"),
         Figure(f"{name}: time to load the snapshot", loaded_ms, "ms"),
         Figure(f"{name}: size of the snapshot", size_mb, "MB"),
-        Figure(f"{name}: peak memory of the process", memory_mb, "MB"),
+        Figure(f"{name}: memory of the records", filled_mb, "MB"),
     ]
 
 
@@ -221,32 +226,79 @@
     return max(holds) * 1000
 
 
-async def _idle(folder: pathlib.Path) -> list[Figure]:
+@dataclasses.dataclass(slots=True, frozen=True)
+class IdleReport:
+    """What one idle replica measured of its own process."""
+
+    is_leader: bool
+    cpu_percent: float
+    memory_mb: float
+    sent_bytes: int
+    answered_bytes: int
+
+
+def _idle(folder: pathlib.Path) -> list[Figure]:
+    """Measures three replicas in a process each."""
     group = replica_group.ReplicaGroup(folder, timing=DEFAULT_TIMING)
-    await group.start()
-    await group.wait_for_leader()
-    await curio.sleep(1)
-    cpu_start = time.process_time()
-    await curio.sleep(IDLE_SECONDS)
-    percent = (time.process_time() - cpu_start) / IDLE_SECONDS * 100
+    context = multiprocessing.get_context("fork")
+    queue = context.Queue()
+    processes = [
+        context.Process(target=_run_idle, args=(group, name, queue))
+        for name in group.replicas
+    ]
+    for process in processes:
+        process.start()
+    reports = [queue.get(timeout=60) for _ in processes]
+    for process in processes:
+        process.join()
+    leader = next(report for report in reports if report.is_leader)
+    followers = [report for report in reports if not report.is_leader]
+    follower_cpu = statistics.mean(r.cpu_percent for r in followers)
+    each_beat = leader.sent_bytes + leader.answered_bytes
     beats = 2 * 1000 / DEFAULT_TIMING.heartbeat_period_ms
-    each_ms = percent / 100 / beats * 1000
-    leader = await group.wait_for_leader()
-    sent, answered = _heartbeat_bytes(leader)
-    await group.close()
     return [
-        Figure("three idle replicas, share of a core", percent, "%"),
-        Figure("  processor time for each heartbeat, both ends", each_ms, "ms"),
-        Figure("  heartbeat, bytes of the request", sent, "bytes"),
-        Figure("  heartbeat, bytes of the answer", answered, "bytes"),
+        Figure("idle leader, share of a core", leader.cpu_percent, "%"),
+        Figure("idle follower, share of a core", follower_cpu, "%"),
+        Figure("idle leader, memory", leader.memory_mb, "MB"),
+        Figure("  heartbeat, bytes of the request", leader.sent_bytes, "bytes"),
+        Figure(
+            "  heartbeat, bytes of the answer", leader.answered_bytes, "bytes"
+        ),
         Figure(
             "  leader, bytes in and out, without TCP/IP",
-            beats * (sent + answered) / 1000,
+            beats * each_beat / 1000,
             "KB/s",
         ),
     ]
 
 
+def _run_idle(group: replica_group.ReplicaGroup, name: str, queue: Any) -> None:
+    curio.run(_measure_idle, group, name, queue)
+
+
+async def _measure_idle(
+    group: replica_group.ReplicaGroup, name: str, queue: Any
+) -> None:
+    await group.start(name)
+    node = group.node(name)
+    await group.wait_until(lambda: node.leader_name() != "", 10_000)
+    await curio.sleep(SETTLE_SECONDS)
+    cpu_start = time.process_time()
+    await curio.sleep(IDLE_SECONDS)
+    percent = (time.process_time() - cpu_start) / IDLE_SECONDS * 100
+    sent, answered = _heartbeat_bytes(node) if node.is_leader() else (0, 0)
+    queue.put(
+        IdleReport(node.is_leader(), percent, _memory_mb(), sent, answered)
+    )
+    await curio.sleep(SETTLE_SECONDS)
+    await group.close()
+
+
+def _memory_mb() -> float:
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 2**20
+
+
 def _heartbeat_bytes(leader: node_lib.Node) -> tuple[int, int]:
     core = leader.core
     peer = next(iter(core.peers.values()))
@@ -280,10 +332,10 @@
 
 
 MEASUREMENTS = {
-    "commits": _commits,
-    "fail-over": _fail_over,
-    "restart": _restart,
-    "snapshot": _snapshot,
+    "commits": functools.partial(curio.run, _commits),
+    "fail-over": functools.partial(curio.run, _fail_over),
+    "restart": functools.partial(curio.run, _restart),
+    "snapshot": functools.partial(curio.run, _snapshot),
     "idle": _idle,
 }
 
@@ -293,7 +345,7 @@
     figures = []
     for name in names or MEASUREMENTS:
         with tempfile.TemporaryDirectory() as folder:
-            found = curio.run(MEASUREMENTS[name], pathlib.Path(folder))
+            found = MEASUREMENTS[name](pathlib.Path(folder))
         for figure in found:
             print(figure, flush=True)
         figures.extend(found)
--- a/src/galenahook/replicas/log.py
+++ b/src/galenahook/replicas/log.py
@@ -306,6 +306,8 @@
                 continue
             await self._write_batch()
             await self._synced.notify()
+            # A cancellation is delivered here, also under constant load.
+            await curio.sleep(0)
 
     async def _write_batch(self) -> None:
         first = self.synced_index + 1
