--- a/src/galenahook/upstreams/grants.py
+++ b/src/galenahook/upstreams/grants.py
@@ -15,7 +15,7 @@
 from galenahook.upstreams import executors as executors_lib
 from galenahook.upstreams import plan as plan_lib
 
-DEMAND_RISE_MS = 500
+DEMAND_RISE_MS = 250
 DEMAND_FALL_MS = 5_000
 RECLAIM_AFTER_MS = 3_000
 RECLAIM_TURN_MS = 2_000
--- a/src/galenahook/upstreams/plan.py
+++ b/src/galenahook/upstreams/plan.py
@@ -8,7 +8,7 @@
 import math
 
 FLOOR_SLOTS = 2
-MOVE_RATIO = 1.25
+MOVE_RATIO = 1.4
 STOP_RATIO = 1.1
 
 
