--- a/src/galenahook/upstreams/plan.py
+++ b/src/galenahook/upstreams/plan.py
@@ -87,24 +87,20 @@
         limit = MOVE_RATIO
         for _ in range(sum(self.executors.values())):
             ratios = {e: totals[e] / self.needs[e] for e in totals}
-            if not ratios:
+            givers = [e for e in totals if totals[e] > FLOOR_SLOTS]
+            if not givers:
                 return
             poorest = min(ratios, key=lambda entry: ratios[entry])
-            richest = max(ratios, key=lambda entry: ratios[entry])
-            if totals[richest] <= FLOOR_SLOTS:
+            richest = max(givers, key=lambda entry: ratios[entry])
+            if ratios[poorest] >= 1:
                 return
-            if not self._should_move(ratios[poorest], ratios[richest], limit):
+            if ratios[richest] <= limit * ratios[poorest]:
                 return
             limit = STOP_RATIO
             self._move(self._best_executor(richest, poorest), richest, poorest)
             totals[richest] -= 1
             totals[poorest] += 1
 
-    def _should_move(
-        self, poorest: float, richest: float, limit: float
-    ) -> bool:
-        return poorest < 1 and richest > limit * poorest
-
     def _best_executor(self, giver: str, taker: str) -> str:
         """Returns where the giver has most beyond the taker."""
         given = self.rows[giver]
--- a/tests/test_callers_handler.py
+++ b/tests/test_callers_handler.py
@@ -323,6 +323,25 @@
     run(test)
 
 
+def test_request_is_not_sent_if_the_lease_ends_while_connecting() -> None:
+    async def test(rig: Rig) -> None:
+        take = rig.router.pool.take
+
+        async def freeze(*arguments: Any) -> web.ClientConnection:
+            connection = await take(*arguments)
+            rig.view._lease_end_ms = 0
+            return connection
+
+        rig.router.pool.take = freeze  # type: ignore[method-assign]
+        response = await rig.send("ok", **SOON)
+        assert response.header(OUTCOME) == b"not-run"
+        await curio.sleep(0.05)
+        assert rig.ran() == []
+        assert all(item.busy == 0 for item in rig.view.executors.values())
+
+    run(test)
+
+
 def test_same_key_runs_once_and_claims_share_commits() -> None:
     async def test(rig: Rig) -> None:
         tasks = [
