--- a/src/galenahook/scheduling/task_table.py
+++ b/src/galenahook/scheduling/task_table.py
@@ -1,5 +1,6 @@
 """The table of all tasks, which is part of the replicated state."""
 
+from collections.abc import Collection
 from collections.abc import Iterator
 
 import msgspec
@@ -65,23 +66,33 @@
     # --- Configuration -------------------------------------------------------
 
     def follow(
-        self, current: configuration_lib.ConfigurationRecord, at_ms: int
+        self,
+        current: configuration_lib.ConfigurationRecord,
+        at_ms: int,
+        touched: Collection[str] | None = None,
     ) -> None:
         """Adds, cancels and removes tasks to match a new configuration.
 
         An owner whose number of tasks is unchanged costs nothing.
+
+        Args:
+          current: The new configuration.
+          at_ms: Wall time of the change.
+          touched: Owners that may have changed; all of them if None, and
+            then long ended tasks of owners that are gone are dropped too.
         """
-        wanted = tasks_lib.wanted_tasks(current)
+        wanted = tasks_lib.wanted_tasks(current, touched)
         for owner, count in wanted.items():
             if self._wanted.get(owner) != count:
                 self._follow_owner(current, owner, count)
+            self._wanted[owner] = count
+        if touched is not None:
+            return
         for owner in [name for name in self.sizes if name not in wanted]:
             if self._wanted.get(owner) != 0:
                 self._follow_owner(current, owner, 0)
+            self._wanted[owner] = 0
             self._purge(owner, at_ms)
-        self._wanted = wanted
-        for owner in self.sizes:
-            self._wanted.setdefault(owner, 0)
 
     def _follow_owner(
         self,
@@ -136,6 +147,7 @@
             for record in records:
                 self._store(record, None)
             del self.sizes[owner]
+            del self._wanted[owner]
 
     # --- Starts and ends -----------------------------------------------------
 
