--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -14,6 +14,7 @@
 from galenahook import configuration_changes as changes_lib
 from galenahook import messages
 from galenahook.callers import claims as claims_lib
+from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 
 SnapshotRecord = (
@@ -21,6 +22,7 @@
     | tasks_lib.TaskRecord
     | tasks_lib.RunTimeRecord
     | claims_lib.ClaimRecord
+    | claims_lib.ClaimTimesRecord
 )
 
 
@@ -37,7 +39,7 @@
 
     def __init__(self) -> None:
         self.configuration = configuration_lib.ConfigurationState()
-        self.tasks = tasks_lib.TaskTable()
+        self.tasks = task_table.TaskTable()
         self.claims = claims_lib.ClaimTable()
 
     def apply(self, command: commands.Command) -> commands.Result:
@@ -106,7 +108,7 @@
         match record:
             case tasks_lib.TaskRecord() | tasks_lib.RunTimeRecord():
                 self.tasks.restore_record(record)
-            case claims_lib.ClaimRecord():
+            case claims_lib.ClaimRecord() | claims_lib.ClaimTimesRecord():
                 self.claims.restore_record(record)
             case _:
                 self.configuration.restore_record(record)
