--- a/src/galenahook/operators/daemons.py
+++ b/src/galenahook/operators/daemons.py
@@ -12,6 +12,7 @@
 from galenahook import messages
 from galenahook import row_checks
 from galenahook import settings as settings_lib
+from galenahook import settings_files
 from galenahook.operators import exit_codes
 from galenahook.operators import output
 
@@ -23,9 +24,9 @@
       output.CommandError: The settings have faults.
     """
     if settings_type is None:
-        loaded: Any = settings_lib.load_any(path)
+        loaded: Any = settings_files.load_any(path)
     else:
-        loaded = settings_lib.load(path, settings_type)
+        loaded = settings_files.load(path, settings_type)
     if loaded.is_error():
         raise output.CommandError(
             exit_codes.INVALID,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,6 +12,7 @@
 from galenahook import secrets_files
 from galenahook import settings as settings_lib
 from galenahook import settings_checks
+from galenahook import settings_files
 
 TOKENS = {"ana": "a" * 16, "bo": "b" * 16}
 
@@ -49,7 +50,7 @@
 def _load(folder: pathlib.Path, document: Any) -> Any:
     path = folder / "settings.json"
     path.write_text(json.dumps(document))
-    return settings_lib.load_any(str(path))
+    return settings_files.load_any(str(path))
 
 
 def _places(result: Any) -> list[str]:
@@ -146,7 +147,7 @@
 def test_broken_documents_are_findings(tmp_path, text):
     path = tmp_path / "settings.json"
     path.write_bytes(text.encode("utf-8", "surrogateescape"))
-    assert settings_lib.load_any(str(path)).error
+    assert settings_files.load_any(str(path)).error
 
 
 TOKEN_FAULTS = [
