--- a/src/galenahook/operators/cli_groups.py
+++ b/src/galenahook/operators/cli_groups.py
@@ -6,6 +6,7 @@
 from galenahook.operators import cli_actions
 from galenahook.operators import daemons
 from galenahook.operators import exit_codes
+from galenahook.operators import jobs
 from galenahook.operators import replica_members
 from galenahook.operators import reports
 from galenahook.operators import session as session_lib
@@ -129,10 +130,18 @@
             raise cli_actions.CommandError(
                 exit_codes.USAGE, "name at least one job"
             )
-        return self._options.change(
-            commands.CancelJobs(names=names),
-            session_lib.ChangeOptions(rebase=True),
-        )
+
+        async def run(session: session_lib.Session) -> None:
+            await jobs.check_known(session, names)
+            accepted = await session.change(
+                commands.CancelJobs(names=names),
+                session_lib.ChangeOptions(rebase=True),
+            )
+            self._options.output.show(
+                accepted, [f"accepted as revision {accepted.revision}"]
+            )
+
+        return self._options.action(run)
 
     @fire.decorators.SetParseFns(
         number=cli_actions.parse_whole,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -189,6 +189,7 @@
     (["status"], 0, "leader      replica-1"),
     (["job", "list"], 0, "cutting-plan-line-1@2026-03-31"),
     (["sheet", "diff", SHEET], 0, "nothing changes"),
+    (["job", "cancel", "invoices"], 3, "known: invoices@2026-03-31"),
     (["job", "cancel", "invoices@2026-03-31"], 0, "accepted as revision"),
     (["explain", "--job", "invoices@2026-03-31"], 0, "cancelled"),
     (["explain", "--service", "nothing"], 3, "not in the sheet"),
