--- a/src/galenahook/operators/relay.py
+++ b/src/galenahook/operators/relay.py
@@ -126,6 +126,7 @@
         extra_ms = len(request.body) // BODY_BYTES_PER_MS
         end_ms = self._clock.monotonic_ms() + ANSWER_TIMEOUT_MS + extra_ms
         headers = request.headers
+        refused: web.Response | None = None
         while (left_ms := end_ms - self._clock.monotonic_ms()) > 0:
             request.headers = list(headers)
             attempt_ms = min(left_ms, _ATTEMPT_TIMEOUT_MS + extra_ms)
@@ -133,11 +134,12 @@
                 response = await self._leader.send(request, attempt_ms)
                 if response.status != 503:
                     return response
+                refused = response
             except (errors.NoQuorumError, errors.ExchangeError):
                 pass
             pause_ms = min(_RETRY_PAUSE_MS, left_ms)
             await curio.sleep(clock_lib.seconds(pause_ms))
-        return web.refusal(503, "no quorum")
+        return refused or web.refusal(503, "no quorum")
 
 
 def _bearer_token(request: web.Request) -> bytes:
--- a/src/galenahook/operators/status.py
+++ b/src/galenahook/operators/status.py
@@ -1,5 +1,6 @@
 """The state of the site, as operators see it."""
 
+import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
@@ -166,10 +167,15 @@
 def _availability_zones(
     view: View,
 ) -> Iterator[wire.AvailabilityZoneStatus]:
+    executors = collections.Counter(
+        executor.announcement.availability_zone
+        for executor in view.executors.values()
+    )
     zone_of = {
         name: worker.announcement.availability_zone
         for name, worker in view.workers.items()
     }
+    workers = collections.Counter(zone_of.values())
     held: dict[str, dict[str, int]] = {}
     for task, record in view.records.items():
         if record.phase is tasks_lib.Phase.HELD:
@@ -181,27 +187,24 @@
         yield wire.AvailabilityZoneStatus(
             name=name,
             out=name in view.current.availability_zones_out,
-            workers=sum(zone == name for zone in zone_of.values()),
-            executors=sum(
-                executor.announcement.availability_zone == name
-                for executor in view.executors.values()
-            ),
+            workers=workers[name],
+            executors=executors[name],
             service_tasks=counts.get("service", 0),
             batch_tasks=counts.get("job", 0),
         )
 
 
 def _services(view: View, phases: Phases) -> Iterator[wire.ServiceStatus]:
+    executors = collections.Counter(
+        executor.announcement.service for executor in view.executors.values()
+    )
     for name, row in sorted(view.current.services.items()):
         counts = phases.get(f"service/{name}", {})
         yield wire.ServiceStatus(
             name=name,
             instances=row.instances,
             held=counts.get(tasks_lib.Phase.HELD, 0),
-            executors=sum(
-                executor.announcement.service == name
-                for executor in view.executors.values()
-            ),
+            executors=executors[name],
         )
 
 
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -75,7 +75,9 @@
 
     def has_unfinished_work(self, job: str) -> bool:
         """Whether a job has begun and not ended, so that it must go on."""
-        row = self.configuration.current.jobs[job]
+        row = self.configuration.current.jobs.get(job)
+        if row is None:
+            return False
         records = [
             record
             for index in range(row.tasks)
--- a/tests/operator_model.py
+++ b/tests/operator_model.py
@@ -26,15 +26,19 @@
 
     Attributes:
       stalls: While true, nothing is committed.
+      failure: What every commit raises, if anything.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.name = "replica-1"
         self.stalls = False
+        self.failure: errors.GalenahookError | None = None
 
     async def submit(self, command: Any) -> Any:
         """Applies a command at once, unless it stalls."""
+        if self.failure is not None:
+            raise self.failure
         if self.stalls:
             await curio.sleep(60)
         return await super().submit(command)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 
 import builders
 from galenahook import commands
+from galenahook import errors
 from galenahook import messages
 from galenahook import settings as settings_lib
 from galenahook.operators import wire
@@ -118,6 +119,13 @@
     assert _body(response)["reason"] == "no quorum"
 
 
+def test_a_failed_disk_is_named(site):
+    site.node.failure = errors.StorageError("log: No space left on device")
+    response = curio.run(lambda: site.change(ZONE_OUT))
+    assert response.status == 503
+    assert "No space left" in _body(response)["reason"]
+
+
 def test_a_revision_is_in_force_once_entries_and_old_starts_are_done(site):
     async def run():
         seen = []
