--- a/src/galenahook/operators/change_checks.py
+++ b/src/galenahook/operators/change_checks.py
@@ -1,10 +1,10 @@
 """Checks of an operator's change before it goes into the log."""
 
 from collections.abc import Iterable
-from typing import Any
 
 from galenahook import commands
 from galenahook import findings as findings_lib
+from galenahook import leader as leader_lib
 from galenahook import row_checks
 from galenahook.operators import sheets
 
@@ -34,7 +34,7 @@
     ]
 
 
-def find_unknown(change: commands.Change, leader: Any) -> str:
+def find_unknown(change: commands.Change, leader: leader_lib.Leader) -> str:
     """Returns why a name can't be meant, or an empty string.
 
     A leader that has just been elected may not have heard of every upstream,
@@ -54,7 +54,7 @@
     return ""
 
 
-def availability_zones(leader: Any) -> set[str]:
+def availability_zones(leader: leader_lib.Leader) -> set[str]:
     """Returns every availability zone of the sheet and of what is heard of."""
     current = leader.node.state.configuration.current
     return {
--- a/src/galenahook/operators/explanations.py
+++ b/src/galenahook/operators/explanations.py
@@ -1,14 +1,16 @@
 """Answers to "why is this as it is"."""
 
 from collections.abc import Iterator
-from typing import Any
 
 from galenahook import clock as clock_lib
+from galenahook import leader as leader_lib
 from galenahook.operators import wire
 from galenahook.scheduling import explanations as scheduling_explanations
 
 
-def explain(leader: Any, query: dict[str, str]) -> wire.Explanation | None:
+def explain(
+    leader: leader_lib.Leader, query: dict[str, str]
+) -> wire.Explanation | None:
     """Explains a job or a service; None if neither is asked for."""
     match query:
         case {"job": name}:
@@ -19,7 +21,7 @@
     return None
 
 
-def _explain_job(leader: Any, name: str) -> wire.Explanation:
+def _explain_job(leader: leader_lib.Leader, name: str) -> wire.Explanation:
     current = leader.node.state.configuration.current
     lines = []
     if name in current.cancelled:
--- a/src/galenahook/operators/handler.py
+++ b/src/galenahook/operators/handler.py
@@ -1,6 +1,5 @@
 """The leader's side of operators: changes, questions and answers."""
 
-from typing import Any
 import urllib.parse
 
 import curio
@@ -11,6 +10,7 @@
 from galenahook import configuration_changes as changes_lib
 from galenahook import errors
 from galenahook import findings as findings_lib
+from galenahook import leader as leader_lib
 from galenahook import logs
 from galenahook import messages
 from galenahook import settings as settings_lib
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        leader: Any,
+        leader: leader_lib.Leader,
         audit: audit_lib.AuditTrail,
         timing: settings_lib.Timing,
         clock: clock_lib.Clock,
@@ -115,7 +115,7 @@
             len(request.body) // _COMMIT_BYTES_PER_MS
         )
         async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
-            result: commands.ChangeResult = await self.leader.node.submit(
+            result = await self.leader.node.submit(
                 commands.ChangeConfiguration(
                     operator=operator,
                     number=asked.number,
@@ -124,6 +124,7 @@
                     change=asked.change,
                 )
             )
+        assert isinstance(result, commands.ChangeResult)
         await self._finish_change(request, operator, asked, result)
         return web.json_response(result, _status_of(result))
 
--- a/src/galenahook/operators/in_force.py
+++ b/src/galenahook/operators/in_force.py
@@ -1,9 +1,8 @@
 """From when on a revision is in force everywhere."""
 
-from typing import Any
-
 from galenahook import clock as clock_lib
 from galenahook import defaults
+from galenahook import leader as leader_lib
 from galenahook import settings as settings_lib
 from galenahook.operators import wire
 
@@ -20,7 +19,7 @@
 
     def __init__(
         self,
-        leader: Any,
+        leader: leader_lib.Leader,
         timing: settings_lib.Timing,
         clock: clock_lib.Clock,
     ) -> None:
--- a/src/galenahook/operators/status.py
+++ b/src/galenahook/operators/status.py
@@ -5,14 +5,18 @@
 from collections.abc import Mapping
 import dataclasses
 import itertools
-from typing import Any
 
 from galenahook import commands
 from galenahook import configuration as configuration_lib
+from galenahook import entries as entries_lib
+from galenahook import leader as leader_lib
 from galenahook.operators import change_checks
 from galenahook.operators import in_force as in_force_lib
 from galenahook.operators import wire
+from galenahook.replicas import node as node_lib
 from galenahook.scheduling import tasks as tasks_lib
+from galenahook.upstreams import executors as executors_lib
+from galenahook.upstreams import workers as workers_lib
 
 _MAX_NAMES = 50
 
@@ -43,18 +47,20 @@
     current: configuration_lib.ConfigurationRecord
     revision: wire.RevisionReply
     records: Mapping[str, tasks_lib.TaskRecord]
-    workers: Mapping[str, Any]
+    workers: Mapping[str, workers_lib.Worker]
     silent: tuple[str, ...]
     quarantined: tuple[str, ...]
     in_doubt: tuple[str, ...]
     blocked: Mapping[str, str]
-    executors: Mapping[str, Any]
+    executors: Mapping[str, executors_lib.ExecutorRecord]
     entries: tuple[wire.EntryStatus, ...]
     replicas: tuple[wire.ReplicaLine, ...]
     availability_zones: frozenset[str]
 
 
-def take_view(leader: Any, in_force: in_force_lib.InForce) -> View:
+def take_view(
+    leader: leader_lib.Leader, in_force: in_force_lib.InForce
+) -> View:
     """Takes a view now; the rest may be done slowly."""
     node = leader.node
     revision = in_force.revision()
@@ -82,7 +88,7 @@
     )
 
 
-def _quarantined(leader: Any) -> Iterator[str]:
+def _quarantined(leader: leader_lib.Leader) -> Iterator[str]:
     quarantine = leader.scheduler.context.quarantine
     for name in sorted(leader.workers.workers):
         if quarantine.is_closed(name):
@@ -90,7 +96,7 @@
 
 
 def _entries(
-    leader: Any, revision: wire.RevisionReply
+    leader: leader_lib.Leader, revision: wire.RevisionReply
 ) -> Iterator[wire.EntryStatus]:
     for record in sorted(leader.entries.records.values(), key=_name):
         yield wire.EntryStatus(
@@ -102,11 +108,11 @@
         )
 
 
-def _name(record: Any) -> str:
+def _name(record: entries_lib.EntryRecord) -> str:
     return str(record.name)
 
 
-def _replicas(node: Any) -> Iterator[wire.ReplicaLine]:
+def _replicas(node: node_lib.Node) -> Iterator[wire.ReplicaLine]:
     status = node.status()
     silent_ms = {peer.name: peer.silent_ms for peer in status.peers}
     synced = {peer.name: peer.synced_index for peer in status.peers}
@@ -250,8 +256,11 @@
 
 
 def _leaving(view: View) -> tuple[str, ...]:
-    upstreams = [*view.workers.items(), *view.executors.items()]
-    names = [name for name, item in upstreams if item.announcement.leaving]
+    announcements = [
+        *(worker.announcement for worker in view.workers.values()),
+        *(executor.announcement for executor in view.executors.values()),
+    ]
+    names = [item.name for item in announcements if item.leaving]
     return tuple(sorted(names))[:_MAX_NAMES]
 
 
