--- a/src/galenahook/scheduling/task_table.py
+++ b/src/galenahook/scheduling/task_table.py
@@ -83,6 +83,8 @@
         """
         wanted = tasks_lib.wanted_tasks(current, touched)
         for owner, count in wanted.items():
+            if not count and owner not in self.sizes:
+                continue
             if self._wanted.get(owner) != count:
                 self._follow_owner(current, owner, count)
             self._wanted[owner] = count
