--- a/src/galenahook/callers/attempts.py
+++ b/src/galenahook/callers/attempts.py
@@ -117,6 +117,9 @@
             return await self.pool.take(
                 executor, call.repeatable, self._left_ms(call.deadline_at_ms)
             )
+        except errors.ConnectionLimitError:
+            self.router.release(executor)
+            raise
         except errors.ExchangeError:
             self.router.record_failure(executor)
             self.router.release(executor)
--- a/src/galenahook/errors.py
+++ b/src/galenahook/errors.py
@@ -44,6 +44,10 @@
         self.sent = sent
 
 
+class ConnectionLimitError(ExchangeError):
+    """No connection may be opened to a peer that has all it accepts."""
+
+
 class StorageError(GalenahookError):
     """The data folder can't be read or written."""
 
--- a/src/galenahook/upstreams/pool.py
+++ b/src/galenahook/upstreams/pool.py
@@ -94,13 +94,16 @@
         """Opens a new connection.
 
         Raises:
+          errors.ConnectionLimitError: The slots held pay for no more.
           errors.ExchangeError: It can't be opened; nothing was sent.
         """
         connections = self._connections(executor)
         self._forget_closed(connections)
         address = executor.address.address
         if executor.connections >= _allowed_connections(executor):
-            raise errors.ExchangeError(f"{address}: no connection left", False)
+            raise errors.ConnectionLimitError(
+                f"{address}: no connection left", False
+            )
         executor.connections += 1
         try:
             return await web.connect(
--- a/src/galenahook/upstreams/routing.py
+++ b/src/galenahook/upstreams/routing.py
@@ -115,12 +115,14 @@
         return free
 
     def _slot_limit(self, executor: view_lib.Executor, now_ms: int) -> int:
-        """Returns the granted slots, fewer while it returns from ejection."""
+        """Returns the granted slots, fewer while it returns from ejection.
+
+        An ejected executor is used only where too few others are left, and
+        then with all its slots.
+        """
         learned = executor.learned
-        if learned.ejections == 0:
-            return executor.granted
         since_ms = now_ms - learned.eject_until_ms
-        if since_ms >= RETURN_RAMP_MS:
+        if learned.ejections == 0 or not 0 <= since_ms < RETURN_RAMP_MS:
             return executor.granted
         ramp = int(executor.granted * since_ms / RETURN_RAMP_MS)
         return min(executor.granted, max(1, ramp))
