Run the tests in four processes; measure capacity to its end

The capacity run waited for ever on a refused change. Ruled out: shorter waits (they are the leases' own lengths). Change: pytest-xdist with work stealing; each test process uses a loopback address of its own, so that ports don't collide. Changes must be accepted.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 VENV ?= .venv
+TEST_PROCESSES ?= 4
 PYTHON ?= python3
 BIN = $(VENV)/bin
 export PYTHONPATH = $(CURDIR)/src:$(CURDIR)/bench
@@ -16,7 +17,7 @@
 	$(BIN)/python examples/demo.py $(ARGUMENTS)
 
 test: setup
-	$(BIN)/python -m pytest $(TESTS)
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist worksteal $(TESTS)
 
 fuzz: setup
 	$(BIN)/python -m pytest tests/test_fuzz*.py tests/test_faults_site.py --hypothesis-seed=$(or $(SEED),0) --fuzz-steps=$(or $(STEPS),2000)
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -212,7 +212,7 @@
 
     async def _measure_requests(self) -> None:
         change = commands.PutService(service=loads.service_row())
-        await self.site.operator().apply(change)
+        await loads.apply(self.site, change)
         entries = ",".join(self.site.upstreams())
         self.site.start_stand_in(
             "executor",
@@ -245,9 +245,8 @@
         self.slopes.starts_per_second = count / spent.seconds
 
     async def _measure_changes(self) -> None:
-        await self.site.operator().apply(
-            commands.ApplySheet(sheet=loads.sheet(ROWS))
-        )
+        sheet = commands.ApplySheet(sheet=loads.sheet(ROWS))
+        await loads.apply(self.site, sheet)
         await curio.sleep(1)
         load = loads.change_load(self.site, CHANGES)
         spent, count = await self._spend(load)
@@ -265,7 +264,7 @@
         follower_before = self.meter.read(follower)
         job = loads.job_row("kept", TASKS_KEPT, LONG_RUN_MS)
         job = loads.too_large(job)
-        await self.site.operator().apply(commands.PutJob(job=job))
+        await loads.apply(self.site, commands.PutJob(job=job))
         await curio.sleep(2)
         grown = self.meter.read(self.meter.leader).memory_mb - before.memory_mb
         self.slopes.task_leader_kb = grown * 1024 / TASKS_KEPT
--- a/bench/capacity_loads.py
+++ b/bench/capacity_loads.py
@@ -138,13 +138,20 @@
     await caller.close()
 
 
+async def apply(site: site_lib.Site, change: commands.Change) -> None:
+    """Makes a change, which must be accepted."""
+    answer = await site.operator().apply(change)
+    if answer.status != 200:
+        raise site_lib.SiteError(f"change refused: {answer.body!r}")
+
+
 def service_row() -> commands.ServiceRow:
     """Returns the service whose requests are measured."""
     return commands.ServiceRow(
         name=SERVICE,
         team="orders",
         priority=90,
-        instances=0,
+        instances=1,
         resources=messages.Resources(1_000, 1_000),
         route="/prices",
         tail_target_ms=100,
@@ -188,7 +195,7 @@
     """Returns a load that runs a job to its end."""
 
     async def run() -> int:
-        await site.operator().apply(commands.PutJob(job=job))
+        await apply(site, commands.PutJob(job=job))
         end = time.monotonic() + JOB_TIMEOUT_S
         done: set[str] = set()
         while len(done) < job.tasks and time.monotonic() < end:
--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from fakes import loopback
 from fakes import relay as relay_lib
 from galenahook import clock as clock_lib
 from galenahook import commands
@@ -20,7 +21,7 @@
 from galenahook.replicas import storage
 
 # No client binds to it, so the ports stay free between starts.
-HOST = "127.0.0.11"
+HOST = loopback.HOST
 POLL_MS = 5
 WATCH_MS = 1
 SUBMITTERS = 200
--- a/bench/fakes/site.py
+++ b/bench/fakes/site.py
@@ -19,13 +19,14 @@
 import curio
 import msgspec
 
+from fakes import loopback
 from fakes import operators as operators_lib
 from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import settings as settings_lib
 from galenahook import web
 
-HOST = "127.0.0.2"
+HOST = loopback.HOST
 OPERATORS = ("ana", "bor")
 READY_TIMEOUT_MS = 15_000
 STOP_TIMEOUT_MS = 40_000
