--- a/src/galenahook/commands.py
+++ b/src/galenahook/commands.py
@@ -331,7 +331,7 @@
     """Changes the group of replicas by one member.
 
     Attributes:
-      members: Voting replicas as `name=host:port` after the change.
+      members: Voting replicas as `name=host:port#folder` after the change.
       learners: Replicas that receive the log without a vote.
     """
 
