Let a learned latency fade, learn from late answers, return slots sooner

Cause: a latency above every deadline refused all requests, so it was never measured again; answers after the deadline taught nothing; the last slot of an executor came back up to 2 s late, since idle connections were reaped each second and then counted for another. Planted and seen to fail: latency never fades, late answers not learned.

--- a/src/galenahook/callers/attempts.py
+++ b/src/galenahook/callers/attempts.py
@@ -83,7 +83,7 @@
                     self._finish_late,
                     executor,
                     connection,
-                    end_ms,
+                    started_ms,
                     daemon=True,
                 )
                 return uncertain
@@ -175,14 +175,15 @@
         self,
         executor: view_lib.Executor,
         connection: web.ClientConnection,
-        end_ms: int,
+        started_ms: int,
     ) -> None:
         """Waits for an answer that nobody wants, to free slot and connection.
 
         The answer is dropped whole, so it can't reach another caller.
         """
+        end_ms = started_ms + defaults.ATTEMPT_TIMEOUT_MS
         try:
-            await connection.receive(self._left_ms(end_ms))
+            response = await connection.receive(self._left_ms(end_ms))
         except errors.ExchangeError:
             await self._give_up(executor, connection, sent=True)
             return
@@ -191,6 +192,7 @@
             raise
         await self.pool.put(executor, connection)
         self.router.release(executor)
+        self._learn(executor, response, started_ms)
 
     def _silence_ms(self, executor: view_lib.Executor) -> float:
         service = executor.address.service
--- a/src/galenahook/callers/handler.py
+++ b/src/galenahook/callers/handler.py
@@ -21,7 +21,7 @@
 
 MAX_ATTEMPTS = 3
 PUMP_PERIOD_MS = 20
-REAP_PERIOD_MS = 1_000
+REAP_PERIOD_MS = 200
 
 
 class Outcome(enum.Enum):
--- a/src/galenahook/upstreams/pool.py
+++ b/src/galenahook/upstreams/pool.py
@@ -16,7 +16,7 @@
 
 IDLE_MS = 15_000
 IDLE_NOT_REPEATABLE_MS = 2_000
-CLOSED_LINGER_MS = 1_000
+CLOSED_LINGER_MS = 250
 SILENT_LINGER_MS = 60_000
 
 
--- a/src/galenahook/upstreams/routing.py
+++ b/src/galenahook/upstreams/routing.py
@@ -10,6 +10,7 @@
 ZONE_COST_MS = 1.0
 LATENCY_WEIGHT = 0.2
 LATENCY_HALF_LIFE_MS = 5_000
+LATENCY_FRESH_MS = 1_000
 FAILURES_TO_EJECT = 3
 EJECT_MIN_MS = 1_000
 EJECT_MAX_MS = 30_000
@@ -26,6 +27,7 @@
 
     Attributes:
       latency_ms: Mean latency of its answers, 0 before the first.
+      sampled_ms: When the last answer came.
       retry_tokens: Retries left in the budget.
       busy: Slots in use.
       held: Slots granted on usable executors.
@@ -33,6 +35,7 @@
     """
 
     latency_ms: float = 0.0
+    sampled_ms: int = 0
     retry_tokens: float = RETRY_TOKENS_MAX
     busy: int = 0
     held: int = 0
@@ -142,8 +145,16 @@
         return latency_ms * (1 + load) + ZONE_COST_MS
 
     def typical_latency_ms(self, service: str) -> float:
-        """Returns the mean latency of the service's answers, 0 if unknown."""
-        return self._statistics(service).latency_ms
+        """Returns the mean latency of the service's answers, 0 if unknown.
+
+        It fades while no answer comes, so that requests refused for a high
+        latency do not keep it from being measured again.
+        """
+        statistics = self._statistics(service)
+        age_ms = self._clock.monotonic_ms() - statistics.sampled_ms
+        if age_ms <= LATENCY_FRESH_MS:
+            return statistics.latency_ms
+        return statistics.latency_ms * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
 
     def free_slots(self, service: str) -> int:
         """Returns the granted slots not in use; negative if some went."""
@@ -187,6 +198,7 @@
         learned.sampled_ms = now_ms
         statistics = self._statistics(executor.address.service)
         statistics.latency_ms = _mean_with(statistics.latency_ms, latency_ms)
+        statistics.sampled_ms = now_ms
 
     def record_failure(self, executor: view_lib.Executor) -> None:
         """Learns from a failed attempt; ejects after several in a row."""
--- a/tests/test_callers_handler.py
+++ b/tests/test_callers_handler.py
@@ -342,6 +342,27 @@
     run(test)
 
 
+def test_high_latency_of_the_past_does_not_refuse_for_ever() -> None:
+    async def test(rig: Rig) -> None:
+        statistics = rig.router._statistics(SERVICE)
+        statistics.latency_ms = 10_000
+        statistics.sampled_ms = clock_lib.Clock().monotonic_ms()
+        assert (await rig.send("ok/1", **SOON)).status == 503
+        statistics.sampled_ms -= 60_000
+        assert (await rig.send("ok/2", **SOON)).status == 200
+
+    run(test)
+
+
+def test_late_answers_are_learned_from() -> None:
+    async def test(rig: Rig) -> None:
+        await rig.send("sleep400", **SOON)
+        await curio.sleep(0.3)
+        assert rig.router.typical_latency_ms(SERVICE) >= 400
+
+    run(test)
+
+
 def test_same_key_runs_once_and_claims_share_commits() -> None:
     async def test(rig: Rig) -> None:
         tasks = [
