--- a/bench/routing.py
+++ b/bench/routing.py
@@ -30,6 +30,7 @@
 SETTLE_S = 5.0
 PHASE_S = 10.0
 RECOVERY_S = 8.0
+PROBE_SHARE = 0.1
 WARM_UP_S = 2.0
 MAX_REFUSED_SHARE = 0.01
 CAPACITY = EXECUTORS * SLOTS * 1000 / MEAN_MS
@@ -110,26 +111,40 @@
 
     def load(
         self, share: float, weights: list[float], duration_s: float, seed: int
-    ) -> list[Result]:
-        """Puts a share of the capacity on entries, or straight on executors."""
-        targets = self.entries if weights else self.executors
+    ) -> tuple[list[Result], list[Result]]:
+        """Puts a share of the capacity on the entries.
+
+        Returns:
+          What callers got, and what a few requests got at the same time that
+          went straight to executors.
+        """
         loaders = [
             Process(
                 "load",
-                targets=targets,
-                weights=weights or [1.0] * len(targets),
+                targets=self.entries,
+                weights=weights,
                 rate=share * CAPACITY / LOADERS,
                 duration_s=duration_s,
                 seed=seed * LOADERS + number,
             )
             for number in range(LOADERS)
         ]
-        for loader in loaders:
+        probe = Process(
+            "load",
+            targets=self.executors,
+            weights=[1.0] * len(self.executors),
+            rate=PROBE_SHARE * CAPACITY,
+            duration_s=duration_s,
+            seed=seed,
+            probe=True,
+        )
+        for loader in (*loaders, probe):
             loader.read()
         rows = [row for loader in loaders for row in loader.read()]
-        for loader in loaders:
+        probed = probe.read()
+        for loader in (*loaders, probe):
             loader.process.wait()
-        return sorted((Result(*row) for row in rows), key=lambda r: r.at_s)
+        return _sorted_results(rows), _sorted_results(probed)
 
     def ask(self, addresses: list[str], target: str) -> list[Any]:
         """Asks processes for what they counted."""
@@ -152,6 +167,11 @@
             process.stop()
 
 
+def _sorted_results(rows: list[list[float]]) -> list[Result]:
+    results = [Result(*row) for row in rows]  # type: ignore[arg-type]
+    return sorted(results, key=lambda result: result.at_s)
+
+
 def percentile(values: list[float], share: float) -> float:
     """Returns a percentile, or 0 of nothing."""
     if not values:
@@ -234,7 +254,6 @@
     try:
         time.sleep(SETTLE_S)
         loads = {
-            "60% without entries": (0.6, [], PHASE_S),
             "even 60%": (0.6, EVEN, PHASE_S),
             "skewed 60%": (0.6, SKEWED, PHASE_S),
             "even 80%": (0.8, EVEN, PHASE_S),
@@ -247,11 +266,17 @@
             loads.items()
         ):
             before = site.ask(site.entries, "/usage")
-            results = site.load(share, weights, duration_s, seed + number)
+            results, direct = site.load(
+                share, weights, duration_s, seed + number
+            )
             after = site.ask(site.entries, "/usage")
             kept = [item for item in results if item.at_s >= WARM_UP_S]
             phases[name] = Phase(name, kept, duration_s - WARM_UP_S)
+            kept = [item for item in direct if item.at_s >= WARM_UP_S]
+            beside = f"{name}, direct"
+            phases[beside] = Phase(beside, kept, duration_s - WARM_UP_S)
             print(phases[name].row(), flush=True)
+            print(phases[beside].row(), flush=True)
             _print_usage(before, after)
             most = max(max(c) for c in site.ask(site.counters, "/most"))
             print(f"    most requests at one executor: {most} of {SLOTS}")
@@ -290,7 +315,7 @@
     random.seed(seed)
     ours, ours_s = measure(baseline=False, seed=seed)
     base, base_s = measure(baseline=True, seed=seed)
-    direct = ours["60% without entries"]
+    direct = ours["even 60%, direct"]
     even, skewed = ours["even 60%"], ours["skewed 60%"]
     calm, over = ours["even 80%"], ours["even 200%"]
     print(f"\nbounds (seed {seed})")
--- a/bench/routing_roles.py
+++ b/bench/routing_roles.py
@@ -37,6 +37,7 @@
 ANNOUNCE_PERIOD_MS = 500
 DEADLINE_MS = 4_000
 SERVICE_HEADER = b"x-service-ms"
+PROBE_HEADER = b"x-probe"
 
 
 def say(message: Any) -> None:
@@ -131,14 +132,14 @@
 
     async def handle(self, request: web.Request) -> web.Response:
         """Serves one request in a time spread around the mean."""
-        del request
-        self.busy += 1
+        counted = not request.header(PROBE_HEADER)
+        self.busy += counted
         self.most_busy = max(self.most_busy, self.busy)
         started = time.monotonic()
         service_ms = self.mean_ms * self.random.uniform(0.6, 1.4)
         await curio.sleep(service_ms / 1000)
         spent_ms = (time.monotonic() - started) * 1000
-        self.busy -= 1
+        self.busy -= counted
         header = (SERVICE_HEADER, f"{spent_ms:.3f}".encode())
         return web.Response(200, [header], b"price")
 
@@ -272,8 +273,13 @@
         in ms, service time in ms, and status (0 for none).
     """
 
-    def __init__(self, targets: list[str], weights: list[float]) -> None:
+    def __init__(
+        self, targets: list[str], weights: list[float], probe: bool
+    ) -> None:
         self.targets = targets
+        self.headers = [(b"x-galenahook-deadline-ms", b"%d" % DEADLINE_MS)]
+        if probe:
+            self.headers.append((PROBE_HEADER, b"yes"))
         self.weights = weights
         self.results: list[list[float]] = []
         self.idle: dict[str, list[web.ClientConnection]] = {}
@@ -302,11 +308,7 @@
             idle = self.idle.setdefault(target, [])
             connection = idle.pop() if idle else await web.connect(target)
             response = await connection.exchange(
-                web.Request(
-                    "GET",
-                    "/prices/a4",
-                    [(b"x-galenahook-deadline-ms", b"%d" % DEADLINE_MS)],
-                ),
+                web.Request("GET", "/prices/a4", self.headers),
                 2 * DEADLINE_MS,
             )
             status = response.status
@@ -325,9 +327,10 @@
     rate: float,
     duration_s: float,
     seed: int,
+    probe: bool = False,
 ) -> None:
     """Runs one load and prints its results."""
-    load = Load(targets, weights)
+    load = Load(targets, weights, probe)
     say({"ready": True})
     await load.run(rate, duration_s, seed)
     say(load.results)
