Log starts, evictions and ends with their task; send the state to statsd

Cause: a job could not be followed through the leader, and nothing showed evictions or tasks in doubt.

--- a/src/galenahook/scheduling/context.py
+++ b/src/galenahook/scheduling/context.py
@@ -14,6 +14,7 @@
 from galenahook import settings
 from galenahook import web
 from galenahook.replicas import node as node_lib
+from galenahook.scheduling import journal as journal_lib
 from galenahook.scheduling import quarantine as quarantine_lib
 from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
@@ -42,6 +43,7 @@
       clock: Clock of this process.
       timing: Periods of the site.
       quarantine: Failures by worker and by job.
+      journal: Log lines and metrics.
     """
 
     node: node_lib.Node
@@ -50,6 +52,7 @@
     clock: clock_lib.Clock
     timing: settings.Timing
     quarantine: quarantine_lib.Quarantine
+    journal: journal_lib.Journal
 
     @property
     def tasks(self) -> task_table.TaskTable:
@@ -89,13 +92,24 @@
         The next round reads from the state what became of it.
         """
         try:
-            return await self.node.submit(command)
+            result = await self.node.submit(command)
         except (
             errors.NotLeaderError,
             errors.NoQuorumError,
             errors.StorageError,
         ):
             return None
+        self._record(command)
+        return result
+
+    def _record(self, command: commands.Command) -> None:
+        match command:
+            case commands.StartAttempts(starts=starts):
+                self.journal.started(starts)
+            case commands.EvictAttempts(attempts=refs, reason=reason):
+                self.journal.evicting(refs, reason)
+            case commands.EndAttempts(ends=ends):
+                self.journal.ended(ends)
 
     async def commit_ends(self, ends: Iterable[commands.AttemptEnd]) -> None:
         """Commits ends of attempts, if there are any."""
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -15,11 +15,13 @@
 from galenahook import errors
 from galenahook import messages
 from galenahook import settings
+from galenahook.platform import metrics as metrics_lib
 from galenahook.replicas import node as node_lib
 from galenahook.scheduling import context as context_lib
 from galenahook.scheduling import decisions as decisions_lib
 from galenahook.scheduling import evictions as evictions_lib
 from galenahook.scheduling import explanations
+from galenahook.scheduling import journal as journal_lib
 from galenahook.scheduling import losses
 from galenahook.scheduling import overload
 from galenahook.scheduling import policy as policy_lib
@@ -62,6 +64,7 @@
         clock: clock_lib.Clock,
         timing: settings.Timing,
         policy: Callable[[str], policy_lib.Policy] = policy_lib.for_objective,
+        metrics: metrics_lib.Metrics | None = None,
     ) -> None:
         self.context = context_lib.Context(
             node=node,
@@ -70,6 +73,9 @@
             clock=clock,
             timing=timing,
             quarantine=quarantine_lib.Quarantine(clock),
+            journal=journal_lib.Journal(
+                metrics or metrics_lib.Metrics("", "replica")
+            ),
         )
         self.executors = executors
         self.policy = policy
@@ -158,6 +164,9 @@
         now_ms = self.context.clock.monotonic_ms()
         if now_ms - self._leases_checked_ms >= LEASE_CHECK_PERIOD_MS:
             self._leases_checked_ms = now_ms
+            self.context.journal.gauges(
+                self.context.tasks, len(self.decisions.blocked)
+            )
             ended = {end.task for end in ends}
             expired = losses.expired_leases(self.context)
             ends.extend(end for end in expired if end.task not in ended)
@@ -240,6 +249,7 @@
             commands.EndAttempts(ends=(end,), at_ms=context.clock.wall_ms())
         )
         self._blames.pop((report.task, report.attempt), None)
+        context.journal.ended([end])
         context.workers.changed.add(report.worker)
         self.wake()
         applied = isinstance(result, commands.AttemptsApplied) and all(
--- a/tests/test_scheduling_flow.py
+++ b/tests/test_scheduling_flow.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+import eliot
 import pytest
 
 from galenahook import commands
@@ -153,3 +154,21 @@
     assert site.record("job/plan/0").attempt == 1
     site.pass_time(2_000)
     assert site.record("job/plan/0").attempt == 2
+
+
+def test_job_can_be_followed_in_the_log(site: model.ModelSite) -> None:
+    lines: list[dict[str, object]] = []
+    eliot.add_destinations(lines.append)
+    lines.clear()
+    try:
+        started_site(site, model.job("plan"))
+        (place,) = site.places("job/plan/0")
+        site.workers[place].finish("job/plan/0")
+        site.report(place)
+    finally:
+        eliot.remove_destination(lines.append)
+    found = [line for line in lines if line.get("task") == "job/plan/0"]
+    types = [line["message_type"] for line in found]
+    assert types == ["scheduling:start", "scheduling:end"]
+    assert found[0]["worker"] == place
+    assert found[1]["outcome"] == "AttemptCompleted"
