Let deferred work wait until its own latest start

Cause: the order of turns moves a latest start ahead by priority, and deferral read that moved time: work of the default priority never waited. Found by the table of how long work may wait, written while deferral moved to a module of its own.

Change: a turn carries the time of its order and the latest start apart.

--- a/src/galenahook/scheduling/batch_order.py
+++ b/src/galenahook/scheduling/batch_order.py
@@ -33,15 +33,17 @@
 
     Attributes:
       rank: Group of work.
-      latest_start_ms: Wall time; each step of priority moves it ahead.
+      order_ms: Latest start, moved ahead by each step of priority.
       priority: Negative priority of the sheet.
       owner: `job/NAME` or `service/NAME`.
+      latest_start_ms: Wall time by which a task should start.
     """
 
     rank: Rank
-    latest_start_ms: int
+    order_ms: int
     priority: int
     owner: str
+    latest_start_ms: int = NO_DEADLINE_MS
 
 
 def turns(
@@ -77,15 +79,15 @@
 ) -> Turn:
     latest_ms = latest_start_ms(job, run_times)
     order_ms = latest_ms - job.priority * PRIORITY_STEP_MS
-    if job.urgent:
-        return Turn(Rank.URGENT, latest_ms, -job.priority, owner)
-    if not job.deadline_ms:
-        return Turn(Rank.NO_DEADLINE, latest_ms, -job.priority, owner)
-    shortest_ms = estimates.run_ms(job, run_times, estimates.SHORT_QUANTILE)
     rank = Rank.ON_TIME
-    if now_ms + shortest_ms > job.deadline_ms:
+    shortest_ms = estimates.run_ms(job, run_times, estimates.SHORT_QUANTILE)
+    if job.urgent:
+        rank = Rank.URGENT
+    elif not job.deadline_ms:
+        rank = Rank.NO_DEADLINE
+    elif now_ms + shortest_ms > job.deadline_ms:
         rank = Rank.LATE
-    return Turn(rank, order_ms, -job.priority, owner)
+    return Turn(rank, order_ms, -job.priority, owner, latest_ms)
 
 
 def latest_start_ms(
--- a/src/galenahook/scheduling/decisions.py
+++ b/src/galenahook/scheduling/decisions.py
@@ -12,6 +12,7 @@
 from galenahook.scheduling import colocation as colocation_lib
 from galenahook.scheduling import context as context_lib
 from galenahook.scheduling import costs
+from galenahook.scheduling import deferral as deferral_lib
 from galenahook.scheduling import estimates
 from galenahook.scheduling import explanations
 from galenahook.scheduling import interference as interference_lib
@@ -26,8 +27,6 @@
 
 MAX_STARTS_PER_ROUND = 100
 MAX_TASKS_LOOKED_AT = 64
-MAX_DEFERRED_MS = 60_000
-DEFER_MARGIN_MS = 500
 SUMS_PERIOD_MS = 1_000
 
 
@@ -55,6 +54,7 @@
       model: Learned interference.
       closed: Workers that are to be emptied.
       preemption: Makes room for services and urgent jobs.
+      deferral: Batch work that waits for a better place.
       refill: Paces starts in an availability zone that came back.
       blocked: Why owners wait, from the last round that considered them.
     """
@@ -73,13 +73,13 @@
         self.model = interference_lib.InterferenceModel()
         self.refill = refill_lib.Refill(context.clock)
         self.preemption = preemption.Preemption(context)
+        self.deferral = deferral_lib.Deferral()
         self.blocked: dict[str, str] = {}
         self.closed: set[str] = set()
         self._drained: frozenset[str] = frozenset()
         self._zones_out: frozenset[str] = frozenset()
         self._round_spread: dict[str, collections.Counter[str]] = {}
         self._no_room_for: list[messages.Resources] = []
-        self._deferred_ms: dict[str, int] = {}
         self._summed_revision = -1
         self._summed_ms = 0
         self._mix: dict[str, float] = {}
@@ -154,6 +154,7 @@
         self._no_room_for.clear()
         self.refill.begin_round()
         self.preemption.begin_round(context.tasks.waiting)
+        self.deferral.begin_round(context.tasks.waiting)
         self.preemption.patient = isinstance(policy, policy_lib.Weighted)
         self.refill.paced = policy.paces_refill
         self._begin_harms()
@@ -191,12 +192,6 @@
             1 - free / capacity if capacity else 0.0,
             self._mean_weights,
         )
-        waiting = context.tasks.waiting
-        self._deferred_ms = {
-            owner: at_ms
-            for owner, at_ms in self._deferred_ms.items()
-            if owner in waiting
-        }
 
     def _choose_for_owner(
         self,
@@ -349,15 +344,9 @@
         """Returns whether a task waits for a place that harms no tail."""
         if not isinstance(policy, policy_lib.Weighted) or not policy.defers:
             return False
-        if turn.rank <= batch_order.Rank.URGENT:
-            return False
-        if not self._harms.of(need, slot).over_target:
-            return False
-        now_ms = self.context.clock.wall_ms()
-        if turn.rank is batch_order.Rank.NO_DEADLINE:
-            first_ms = self._deferred_ms.setdefault(need.owner, now_ms)
-            return now_ms - first_ms < MAX_DEFERRED_MS
-        return now_ms < turn.latest_start_ms - DEFER_MARGIN_MS
+        return self._harms.of(need, slot).over_target and (
+            self.deferral.may_wait(turn, self.context.clock.wall_ms())
+        )
 
     def _near(self, need: costs.Need, slot: placement.Slot) -> float:
         """Returns how near other instances of a service are; 0 for jobs."""
--- /dev/null
+++ b/src/galenahook/scheduling/deferral.py
@@ -0,0 +1,38 @@
+"""Batch work that waits for a place where it harms no tail."""
+
+from collections.abc import Container
+
+from galenahook.scheduling import batch_order
+
+MAX_DEFERRED_MS = 60_000
+MARGIN_MS = 500
+
+
+class Deferral:
+    """Decides how long work may wait.
+
+    Attributes:
+      since_ms: Wall time from which owners without a deadline have waited.
+    """
+
+    def __init__(self) -> None:
+        self.since_ms: dict[str, int] = {}
+
+    def begin_round(self, waiting: Container[str]) -> None:
+        """Forgets owners that do not wait any more."""
+        self.since_ms = {
+            owner: at_ms
+            for owner, at_ms in self.since_ms.items()
+            if owner in waiting
+        }
+
+    def may_wait(self, turn: batch_order.Turn, now_ms: int) -> bool:
+        """Returns whether an owner's work can wait at this moment."""
+        match turn.rank:
+            case batch_order.Rank.SERVICE | batch_order.Rank.URGENT:
+                return False
+            case batch_order.Rank.NO_DEADLINE:
+                first_ms = self.since_ms.setdefault(turn.owner, now_ms)
+                return now_ms - first_ms < MAX_DEFERRED_MS
+            case _:
+                return now_ms < turn.latest_start_ms - MARGIN_MS
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -9,6 +9,7 @@
 from galenahook import commands
 from galenahook import messages
 from galenahook.scheduling import batch_order
+from galenahook.scheduling import deferral as deferral_lib
 from galenahook.scheduling import estimates
 from galenahook.scheduling import interference as interference_lib
 from galenahook.scheduling import placement
@@ -435,3 +436,29 @@
 def test_bucket_rises_with_the_amount() -> None:
     buckets = [placement.bucket_of(amount) for amount in range(0, 70_000, 50)]
     assert buckets == sorted(buckets)
+
+
+@pytest.mark.parametrize(
+    ("fields", "waits_ms"),
+    [
+        ({"urgent": True}, 0),
+        ({"deadline_ms": 100_000, "run_ms": 40_000}, 59_500),
+        ({"deadline_ms": 30_000, "run_ms": 40_000}, 0),
+        ({}, deferral_lib.MAX_DEFERRED_MS),
+    ],
+)
+def test_work_waits_for_a_harmless_place_as_long_as_it_can(
+    fields: dict[str, int], waits_ms: int
+) -> None:
+    site = model.ModelSite()
+    site.change(model.sheet(model.job("plan", **fields)))
+    current = site.node.state.configuration.current
+    deferral = deferral_lib.Deferral()
+    waited_ms = 0
+    for now_ms in range(0, 120_000, 500):
+        (turn,) = batch_order.turns(["job/plan"], current, {}, now_ms)
+        if not deferral.may_wait(turn, now_ms):
+            break
+        waited_ms = now_ms + 500
+    assert waited_ms == waits_ms
+    site.close()
