--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -5,6 +5,7 @@
 doesn't fit into the bounded queue is dropped and counted.
 """
 
+import atexit
 import collections
 import contextlib
 import pathlib
@@ -78,6 +79,8 @@
 def start(process: str, log_file: str) -> LogWriter:
     """Sends every message from now on to a file, or to standard error.
 
+    What is queued when the process exits is still written.
+
     Args:
       process: Name of the process, written into each line.
       log_file: File to append to; standard error if empty.
@@ -86,6 +89,7 @@
       OSError: The file can't be opened.
     """
     writer = LogWriter(_open(log_file), process)
+    atexit.register(writer.close)
     eliot.add_destinations(writer)
     return writer
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,8 @@
 """Logs: JSON lines that never hold the process up."""
 
 import json
+import subprocess
+import sys
 import threading
 import time
 
@@ -22,8 +24,12 @@
         self.released = threading.Event()
         self.entered = threading.Event()
         self.lines = 0
+        self.written_by_caller = 0
 
     def write(self, data: bytes) -> None:
+        if threading.current_thread() is threading.main_thread():
+            self.written_by_caller += 1
+            return
         self.entered.set()
         assert self.released.wait(10)
         self.lines += data.count(b"\n")
@@ -78,13 +84,23 @@
     assert processes == ["first", "second"]
 
 
+def test_the_last_lines_before_the_exit_are_written(log_file):
+    script = (
+        "import sys; from galenahook import logs\n"
+        "logs.start('entry-1', sys.argv[1])\n"
+        "[logs.info('last', index=index) for index in range(500)]"
+    )
+    subprocess.run([sys.executable, "-c", script, str(log_file)], check=True)
+    assert [line["index"] for line in _lines(log_file)] == list(range(500))
+
+
 def test_a_hanging_disk_holds_nobody_up_and_drops_are_counted():
     stream = _StuckStream()
     writer = logs.LogWriter(stream, "entry-1")
     eliot.add_destinations(writer)
     try:
         logs.info("first")
-        assert stream.entered.wait(5)
+        assert stream.entered.wait(5) and not stream.written_by_caller
         started = time.monotonic()
         for index in range(logs.MAX_QUEUED_LINES + 50):
             logs.info("many", index=index)
