--- a/bench/fakes/scenario.py
+++ b/bench/fakes/scenario.py
@@ -473,9 +473,7 @@
                 await self._sleep(for_ms)
                 self.workers[0].fails_all = False
             case CutOffWorker(for_ms=for_ms):
-                self.workers[0].silent = True
-                await self._sleep(for_ms)
-                self.workers[0].silent = False
+                await self._cut_off_worker(for_ms)
             case ZoneOut(availability_zone=zone, for_ms=for_ms):
                 await self._take_zone_out(zone, for_ms)
             case ExecutorLeaves():
@@ -583,6 +581,15 @@
             for _ in range(2):
                 await self.rival.apply(commands.CancelJobs(names=names))
 
+    async def _cut_off_worker(self, for_ms: int) -> None:
+        """Cuts off the worker that has most to do."""
+        await self._put_job(self.rival, "night-cut", 12, NIGHT_RUN_MS)
+        await self._sleep(CHANGE_PERIOD_MS)
+        worker = max(self.workers, key=lambda item: len(item.attempts))
+        worker.silent = True
+        await self._sleep(for_ms)
+        worker.silent = False
+
     async def _take_zone_out(self, zone: str, for_ms: int) -> None:
         await self._put_job(self.rival, f"night-{zone}", 8, NIGHT_RUN_MS)
         await self._sleep(CHANGE_PERIOD_MS)
@@ -598,9 +605,9 @@
         await self.rival.apply(back, SETTLE_TIMEOUT_MS)
 
     async def _leave(self) -> None:
-        executor = self.executors[0]
+        executor = self.executors[-1]
         executor.leaving = True
-        worker = self.workers[0]
+        worker = self.workers[-1]
         worker.leaving = True
         now_ms = self._clock.monotonic_ms()
         self.observations.leaving_ms[executor.name] = now_ms
