--- a/src/galenahook/operators/status.py
+++ b/src/galenahook/operators/status.py
@@ -1,17 +1,22 @@
 """The state of the site, as operators see it."""
 
+import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
 import itertools
-from typing import Any
 
 from galenahook import commands
 from galenahook import configuration as configuration_lib
+from galenahook import entries as entries_lib
+from galenahook import leader as leader_lib
 from galenahook.operators import change_checks
 from galenahook.operators import in_force as in_force_lib
 from galenahook.operators import wire
+from galenahook.replicas import node as node_lib
 from galenahook.scheduling import tasks as tasks_lib
+from galenahook.upstreams import executors as executors_lib
+from galenahook.upstreams import workers as workers_lib
 
 _MAX_NAMES = 50
 
@@ -42,18 +47,20 @@
     current: configuration_lib.ConfigurationRecord
     revision: wire.RevisionReply
     records: Mapping[str, tasks_lib.TaskRecord]
-    workers: Mapping[str, Any]
+    workers: Mapping[str, workers_lib.Worker]
     silent: tuple[str, ...]
     quarantined: tuple[str, ...]
     in_doubt: tuple[str, ...]
     blocked: Mapping[str, str]
-    executors: Mapping[str, Any]
+    executors: Mapping[str, executors_lib.ExecutorRecord]
     entries: tuple[wire.EntryStatus, ...]
     replicas: tuple[wire.ReplicaLine, ...]
     availability_zones: frozenset[str]
 
 
-def take_view(leader: Any, in_force: in_force_lib.InForce) -> View:
+def take_view(
+    leader: leader_lib.Leader, in_force: in_force_lib.InForce
+) -> View:
     """Takes a view now; the rest may be done slowly."""
     node = leader.node
     revision = in_force.revision()
@@ -81,7 +88,7 @@
     )
 
 
-def _quarantined(leader: Any) -> Iterator[str]:
+def _quarantined(leader: leader_lib.Leader) -> Iterator[str]:
     quarantine = leader.scheduler.context.quarantine
     for name in sorted(leader.workers.workers):
         if quarantine.is_closed(name):
@@ -89,7 +96,7 @@
 
 
 def _entries(
-    leader: Any, revision: wire.RevisionReply
+    leader: leader_lib.Leader, revision: wire.RevisionReply
 ) -> Iterator[wire.EntryStatus]:
     for record in sorted(leader.entries.records.values(), key=_name):
         yield wire.EntryStatus(
@@ -101,11 +108,11 @@
         )
 
 
-def _name(record: Any) -> str:
+def _name(record: entries_lib.EntryRecord) -> str:
     return str(record.name)
 
 
-def _replicas(node: Any) -> Iterator[wire.ReplicaLine]:
+def _replicas(node: node_lib.Node) -> Iterator[wire.ReplicaLine]:
     status = node.status()
     silent_ms = {peer.name: peer.silent_ms for peer in status.peers}
     synced = {peer.name: peer.synced_index for peer in status.peers}
@@ -166,10 +173,15 @@
 def _availability_zones(
     view: View,
 ) -> Iterator[wire.AvailabilityZoneStatus]:
+    executors = collections.Counter(
+        executor.announcement.availability_zone
+        for executor in view.executors.values()
+    )
     zone_of = {
         name: worker.announcement.availability_zone
         for name, worker in view.workers.items()
     }
+    workers = collections.Counter(zone_of.values())
     held: dict[str, dict[str, int]] = {}
     for task, record in view.records.items():
         if record.phase is tasks_lib.Phase.HELD:
@@ -181,27 +193,24 @@
         yield wire.AvailabilityZoneStatus(
             name=name,
             out=name in view.current.availability_zones_out,
-            workers=sum(zone == name for zone in zone_of.values()),
-            executors=sum(
-                executor.announcement.availability_zone == name
-                for executor in view.executors.values()
-            ),
+            workers=workers[name],
+            executors=executors[name],
             service_tasks=counts.get("service", 0),
             batch_tasks=counts.get("job", 0),
         )
 
 
 def _services(view: View, phases: Phases) -> Iterator[wire.ServiceStatus]:
+    executors = collections.Counter(
+        executor.announcement.service for executor in view.executors.values()
+    )
     for name, row in sorted(view.current.services.items()):
         counts = phases.get(f"service/{name}", {})
         yield wire.ServiceStatus(
             name=name,
             instances=row.instances,
             held=counts.get(tasks_lib.Phase.HELD, 0),
-            executors=sum(
-                executor.announcement.service == name
-                for executor in view.executors.values()
-            ),
+            executors=executors[name],
         )
 
 
@@ -247,8 +256,11 @@
 
 
 def _leaving(view: View) -> tuple[str, ...]:
-    upstreams = [*view.workers.items(), *view.executors.items()]
-    names = [name for name, item in upstreams if item.announcement.leaving]
+    announcements = [
+        *(worker.announcement for worker in view.workers.values()),
+        *(executor.announcement for executor in view.executors.values()),
+    ]
+    names = [item.name for item in announcements if item.leaving]
     return tuple(sorted(names))[:_MAX_NAMES]
 
 
