--- a/src/galenahook/callers/handler.py
+++ b/src/galenahook/callers/handler.py
@@ -22,6 +22,7 @@
 MAX_ATTEMPTS = 3
 PUMP_PERIOD_MS = 20
 REAP_PERIOD_MS = 200
+METRICS_PERIOD_MS = 1_000
 
 
 class Outcome(enum.Enum):
@@ -209,6 +210,9 @@
             await curio.spawn(
                 self._every, REAP_PERIOD_MS, self._reap, daemon=True
             )
+            await curio.spawn(
+                self._every, METRICS_PERIOD_MS, self._gauge, daemon=True
+            )
 
     async def _every(
         self, period_ms: int, action: Callable[[], Awaitable[None]]
@@ -225,6 +229,15 @@
         if self.admission.waiting:
             await self.admission.dispatch_all()
 
+    async def _gauge(self) -> None:
+        self._metrics.gauge("requests.waiting", self.admission.waiting)
+        for route in self.view.configuration.routes:
+            service = route.service
+            held = self.router.held_slots(service)
+            free = self.router.free_slots(service)
+            self._metrics.gauge(f"slots.{service}.held", held)
+            self._metrics.gauge(f"slots.{service}.busy", held - free)
+
     async def _reap(self) -> None:
         await self.router.pool.reap()
 
--- a/src/galenahook/upstreams/pool.py
+++ b/src/galenahook/upstreams/pool.py
@@ -134,7 +134,9 @@
     ) -> None:
         """Closes a connection whose exchange did not end cleanly."""
         connections = self._connections(executor)
-        await self._close(connections, connection, SILENT_LINGER_MS)
+        silent = not connection.ended_by_peer
+        linger_ms = SILENT_LINGER_MS if silent else CLOSED_LINGER_MS
+        await self._close(connections, connection, linger_ms)
 
     async def close_idle(
         self, executor: view_lib.Executor, opened_before_ms: int
--- a/src/galenahook/web/client.py
+++ b/src/galenahook/web/client.py
@@ -23,12 +23,14 @@
       address: The peer's `host:port`.
       reusable: Whether another exchange may follow on this connection.
       opened_ms: Monotonic time of the connect.
+      ended_by_peer: Whether the peer closed it or broke the protocol.
     """
 
     def __init__(self, address: str, sock: Any, opened_ms: int) -> None:
         self.address = address
         self.reusable = True
         self.opened_ms = opened_ms
+        self.ended_by_peer = False
         self._sock = sock
         self._connection = h11.Connection(h11.CLIENT)
         self._method = ""
@@ -92,6 +94,7 @@
         return response
 
     async def _fail(self, error: BaseException, sent: bool) -> NoReturn:
+        self.ended_by_peer = not isinstance(error, curio.TaskTimeout)
         await self.close()
         raise errors.ExchangeError(
             f"{self.address}: {type(error).__name__}: {error}", sent
--- a/tests/test_callers_handler.py
+++ b/tests/test_callers_handler.py
@@ -453,6 +453,21 @@
     run(test, count=1, slots=4)
 
 
+def test_connection_that_its_executor_closed_is_soon_forgotten() -> None:
+    async def test(rig: Rig) -> None:
+        for number in range(3):
+            await rig.send(f"reset/{number}")
+        executors = rig.view.executors.values()
+        deadline = time.monotonic() + 3
+        while time.monotonic() < deadline:
+            if not any(item.connections for item in executors):
+                return
+            await curio.sleep(0.05)
+        raise AssertionError([item.connections for item in executors])
+
+    run(test)
+
+
 def test_failing_executor_is_ejected_and_returns() -> None:
     async def test(rig: Rig) -> None:
         first = rig.view.executors["x0"]
