Answer both of two reports of one completion as accepted

Cause: a worker that resends through another entry while the first report's commit is under way was told that its completion is out of date. Seen twice in tests/test_faults_site.py ('job/plan-2/1: not done', rows with 'leader hears nobody'); the log of the second shows the completion committed twice, 57 ms apart, and the second void. Also: only what took effect is logged.

Planted: the first form; test_completion_resent_while_its_commit_is_under_way fails.

--- a/src/galenahook/scheduling/context.py
+++ b/src/galenahook/scheduling/context.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import itertools
 from typing import Any
 from typing import Protocol
 from typing import TypeVar
@@ -99,17 +100,22 @@
             errors.StorageError,
         ):
             return None
-        self._record(command)
+        if isinstance(result, commands.AttemptsApplied):
+            self._record(command, result.applied)
         return result
 
-    def _record(self, command: commands.Command) -> None:
+    def _record(
+        self, command: commands.Command, applied: tuple[bool, ...]
+    ) -> None:
+        """Records what took effect."""
         match command:
             case commands.StartAttempts(starts=starts):
-                self.journal.started(starts)
+                self.journal.started(itertools.compress(starts, applied))
             case commands.EvictAttempts(attempts=refs, reason=reason):
-                self.journal.evicting(refs, reason)
+                chosen = itertools.compress(refs, applied)
+                self.journal.evicting(chosen, reason)
             case commands.EndAttempts(ends=ends):
-                self.journal.ended(ends)
+                self.journal.ended(itertools.compress(ends, applied))
 
     async def commit_ends(self, ends: Iterable[commands.AttemptEnd]) -> None:
         """Commits ends of attempts, if there are any."""
--- a/src/galenahook/scheduling/scheduler.py
+++ b/src/galenahook/scheduling/scheduler.py
@@ -249,13 +249,17 @@
             commands.EndAttempts(ends=(end,), at_ms=context.clock.wall_ms())
         )
         self._blames.pop((report.task, report.attempt), None)
-        context.journal.ended([end])
         context.workers.changed.add(report.worker)
         self.wake()
         applied = isinstance(result, commands.AttemptsApplied) and all(
             result.applied
         )
-        return messages.ReportReply(acknowledged=True, current=applied)
+        if applied:
+            context.journal.ended([end])
+        accepted = _is_accepted(context.tasks.records[report.task], report)
+        return messages.ReportReply(
+            acknowledged=True, current=applied or accepted
+        )
 
     def _blame(self, report: messages.AttemptReport, owner: str) -> bool:
         """Returns whether the worker is to blame; counts a resend once."""
--- a/tests/scheduling_model.py
+++ b/tests/scheduling_model.py
@@ -51,6 +51,7 @@
         self.current_term = 1
         self.quorum = True
         self.loses_answers = False
+        self.slow = False
         self.before_commit: Callable[[], None] | None = None
 
     async def submit(self, command: commands.Command) -> commands.Result:
@@ -59,6 +60,8 @@
             raise errors.NotLeaderError("r2")
         if not self.quorum:
             raise errors.NoQuorumError("no quorum")
+        if self.slow:
+            await curio.sleep(0)
         if self.before_commit:
             self.before_commit()
         result = self.state.apply(command)
--- a/tests/test_scheduling_races.py
+++ b/tests/test_scheduling_races.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
+import curio
 import pytest
 
 from galenahook import commands
@@ -239,3 +240,39 @@
     site.client.lose_request.clear()
     site.pass_time(7_000)
     assert all(site.places(f"job/plan/{index}") for index in range(4))
+
+
+def test_completion_resent_after_a_lost_answer_gets_the_first_answer(
+    site: model.ModelSite,
+) -> None:
+    """The resend was answered as out of date, as if its work were void."""
+    site.change(model.sheet(model.job("plan")))
+    site.pass_time(1_000)
+    site.workers["w0"].finish(TASK)
+    site.node.loses_answers = True
+    with pytest.raises(errors.NoQuorumError):
+        site.report("w0")
+    site.node.loses_answers = False
+    assert site.report("w0") == [messages.ReportReply(acknowledged=True)]
+    assert site.record(TASK).phase is Phase.DONE
+
+
+def test_completion_resent_while_its_commit_is_under_way(
+    site: model.ModelSite,
+) -> None:
+    """The second of two reports in flight was answered as out of date."""
+    site.change(model.sheet(model.job("plan")))
+    site.pass_time(1_000)
+    worker = site.workers["w0"]
+    worker.finish(TASK)
+    (report,) = worker.reports()
+    site.node.slow = True
+
+    async def twice() -> list[messages.ReportReply]:
+        sent = [
+            await curio.spawn(site.scheduler.report, report) for _ in range(2)
+        ]
+        return [await one.join() for one in sent]
+
+    accepted = messages.ReportReply(acknowledged=True)
+    assert site.kernel.run(twice) == [accepted, accepted]
