--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -13,6 +13,8 @@
 from galenahook import settings as settings_lib
 from galenahook import settings_checks
 from galenahook import settings_files
+from galenahook.operators import client_settings
+from galenahook.operators import daemons
 
 TOKENS = {"ana": "a" * 16, "bo": "b" * 16}
 
@@ -189,3 +191,23 @@
 def test_settings_of_the_builders_are_of_this_form():
     encoded = messages.encode(builders.replica_settings())
     assert messages.decode(encoded, settings_lib.ReplicaSettings)
+
+
+# Sample and what only the site itself can give.
+SAMPLES = [
+    ("entry-settings.json", {"$.site_key_file", "$.operator_tokens_file"}),
+    ("replica-settings.json", {"$.site_key_file", "$.data_folder"}),
+]
+
+
+@pytest.mark.parametrize(("name", "missing"), SAMPLES)
+def test_a_sample_lacks_only_the_sites_own_files(name, missing):
+    path = pathlib.Path(__file__).parent.parent / "examples" / name
+    assert set(_places(settings_files.load_any(str(path)))) == missing
+
+
+def test_the_samples_of_the_command_line_are_sound():
+    folder = pathlib.Path(__file__).parent.parent / "examples"
+    assert daemons.load_job(str(folder / "job.json")).is_ok()
+    client = (folder / "client-settings.json").read_bytes()
+    assert messages.decode(client, client_settings.ClientSettings)
