--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -400,6 +400,8 @@
 BOUNDS = (
     ("booking", "p99/target", "first fit", MOST, 0.70),
     ("booking", "work core s", "first fit", LEAST, 0.95),
+    ("order", "by deadline", "first fit", LEAST, 1.0),
+    ("order", "evictions", "first fit", MOST, 0.70),
     ("order", "by deadline", "first fit, evicts", LEAST, 1.0),
     ("order", "evictions", "first fit, evicts", MOST, 0.70),
     ("order", "by deadline", "first fit, evicts and restarts", LEAST, 1.0),
