--- a/src/galenahook/upstreams/pool.py
+++ b/src/galenahook/upstreams/pool.py
@@ -16,7 +16,7 @@
 
 IDLE_MS = 15_000
 IDLE_NOT_REPEATABLE_MS = 2_000
-CLOSED_LINGER_MS = 1_000
+CLOSED_LINGER_MS = 250
 SILENT_LINGER_MS = 60_000
 
 
@@ -134,7 +134,9 @@
     ) -> None:
         """Closes a connection whose exchange did not end cleanly."""
         connections = self._connections(executor)
-        await self._close(connections, connection, SILENT_LINGER_MS)
+        silent = not connection.ended_by_peer
+        linger_ms = SILENT_LINGER_MS if silent else CLOSED_LINGER_MS
+        await self._close(connections, connection, linger_ms)
 
     async def close_idle(
         self, executor: view_lib.Executor, opened_before_ms: int
