--- a/bench/fakes/oracle.py
+++ b/bench/fakes/oracle.py
@@ -226,11 +226,14 @@
     outages: Iterable[Outage],
     bound_ms: int = DEFAULT_BOUND_MS,
 ) -> list[str]:
-    """No task starts in an availability zone that has been out for long."""
+    """Nothing starts in an availability zone that has been out for long.
+
+    That is neither a task nor a request.
+    """
     faults = []
     outages = list(outages)
     for event in events:
-        if event.kind != "start":
+        if event.kind not in ("start", "serve"):
             continue
         for outage in outages:
             if outage.availability_zone != event.availability_zone:
@@ -239,7 +242,8 @@
             back = outage.in_ms is not None and event.at_ms >= outage.in_ms
             if late_ms > bound_ms and not back:
                 faults.append(
-                    f"{event.task}: started on {event.upstream} {late_ms} ms"
+                    f"{event.task or event.request}: started on"
+                    f" {event.upstream} {late_ms} ms"
                     f" after {outage.availability_zone} went out"
                 )
     return faults
