Send the scheduler's counters to statsd; count leases while suspended

Cause: the leader built its scheduler without metrics; curio's warnings reached stderr as plain text among the JSON lines; CLOCK_MONOTONIC stands still while a VM is suspended, so that a holder would go on under a lease that is over. Change: metrics passed on; curio's records become messages; CLOCK_BOOTTIME.

--- a/src/galenahook/clock.py
+++ b/src/galenahook/clock.py
@@ -17,8 +17,11 @@
     __slots__ = ()
 
     def monotonic_ms(self) -> int:
-        """Returns milliseconds that only ever rise, from an arbitrary zero."""
-        return time.monotonic_ns() // 1_000_000
+        """Returns milliseconds that only ever rise, from an arbitrary zero.
+
+        They go on while the VM is suspended, so that a lease ends meanwhile.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self) -> int:
         """Returns milliseconds since the Unix epoch, which may step."""
--- a/src/galenahook/leader.py
+++ b/src/galenahook/leader.py
@@ -12,6 +12,7 @@
 from galenahook import messages
 from galenahook import settings as settings_lib
 from galenahook import web
+from galenahook.platform import metrics as metrics_lib
 from galenahook.replicas import node as node_lib
 from galenahook.scheduling import scheduler as scheduler_lib
 from galenahook.upstreams import executors as executors_lib
@@ -36,6 +37,7 @@
         client: web.ControlClient,
         timing: settings_lib.Timing,
         clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
     ) -> None:
         self.node = node
         self.entries = entries_lib.EntryRegistry(clock, timing.entry_lease_ms)
@@ -43,7 +45,13 @@
         self.executors = executors_lib.ExecutorRegistry(clock)
         self.grants = grants_lib.GrantTable(clock, timing.entry_lease_ms)
         self.scheduler = scheduler_lib.Scheduler(
-            node, self.workers, self.executors, client, clock, timing
+            node,
+            self.workers,
+            self.executors,
+            client,
+            clock,
+            timing,
+            metrics=metrics,
         )
         self._clock = clock
         self._timing = timing
--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -8,6 +8,7 @@
 import atexit
 import collections
 import contextlib
+import logging
 import pathlib
 import sys
 import threading
@@ -76,6 +77,14 @@
             self.dropped += len(lines)
 
 
+class _KernelHandler(logging.Handler):
+    """Turns records of curio's kernel, such as crashed tasks, into messages."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs one record."""
+        warning("curio", text=logging.Formatter().format(record))
+
+
 def start(process: str, log_file: str) -> LogWriter:
     """Sends every message from now on to a file, or to standard error.
 
@@ -88,6 +97,9 @@
     Raises:
       OSError: The file can't be opened.
     """
+    curio_logger = logging.getLogger("curio")
+    curio_logger.handlers = [_KernelHandler()]
+    curio_logger.propagate = False
     writer = LogWriter(_open(log_file), process)
     atexit.register(writer.close)
     eliot.add_destinations(writer)
--- a/src/galenahook/replica.py
+++ b/src/galenahook/replica.py
@@ -16,6 +16,7 @@
 from galenahook import web
 from galenahook.operators import handler as operators_handler
 from galenahook.platform import health as health_lib
+from galenahook.platform import metrics as metrics_lib
 from galenahook.replicas import node as node_lib
 
 _LEADERSHIP_POLL_MS = 20
@@ -39,6 +40,7 @@
         self.clock = clock
         self.key = process.read_key(settings.site_key_file)
         self.client = web.ControlClient(clock, [(process.KEY_HEADER, self.key)])
+        self.metrics = metrics_lib.Metrics(settings.statsd, settings.name)
         self.node = node_lib.Node(settings, self.client, clock)
         self.audit = audit_lib.AuditTrail(settings.data_folder)
         self.leader: leader_lib.Leader | None = None
@@ -79,7 +81,11 @@
         while True:
             await self._wait_until_leading(True)
             leader = leader_lib.Leader(
-                self.node, self.client, self.settings.timing, self.clock
+                self.node,
+                self.client,
+                self.settings.timing,
+                self.clock,
+                self.metrics,
             )
             self.leader = leader
             self.operators = operators_handler.OperatorHandler(
