--- a/tests/operator_model.py
+++ b/tests/operator_model.py
@@ -16,6 +16,7 @@
 from galenahook import web
 from galenahook.operators import handler
 from galenahook.operators import relay
+from galenahook.platform import metrics as metrics_lib
 import scheduling_model
 
 TOKENS = {"ana": "a" * 16, "bo": "b" * 16}
@@ -103,7 +104,10 @@
         timing = settings_lib.Timing()
         node: Any = self.node
         client = web.ControlClient(self.clock, [])
-        self.leader = leader_lib.Leader(node, client, timing, self.clock)
+        metrics = metrics_lib.Metrics("", "replica-1")
+        self.leader = leader_lib.Leader(
+            node, client, timing, self.clock, metrics
+        )
         tokens_file = folder / "operators.json"
         tokens_file.write_bytes(msgspec.json.encode(TOKENS))
         trail = audit.AuditTrail(str(folder))
