Prove by quoted answers when an executor counted its busy slots

Cause: the leader told from the executor's own clock and the least delay seen when an announcement was made. If every announcement is late by more than 300 ms, a count taken before a lost entry's lease ended passed for a later one, so slots could be given twice. Ruled out: a longer margin (no delay is a bound), shared clocks. Change: an executor quotes the last answer that it got; the leader knows when it gave that. The estimate stays for executors that quote none, and the pages say what it is worth.

--- a/bench/fakes/executor.py
+++ b/bench/fakes/executor.py
@@ -138,6 +138,7 @@
         self._clock = clock_lib.Clock()
         self._client = web.ControlClient(self._clock, [])
         self._sequence = itertools.count(1)
+        self._answered = 0
         self._entry = seed
         self._random = random.Random(f"{name}/{seed}")
         self._latencies: collections.deque[tuple[int, float]] = (
@@ -196,6 +197,7 @@
             rack=self.rack,
             vm=self.vm.name,
             leaving=self.leaving,
+            answered=self._answered,
             service=self.service,
             slots=self.slots,
             connections=self.connections,
@@ -211,6 +213,8 @@
             return
         if response.status != 200:
             self._entry += 1
+            return
+        self._answered = max(self._answered, message.sequence)
 
     def _tail(self) -> messages.TailSample | None:
         oldest_ms = self._clock.monotonic_ms() - TAIL_WINDOW_MS
--- a/src/galenahook/messages.py
+++ b/src/galenahook/messages.py
@@ -93,6 +93,9 @@
       rack: Rack in the availability zone.
       vm: Name of the VM; executors and workers on one VM give the same name.
       leaving: True from the moment that it plans to stop.
+      answered: Highest sequence number of its own whose answer had arrived
+        when this announcement was made, 0 for none. It proves that this one
+        was made after that answer.
     """
 
     name: str
@@ -104,6 +107,7 @@
     rack: str = ""
     vm: str = ""
     leaving: bool = False
+    answered: int = 0
 
 
 class WorkerAnnouncement(Announcement, frozen=True, kw_only=True, tag="worker"):
--- a/src/galenahook/upstreams/executors.py
+++ b/src/galenahook/upstreams/executors.py
@@ -14,6 +14,7 @@
 MAX_SLOTS = 1_024
 PROOF_MARGIN_MS = 300
 PROOF_HEARD_MS = 400
+MAX_ANSWERS_KEPT = 32
 
 _VERSION_BYTES = 4
 
@@ -28,12 +29,14 @@
       first_received_ms: When this incarnation was first heard.
       offset_ms: Least difference seen between the arrival of an announcement
         and the executor's own clock when it made it.
+      answers_ms: When this leader answered, by sequence number.
     """
 
     announcement: messages.ExecutorAnnouncement
     received_at_ms: int
     first_received_ms: int
     offset_ms: int
+    answers_ms: dict[int, int] = dataclasses.field(default_factory=dict)
 
     @property
     def slots(self) -> int:
@@ -42,13 +45,26 @@
         slots = min(announced.slots, announced.connections, MAX_SLOTS)
         return max(0, slots)
 
-    def made_ms(self) -> int:
-        """Returns about when the last announcement was made, by our clock.
+    def made_after_ms(self) -> int | None:
+        """Returns a time of ours after which the last one was surely made.
 
-        It is late by no more than the quickest announcement's delay.
+        An executor that quotes no answers is judged by its own clock, which
+        may err by the least delay of its announcements. None if not known.
         """
+        answered = self.announcement.answered
+        if answered:
+            return self.answers_ms.get(answered)
+        heard_ms = self.received_at_ms - self.first_received_ms
+        if heard_ms < PROOF_HEARD_MS:
+            return None
         return self.announcement.sent_at_ms + self.offset_ms
 
+    def note_answer(self, sequence: int, now_ms: int) -> None:
+        """Remembers when an announcement was answered."""
+        self.answers_ms.setdefault(sequence, now_ms)
+        while len(self.answers_ms) > MAX_ANSWERS_KEPT:
+            del self.answers_ms[next(iter(self.answers_ms))]
+
 
 @dataclasses.dataclass(slots=True)
 class TailRecord:
@@ -98,12 +114,20 @@
             _update_record(record, announcement, now_ms)
         elif now_ms - record.received_at_ms >= REPLACE_AFTER_MS:
             self.records[announcement.name] = _new_record(announcement, now_ms)
+        self._note_answer(announcement, now_ms)
         return messages.AnnouncementReply(
             name=announcement.name,
             sequence=announcement.sequence,
             lease_ms=0,
         )
 
+    def _note_answer(
+        self, announcement: messages.ExecutorAnnouncement, now_ms: int
+    ) -> None:
+        record = self.records[announcement.name]
+        if record.announcement.incarnation == announcement.incarnation:
+            record.note_answer(announcement.sequence, now_ms)
+
     def addresses(
         self, configuration: configuration_lib.ConfigurationRecord
     ) -> tuple[messages.ExecutorAddress, ...]:
@@ -141,16 +165,16 @@
     def busy_since(self, name: str, moment_ms: int) -> int | None:
         """Returns the busy slots in an announcement made after a moment.
 
-        None if the executor's last announcement may be older, or is the first
-        of several that travelled together.
+        The margin leaves time for requests sent shortly before the moment to
+        arrive. None if the executor's last announcement may be older.
         """
         record = self.records.get(name)
         if record is None:
             return None
-        heard_ms = record.received_at_ms - record.first_received_ms
-        if heard_ms < PROOF_HEARD_MS:
+        made_after_ms = record.made_after_ms()
+        if made_after_ms is None:
             return None
-        if record.made_ms() < moment_ms + PROOF_MARGIN_MS:
+        if made_after_ms < moment_ms + PROOF_MARGIN_MS:
             return None
         return max(0, record.announcement.busy_slots)
 
