--- /dev/null
+++ b/src/galenahook/commands/results.py
@@ -0,0 +1,65 @@
+"""Results of applying a command."""
+
+from galenahook import messages
+
+
+class Done(messages.Message, frozen=True, kw_only=True, tag="done"):
+    """The command was applied and has no result of its own."""
+
+
+class ChangeAccepted(
+    messages.Message, frozen=True, kw_only=True, tag="accepted"
+):
+    """The change is in force from this revision on."""
+
+    revision: int
+
+
+class ChangeConflict(
+    messages.Message, frozen=True, kw_only=True, tag="conflict"
+):
+    """Nothing changed: the number was used, or the base revision is old.
+
+    Attributes:
+      revision: Current revision.
+      reason: What moved since the base revision, for a person.
+    """
+
+    revision: int
+    reason: str
+
+
+class ChangeInvalid(messages.Message, frozen=True, kw_only=True, tag="invalid"):
+    """Nothing changed: the change can't be applied to this configuration."""
+
+    revision: int
+    reason: str
+
+
+ChangeResult = ChangeAccepted | ChangeConflict | ChangeInvalid
+
+
+class KeysClaimed(
+    messages.Message, frozen=True, kw_only=True, tag="keys-claimed"
+):
+    """For each claim in order, whether its request holds the key."""
+
+    granted: tuple[bool, ...]
+
+
+class AttemptsApplied(
+    messages.Message, frozen=True, kw_only=True, tag="attempts-applied"
+):
+    """For each start or end in order, whether it took effect."""
+
+    applied: tuple[bool, ...]
+
+
+Result = (
+    Done
+    | ChangeAccepted
+    | ChangeConflict
+    | ChangeInvalid
+    | KeysClaimed
+    | AttemptsApplied
+)
--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -241,4 +241,4 @@
 def run(settings: settings_lib.EntrySettings) -> None:
     """Runs an entry until SIGTERM or SIGINT."""
     logs.start(settings.name, settings.log_file)
-    process.run(Entry(settings, clock_lib.Clock()))
+    process.run_until_signal(Entry(settings, clock_lib.Clock()))
--- a/src/galenahook/local.py
+++ b/src/galenahook/local.py
@@ -1,5 +1,6 @@
 """A whole site in one process: one replica and one entry."""
 
+import dataclasses
 import pathlib
 import secrets
 
@@ -7,15 +8,14 @@
 
 from galenahook import clock as clock_lib
 from galenahook import entry as entry_lib
-from galenahook import logs
 from galenahook import messages
-from galenahook import process
 from galenahook import replica as replica_lib
 from galenahook import settings as settings_lib
 
 OPERATOR = "local"
 
 _LOOPBACK = "127.0.0.1"
+_SECRET_BYTES = 32
 
 
 class LocalSite:
@@ -44,14 +44,29 @@
         await replica.join()
 
 
-def build(
-    folder: str,
-    callers_port: int,
-    upstreams_port: int,
-    operators_port: int,
-    platform_port: int,
-    peers_port: int,
-) -> LocalSite:
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ports:
+    """Ports of a local site's listeners."""
+
+    callers: int
+    upstreams: int
+    operators: int
+    platform: int
+    peers: int
+
+
+def consecutive_ports(first: int) -> Ports:
+    """Returns five consecutive ports."""
+    return Ports(
+        callers=first,
+        upstreams=first + 1,
+        operators=first + 2,
+        platform=first + 3,
+        peers=first + 4,
+    )
+
+
+def build(folder: str, ports: Ports) -> LocalSite:
     """Builds a site on loopback, with its state in `folder`."""
     root = pathlib.Path(folder)
     data_folder = root / "replica"
@@ -59,16 +74,16 @@
     key_file = root / "site.key"
     tokens_file = root / "operators.json"
     if not key_file.exists():
-        key_file.write_text(secrets.token_hex(32))
+        _write_secret(key_file, secrets.token_hex(_SECRET_BYTES).encode())
     if not tokens_file.exists():
-        tokens = {OPERATOR: secrets.token_hex(32)}
-        tokens_file.write_bytes(messages.encode(tokens))
-    replicas = {"replica-1": f"{_LOOPBACK}:{peers_port}"}
+        tokens = {OPERATOR: secrets.token_hex(_SECRET_BYTES)}
+        _write_secret(tokens_file, messages.encode(tokens))
+    replicas = {"replica-1": f"{_LOOPBACK}:{ports.peers}"}
     replica_settings = settings_lib.ReplicaSettings(
         name="replica-1",
         site="local",
         availability_zone="local",
-        peers=_listener(peers_port),
+        peers=_listener(ports.peers),
         platform=_listener(0),
         replicas=replicas,
         data_folder=str(data_folder),
@@ -78,10 +93,10 @@
         name="entry-1",
         site="local",
         availability_zone="local",
-        callers=_listener(callers_port),
-        upstreams=_listener(upstreams_port),
-        operators=_listener(operators_port),
-        platform=_listener(platform_port),
+        callers=_listener(ports.callers),
+        upstreams=_listener(ports.upstreams),
+        operators=_listener(ports.operators),
+        platform=_listener(ports.platform),
         replicas=replicas,
         site_key_file=str(key_file),
         operator_tokens_file=str(tokens_file),
@@ -89,10 +104,10 @@
     return LocalSite(replica_settings, entry_settings, clock_lib.Clock())
 
 
-def run(site: LocalSite) -> None:
-    """Runs a local site until SIGTERM or SIGINT."""
-    logs.start("local", "")
-    process.run(site)
+def _write_secret(path: pathlib.Path, data: bytes) -> None:
+    """Writes a file that only its owner may read."""
+    path.touch(mode=0o600)
+    path.write_bytes(data)
 
 
 def _listener(port: int) -> settings_lib.Listener:
--- /dev/null
+++ b/src/galenahook/messages/codec.py
@@ -0,0 +1,49 @@
+"""The base of every message, and its JSON form."""
+
+import functools
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from galenahook import errors
+from galenahook import findings as findings_lib
+
+_MessageT = TypeVar("_MessageT")
+
+
+class Message(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Base of every message: immutable, slotted, unknown fields refused."""
+
+
+def encode(message: Any) -> bytes:
+    """Encodes a message as JSON."""
+    return msgspec.json.encode(message)
+
+
+def decode(data: bytes, message_type: type[_MessageT]) -> _MessageT:
+    """Decodes a message.
+
+    Raises:
+      errors.InvalidInputError: The data is not JSON, or not of that type.
+    """
+    try:
+        return _decoder_of(message_type).decode(data)  # type: ignore[arg-type]
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise errors.InvalidInputError(
+            [_finding_from_error(str(error))]
+        ) from error
+
+
+@functools.cache
+def _decoder_of(message_type: Any) -> msgspec.json.Decoder:
+    """Returns the decoder of a type; building one for a union is slow."""
+    return msgspec.json.Decoder(message_type)
+
+
+def _finding_from_error(text: str) -> findings_lib.Finding:
+    reason, separator, path = text.partition(" - at `")
+    place = path.rstrip("`") if separator else "$"
+    return findings_lib.Finding(place, reason)
--- a/src/galenahook/operators/local_site.py
+++ b/src/galenahook/operators/local_site.py
@@ -16,8 +16,6 @@
 from galenahook.operators import output as output_lib
 from galenahook.operators import session as session_lib
 
-_LISTENERS = ("callers", "upstreams", "operators", "platform", "peers")
-
 
 def run(
     sheet: commands.Sheet,
@@ -30,12 +28,11 @@
     Raises:
       output_lib.CommandError: The sheet was not accepted.
     """
-    ports = [first_port + index for index in range(len(_LISTENERS))]
-    site = local_lib.build(folder, *ports)
+    site = local_lib.build(folder, local_lib.consecutive_ports(first_port))
     pathlib.Path(folder, "log.jsonl").touch()
     writer = logs.start("local", str(pathlib.Path(folder, "log.jsonl")))
     try:
-        process.run(_SheetSite(site, sheet, folder, output))
+        process.run_until_signal(_SheetSite(site, sheet, folder, output))
     finally:
         logs.stop(writer)
 
--- a/src/galenahook/process.py
+++ b/src/galenahook/process.py
@@ -64,15 +64,15 @@
     return pathlib.Path(path).read_bytes().strip()
 
 
-def run(process: Process) -> None:
+def run_until_signal(process: Process) -> None:
     """Runs a daemon until SIGTERM or SIGINT.
 
     An exception of the daemon is raised again here.
     """
-    curio.run(_run_until_signal, process)
+    curio.run(_run_with_watcher, process)
 
 
-async def _run_until_signal(process: Process) -> None:
+async def _run_with_watcher(process: Process) -> None:
     stop = curio.Event()
     watcher = await curio.spawn(_set_on_signal, stop, daemon=True)
     try:
--- a/src/galenahook/replica.py
+++ b/src/galenahook/replica.py
@@ -187,4 +187,4 @@
       errors.StorageError: The data folder can't be used.
     """
     logs.start(settings.name, settings.log_file)
-    process.run(Replica(settings, clock_lib.Clock()))
+    process.run_until_signal(Replica(settings, clock_lib.Clock()))
