--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -225,6 +225,7 @@
             self.view.apply_reply(reply, sent_at_ms)
             _assign_replies(pending, reply.replies)
         except (errors.GalenahookError, ValueError) as error:
+            self.metrics.increment("updates.failed")
             logs.warning("entry:update-failed", reason=str(error))
         for item in pending:
             await item.answered.set()
