--- a/src/galenahook/errors.py
+++ b/src/galenahook/errors.py
@@ -70,6 +70,10 @@
     """No leader with a quorum could be reached in time."""
 
 
+class OverloadedError(NoQuorumError):
+    """Too many commands wait for their commit; this one was not taken."""
+
+
 class NotLeaderError(GalenahookError):
     """The replica asked is not the leader.
 
--- a/src/galenahook/replicas/node.py
+++ b/src/galenahook/replicas/node.py
@@ -145,12 +145,15 @@
 
         Raises:
           errors.NotLeaderError: Certainly not committed.
+          errors.OverloadedError: Certainly not committed.
           errors.NoQuorumError: Not known to be committed in time; it may yet
             be. The caller must resolve this by reading the state.
           errors.StorageError: The data folder failed; certainly not committed.
         """
         core = self.core
         self._check_leads()
+        if len(core.waiters) >= defaults.MAX_WAITING_COMMANDS:
+            raise errors.OverloadedError("too many commands wait")
         waiter = core_lib.Waiter(core.term)
         index = core.log.last_index + 1
         core.waiters[index] = waiter
--- a/tests/test_replicas_election.py
+++ b/tests/test_replicas_election.py
@@ -8,6 +8,7 @@
 from fakes import replica_group
 from galenahook import clock as clock_lib
 from galenahook import commands
+from galenahook import defaults
 from galenahook import errors
 from galenahook import messages
 from galenahook import web
@@ -397,3 +398,19 @@
         await group.close()
 
     replica_group.run(main)
+
+
+def test_commands_beyond_the_limit_are_not_taken(tmp_path, monkeypatch):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        with monkeypatch.context() as patch:
+            patch.setattr(defaults, "MAX_WAITING_COMMANDS", 0)
+            with pytest.raises(errors.OverloadedError):
+                await leader.submit(replica_group.claim_of("refused"))
+        assert await group.claim("refused")
+        await group.close()
+
+    replica_group.run(main)
