Give test processes ports of their own; shorten what a newcomer trips over

Cause: two test processes chose the same five ports for a local site when their process ids were close: 4 of 5 runs of tests/test_cli.py in four processes failed. Change: ports by process id in steps of five; functions split; web.refusal takes findings; giver and taker.

--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -163,12 +163,7 @@
                 case _:
                     return web.refusal(404, "no such route")
         except errors.InvalidInputError as error:
-            return web.json_response(
-                messages.Refusal(
-                    reason="invalid message", findings=tuple(error.findings)
-                ),
-                400,
-            )
+            return web.refusal(400, "invalid message", error.findings)
         except (errors.NoQuorumError, errors.ExchangeError) as error:
             return web.refusal(503, str(error))
 
--- a/src/galenahook/operators/handler.py
+++ b/src/galenahook/operators/handler.py
@@ -63,7 +63,7 @@
         try:
             return await self._route(route, request, _parse_query(query))
         except errors.InvalidInputError as error:
-            return _refuse(400, "invalid message", error.findings)
+            return web.refusal(400, "invalid message", error.findings)
         except (errors.NoQuorumError, curio.TaskTimeout):
             return web.refusal(503, "no quorum")
         except errors.StorageError as error:
@@ -106,7 +106,7 @@
         findings = _check_numbers(asked)
         findings += await _check_change(asked.change, len(request.body))
         if findings:
-            return _refuse(422, "invalid change", findings)
+            return web.refusal(422, "invalid change", findings)
         invalid = self._find_unknown(asked)
         if invalid is not None:
             return web.json_response(invalid, 422)
@@ -205,7 +205,7 @@
     async def _diff_sheet(self, request: web.Request) -> web.Response:
         read = await curio.run_in_thread(_read_sheet, request)
         if read.is_error():
-            return _refuse(422, "invalid sheet", read.error)
+            return web.refusal(422, "invalid sheet", read.error)
         difference = await curio.run_in_thread(self._diff, read.ok)
         return web.json_response(difference)
 
@@ -299,10 +299,3 @@
     if asked.base_revision < 0:
         findings.add("$.base_revision", "must not be below 0")
     return findings.items
-
-
-def _refuse(
-    status: int, reason: str, findings: list[findings_lib.Finding]
-) -> web.Response:
-    refusal = messages.Refusal(reason=reason, findings=tuple(findings))
-    return web.json_response(refusal, status)
--- a/src/galenahook/operators/reports.py
+++ b/src/galenahook/operators/reports.py
@@ -24,7 +24,18 @@
         f" {jobs.tasks_failed} failed, {jobs.tasks_cancelled} cancelled"
     )
     yield ""
-    yield from output.table(
+    yield from _zone_table(status)
+    yield ""
+    yield from _service_table(status)
+    yield ""
+    yield from _entry_table(status)
+    yield ""
+    yield from replica_lines(status)
+    yield from _notice_lines(status)
+
+
+def _zone_table(status: wire.StatusReply) -> list[str]:
+    return output.table(
         ("AVAILABILITY ZONE", "STATE", "WORKERS", "EXECUTORS", "SERVICE TASKS",
          "BATCH TASKS"),
         (
@@ -39,24 +50,29 @@
             for zone in status.availability_zones
         ),
     )  # fmt: skip
-    yield ""
-    yield from output.table(
+
+
+def _service_table(status: wire.StatusReply) -> list[str]:
+    return output.table(
         ("SERVICE", "INSTANCES", "HELD", "EXECUTORS"),
         (
             (item.name, item.instances, item.held, item.executors)
             for item in status.services
         ),
     )
-    yield ""
-    yield from output.table(
+
+
+def _entry_table(status: wire.StatusReply) -> list[str]:
+    return output.table(
         ("ENTRY", "AVAILABILITY ZONE", "REVISION", "STATE"),
         (
             (item.name, item.availability_zone, item.revision, _state(item))
             for item in status.entries
         ),
     )
-    yield ""
-    yield from replica_lines(status)
+
+
+def _notice_lines(status: wire.StatusReply) -> Iterator[str]:
     for label, names in (
         ("leaving", status.leaving),
         ("silent", status.silent),
--- a/src/galenahook/replica.py
+++ b/src/galenahook/replica.py
@@ -140,12 +140,7 @@
         try:
             return await self._handle_as_leader(leader, request)
         except errors.InvalidInputError as error:
-            return web.json_response(
-                messages.Refusal(
-                    reason="invalid message", findings=tuple(error.findings)
-                ),
-                400,
-            )
+            return web.refusal(400, "invalid message", error.findings)
         except errors.NotLeaderError:
             return self._not_leader()
         except (errors.NoQuorumError, errors.StorageError) as error:
--- a/src/galenahook/settings_checks.py
+++ b/src/galenahook/settings_checks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import ipaddress
+import itertools
 import os
 import pathlib
 import re
@@ -194,24 +195,27 @@
     for field in timing.__struct_fields__:
         if getattr(timing, field) <= 0:
             findings.add(f"$.timing.{field}", "must be above 0 ms")
-    for field, fault in _timing_faults(timing):
+    faults = itertools.chain(
+        _entry_timing_faults(timing),
+        _worker_timing_faults(timing),
+        _replica_timing_faults(timing),
+    )
+    for field, fault in faults:
         findings.add(f"$.timing.{field}", fault)
 
 
-def _timing_faults(timing: settings.Timing) -> Iterable[tuple[str, str]]:
-    margin = 100 + defaults.CLOCK_RATE_MARGIN_PERCENT
-    longest_ms = (IN_FORCE_BOUND_MS - 1) * 100 // margin
-    if timing.entry_lease_ms > longest_ms:
+_MARGIN_PERCENT = 100 + defaults.CLOCK_RATE_MARGIN_PERCENT
+_LONGEST_IN_FORCE_MS = (IN_FORCE_BOUND_MS - 1) * 100 // _MARGIN_PERCENT
+
+
+def _entry_timing_faults(
+    timing: settings.Timing,
+) -> Iterable[tuple[str, str]]:
+    if timing.entry_lease_ms > _LONGEST_IN_FORCE_MS:
         yield (
             "entry_lease_ms",
-            f"at most {longest_ms} ms, so that a configuration is in force"
-            f" everywhere within {IN_FORCE_BOUND_MS} ms",
-        )
-    if timing.start_ttl_ms > longest_ms:
-        yield (
-            "start_ttl_ms",
-            f"at most {longest_ms} ms, so that nothing starts in an"
-            f" availability zone {IN_FORCE_BOUND_MS} ms after it went out",
+            f"at most {_LONGEST_IN_FORCE_MS} ms, so that a configuration is in"
+            f" force everywhere within {IN_FORCE_BOUND_MS} ms",
         )
     if 3 * timing.entry_update_period_ms > timing.entry_lease_ms:
         yield (
@@ -219,6 +223,19 @@
             "at most a third of entry_lease_ms, so that a lost update"
             " doesn't end the lease",
         )
+    if timing.drain_timeout_ms < timing.drain_notice_ms:
+        yield "drain_timeout_ms", "must not be below drain_notice_ms"
+
+
+def _worker_timing_faults(
+    timing: settings.Timing,
+) -> Iterable[tuple[str, str]]:
+    if timing.start_ttl_ms > _LONGEST_IN_FORCE_MS:
+        yield (
+            "start_ttl_ms",
+            f"at most {_LONGEST_IN_FORCE_MS} ms, so that nothing starts in an"
+            f" availability zone {IN_FORCE_BOUND_MS} ms after it went out",
+        )
     if timing.worker_lease_ms <= timing.start_ttl_ms:
         yield "worker_lease_ms", "must be above start_ttl_ms"
     if timing.worker_lease_ms < 4 * defaults.ANNOUNCE_PERIOD_MS:
@@ -227,6 +244,11 @@
             f"at least {4 * defaults.ANNOUNCE_PERIOD_MS} ms, four"
             " announcement periods",
         )
+
+
+def _replica_timing_faults(
+    timing: settings.Timing,
+) -> Iterable[tuple[str, str]]:
     if 2 * timing.heartbeat_period_ms > timing.election_timeout_min_ms:
         yield (
             "heartbeat_period_ms",
@@ -238,12 +260,10 @@
             "must be above election_timeout_min_ms",
         )
     lease_ms = timing.leader_lease_ms
-    if lease_ms * margin // 100 >= timing.election_timeout_min_ms:
+    if lease_ms * _MARGIN_PERCENT // 100 >= timing.election_timeout_min_ms:
         yield (
             "leader_lease_ms",
             "must be below election_timeout_min_ms by the clock-rate margin",
         )
     if lease_ms <= timing.heartbeat_period_ms:
         yield "leader_lease_ms", "must be above heartbeat_period_ms"
-    if timing.drain_timeout_ms < timing.drain_notice_ms:
-        yield "drain_timeout_ms", "must not be below drain_notice_ms"
--- a/src/galenahook/upstreams/plan.py
+++ b/src/galenahook/upstreams/plan.py
@@ -90,16 +90,16 @@
             givers = [e for e in totals if totals[e] > FLOOR_SLOTS]
             if not givers:
                 return
-            poorest = min(ratios, key=lambda entry: ratios[entry])
-            richest = max(givers, key=lambda entry: ratios[entry])
-            if ratios[poorest] >= 1:
+            taker = min(ratios, key=lambda entry: ratios[entry])
+            giver = max(givers, key=lambda entry: ratios[entry])
+            if ratios[taker] >= 1:
                 return
-            if ratios[richest] <= limit * ratios[poorest]:
+            if ratios[giver] <= limit * ratios[taker]:
                 return
             limit = STOP_RATIO
-            self._move(self._best_executor(richest, poorest), richest, poorest)
-            totals[richest] -= 1
-            totals[poorest] += 1
+            self._move(self._best_executor(giver, taker), giver, taker)
+            totals[giver] -= 1
+            totals[taker] += 1
 
     def _best_executor(self, giver: str, taker: str) -> str:
         """Returns where the giver has most beyond the taker."""
--- a/src/galenahook/web/http.py
+++ b/src/galenahook/web/http.py
@@ -1,5 +1,6 @@
 """HTTP messages, addresses and sockets that both sides share."""
 
+from collections.abc import Iterable
 import dataclasses
 import socket as std_socket
 from typing import Any
@@ -7,6 +8,7 @@
 import curio
 
 from galenahook import clock as clock_lib
+from galenahook import findings as findings_lib
 from galenahook import messages
 
 READ_BYTES = 64 * 1024
@@ -73,9 +75,14 @@
     return Response(status, [JSON_HEADER], messages.encode(message))
 
 
-def refusal(status: int, reason: str) -> Response:
+def refusal(
+    status: int,
+    reason: str,
+    findings: Iterable[findings_lib.Finding] = (),
+) -> Response:
     """Builds a response that refuses a request with a reason."""
-    return json_response(messages.Refusal(reason=reason), status)
+    message = messages.Refusal(reason=reason, findings=tuple(findings))
+    return json_response(message, status)
 
 
 def may_have_body(method: str, status: int) -> bool:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -127,8 +127,11 @@
 
 
 def _free_ports() -> int:
-    """Returns the first of five free ports, below those of the kernel."""
-    for first in range(20_000 + os.getpid() % 5_000, 32_000, 5):
+    """Returns the first of five free ports, below those of the kernel.
+
+    Test processes that run beside each other begin at ports of their own.
+    """
+    for first in range(20_000 + os.getpid() % 2_000 * 5, 32_000, 5):
         with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
             for port in range(first, first + 5):
                 sock = stack.enter_context(socket.socket())
