Wait in the command line's tests until the local site is ready

Cause: a test that ran first in its process asked before the entry had a lease, and saw 'holds no lease' in place of 'no service has this route'. Change: the fixture polls /ready.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -159,6 +159,22 @@
         self._stop_late.start()
         assert self.process.stdout is not None
         self.first_line = self.process.stdout.readline()
+        self._wait_until_ready()
+
+    def _wait_until_ready(self) -> None:
+        end = time.monotonic() + 20
+        while self._ready_status() != 200:
+            assert time.monotonic() < end, "the local site is not ready"
+            time.sleep(0.05)
+
+    def _ready_status(self) -> int:
+        platform = http.client.HTTPConnection(
+            "127.0.0.1", self.first_port + 3, timeout=5
+        )
+        with contextlib.closing(platform), contextlib.suppress(OSError):
+            platform.request("GET", "/ready")
+            return platform.getresponse().status
+        return 0
 
     def run(self, *arguments: str) -> subprocess.CompletedProcess:
         client = str(self.folder / "client.json")
