--- a/src/galenahook/commands/__init__.py
+++ b/src/galenahook/commands/__init__.py
@@ -16,6 +16,17 @@
 from galenahook.commands.changes import PutService as PutService
 from galenahook.commands.changes import RemoveService as RemoveService
 from galenahook.commands.changes import UndrainUpstream as UndrainUpstream
+from galenahook.commands.jobs import CancelJob as CancelJob
+from galenahook.commands.jobs import JobDescription as JobDescription
+from galenahook.commands.jobs import PutSite as PutSite
+from galenahook.commands.jobs import QueueRow as QueueRow
+from galenahook.commands.jobs import RecordRuns as RecordRuns
+from galenahook.commands.jobs import RunEnd as RunEnd
+from galenahook.commands.jobs import RunStart as RunStart
+from galenahook.commands.jobs import ServicePool as ServicePool
+from galenahook.commands.jobs import SetZoneService as SetZoneService
+from galenahook.commands.jobs import StepDescription as StepDescription
+from galenahook.commands.jobs import SubmitJob as SubmitJob
 from galenahook.commands.log import AttemptCompleted as AttemptCompleted
 from galenahook.commands.log import AttemptEnd as AttemptEnd
 from galenahook.commands.log import AttemptEndOutcome as AttemptEndOutcome
@@ -40,6 +51,8 @@
 from galenahook.commands.results import ChangeInvalid as ChangeInvalid
 from galenahook.commands.results import ChangeResult as ChangeResult
 from galenahook.commands.results import Done as Done
+from galenahook.commands.results import JobStored as JobStored
+from galenahook.commands.results import JobUnknown as JobUnknown
 from galenahook.commands.results import KeysClaimed as KeysClaimed
 from galenahook.commands.results import Result as Result
 from galenahook.commands.sheet import JobRow as JobRow
--- a/src/galenahook/commands/log.py
+++ b/src/galenahook/commands/log.py
@@ -4,6 +4,7 @@
 
 from galenahook import messages
 from galenahook.commands import changes
+from galenahook.commands import jobs
 
 
 class Noop(messages.Message, frozen=True, kw_only=True, tag="noop"):
@@ -170,6 +171,11 @@
     | EvictAttempts
     | ClaimKeys
     | ChangeMembers
+    | jobs.SubmitJob
+    | jobs.CancelJob
+    | jobs.RecordRuns
+    | jobs.PutSite
+    | jobs.SetZoneService
 )
 
 
--- a/src/galenahook/commands/results.py
+++ b/src/galenahook/commands/results.py
@@ -55,6 +55,16 @@
     applied: tuple[bool, ...]
 
 
+class JobStored(messages.Message, frozen=True, kw_only=True, tag="job-stored"):
+    """The job is stored, by this command or an earlier one."""
+
+
+class JobUnknown(
+    messages.Message, frozen=True, kw_only=True, tag="job-unknown"
+):
+    """No such job exists."""
+
+
 Result = (
     Done
     | ChangeAccepted
@@ -62,4 +72,6 @@
     | ChangeInvalid
     | KeysClaimed
     | AttemptsApplied
+    | JobStored
+    | JobUnknown
 )
--- /dev/null
+++ b/src/galenahook/job_entry.py
@@ -0,0 +1,122 @@
+"""The entry daemon of a site that runs jobs: callers meet it here."""
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import logs
+from galenahook import process
+from galenahook import settings as settings_lib
+from galenahook import web
+from galenahook.jobs import calls
+from galenahook.jobs import gateway as gateway_lib
+from galenahook.platform import callers as callers_lib
+from galenahook.platform import health as health_lib
+
+# How often the entry asks whether it may serve.
+POLL_PERIOD_MS = 500
+POLL_TIMEOUT_MS = 900
+# Without a leader for so long the entry sends callers elsewhere. An election
+# takes about one second, after which calls that wait are still answered.
+READY_GRACE_MS = 2_500
+# Part of the stop's time that is left to the end of the process.
+STOP_MARGIN_MS = 1_500
+_DRAIN_POLL_MS = 20
+# The balancer takes two misses, a second apart, to send nobody here.
+DRAIN_NOTICE_MS = 2_300
+
+
+class JobEntry:
+    """One entry process.
+
+    Attributes:
+      gateway: Takes calls to the leader.
+      draining: Whether a planned stop has begun.
+    """
+
+    def __init__(
+        self, settings: settings_lib.JobEntrySettings, clock: clock_lib.Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.draining = False
+        self.client = web.ControlClient(clock, [])
+        self.gateway = gateway_lib.Gateway(
+            settings_lib.peer_addresses(settings.seeds, settings.peer_port),
+            self.client,
+            clock,
+        )
+        self.callers = callers_lib.CallerListener(self.gateway)
+        self.health = health_lib.Health(self._is_ready)
+        self.callers_server = web.Server(
+            web.listen(settings.callers.listen),
+            self.callers.handle,
+            web.Limits(),
+        )
+        self.platform_server = web.Server(
+            web.listen(settings.platform.listen),
+            self.health.handle,
+            web.CONTROL_LIMITS,
+        )
+        self._served_ms: int | None = None
+
+    def _is_ready(self) -> bool:
+        if self.draining or self._served_ms is None:
+            return False
+        return self.clock.monotonic_ms() - self._served_ms < READY_GRACE_MS
+
+    async def run(self, stop: curio.Event) -> None:
+        """Runs until `stop` is set, then finishes what is in flight."""
+        parts = process.Parts(stop)
+        await parts.start(
+            self.callers_server.run, self.platform_server.run, self._poll
+        )
+        logs.info("entry:started", name=self.settings.name)
+        await stop.wait()
+        await self._drain()
+        await parts.cancel()
+        await self.client.close()
+        logs.info("entry:stopped", name=self.settings.name)
+
+    async def _drain(self) -> None:
+        self.draining = True
+        logs.info("entry:draining", in_flight=self.callers_server.in_flight)
+        end_ms = (
+            self.clock.monotonic_ms() + self.settings.stop_ms - STOP_MARGIN_MS
+        )
+        await curio.sleep(clock_lib.seconds(DRAIN_NOTICE_MS))
+        await self.callers_server.close_listener()
+        while (
+            self.callers_server.in_flight and self.clock.monotonic_ms() < end_ms
+        ):
+            await curio.sleep(clock_lib.seconds(_DRAIN_POLL_MS))
+
+    async def _poll(self) -> None:
+        was_serving = False
+        while True:
+            reply = await self._poll_once()
+            serving = reply is not None and reply.version > 0
+            if serving:
+                self._served_ms = self.clock.monotonic_ms()
+            if serving is not was_serving:
+                logs.info(
+                    "entry:leader-found" if serving else "entry:leader-lost",
+                    leader=self.gateway.leader.leader,
+                    version=reply.version if reply else 0,
+                )
+            was_serving = serving
+            await curio.sleep(clock_lib.seconds(POLL_PERIOD_MS))
+
+    async def _poll_once(self) -> calls.JobReply | None:
+        poll = calls.EntryPoll(entry=self.settings.name)
+        try:
+            reply = await self.gateway.call(poll, POLL_TIMEOUT_MS)
+        except gateway_lib.UnansweredError:
+            return None
+        self.gateway.learn(reply.replicas)
+        return reply
+
+
+def run(settings: settings_lib.JobEntrySettings) -> None:
+    """Runs an entry of jobs until SIGTERM or SIGINT."""
+    logs.start(settings.name, logs.STANDARD_OUTPUT)
+    process.run_until_signal(JobEntry(settings, clock_lib.Clock()))
--- /dev/null
+++ b/src/galenahook/job_replica.py
@@ -0,0 +1,158 @@
+"""The replica daemon of a site that runs jobs: log, state and leader."""
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import leader_client
+from galenahook import logs
+from galenahook import messages
+from galenahook import process
+from galenahook import settings as settings_lib
+from galenahook import web
+from galenahook.jobs import calls
+from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import gateway as gateway_lib
+from galenahook.jobs import leader as leader_lib
+from galenahook.platform import control as control_lib
+from galenahook.platform import workers as platform_workers
+from galenahook.replicas import node as node_lib
+
+_LEADERSHIP_POLL_MS = 20
+
+
+class JobReplica:
+    """One replica process.
+
+    Attributes:
+      node: Its part of the consensus.
+      leader: The leader of this term while this replica leads, else None.
+      gateway: Takes calls to another replica that leads.
+    """
+
+    def __init__(
+        self, settings: settings_lib.JobReplicaSettings, clock: clock_lib.Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.client = web.ControlClient(clock, [])
+        consensus = settings.replica()
+        self.node = node_lib.Node(consensus, self.client, clock)
+        self.gateway = gateway_lib.Gateway(
+            dict(consensus.replicas), self.client, clock
+        )
+        self.leader: leader_lib.JobLeader | None = None
+        self.control = control_lib.ControlListener(self._call, clock)
+        self.peers_server = web.Server(
+            web.listen(consensus.peers.listen), self.handle, web.CONTROL_LIMITS
+        )
+        self.control_server = web.Server(
+            web.listen(settings.control.listen),
+            self.control.handle,
+            web.CONTROL_LIMITS,
+        )
+
+    async def run(self, stop: curio.Event) -> None:
+        """Runs until `stop` is set, then hands over and returns.
+
+        Raises:
+          errors.StorageError: The data folder can't be used.
+        """
+        await self.node.start()
+        parts = process.Parts(stop)
+        await parts.start(
+            self.node.run,
+            self._follow_leadership,
+            self.peers_server.run,
+            self.control_server.run,
+        )
+        logs.info(
+            "replica:started",
+            name=self.settings.name,
+            term=self.node.term(),
+            applied=self.node.core.applied_index,
+        )
+        await stop.wait()
+        await self.node.stop()
+        await parts.cancel()
+        await self.client.close()
+        logs.info("replica:stopped", name=self.settings.name)
+
+    async def _follow_leadership(self) -> None:
+        while True:
+            if not self.node.is_leader():
+                await curio.sleep(clock_lib.seconds(_LEADERSHIP_POLL_MS))
+                continue
+            dispatcher = dispatcher_lib.Dispatcher(
+                self.node,
+                self.clock,
+                self._worker,
+                self.settings.worker_lease_ms,
+            )
+            self.leader = leader_lib.JobLeader(
+                self.node, self.clock, dispatcher
+            )
+            logs.info("leader:elected", term=dispatcher.term)
+            try:
+                await dispatcher.run()
+            finally:
+                self.leader = None
+                await dispatcher.close()
+                logs.info("leader:ended", term=dispatcher.term)
+
+    def _worker(
+        self, heartbeat: calls.WorkerHeartbeat
+    ) -> platform_workers.PlatformWorker:
+        return platform_workers.PlatformWorker(heartbeat, self.client)
+
+    async def _call(self, call: calls.JobCall, wait_ms: int) -> calls.JobReply:
+        """Answers a call here, or takes it to the leader."""
+        leader = self.leader
+        if leader is not None and self.node.is_leader():
+            try:
+                return await leader.answer(call)
+            except errors.NotLeaderError:
+                pass
+        name = self.node.leader_name()
+        members = self.node.core.members.by_name
+        self.gateway.learn({m.name: m.address for m in members.values()})
+        if name in members and name != self.node.name:
+            self.gateway.leader.leader = name
+        return await self.gateway.call(call, wait_ms)
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers a request of an entry or of another replica."""
+        if request.target != gateway_lib.JOBS_TARGET:
+            return await self.node.handle(request)
+        leader = self.leader
+        if leader is None or not self.node.is_leader():
+            return self._not_leader()
+        try:
+            call: calls.JobCall = messages.decode(
+                request.body,
+                calls.JobCall,  # type: ignore[arg-type]
+            )
+            return web.json_response(await leader.answer(call))
+        except errors.InvalidInputError as error:
+            return web.refusal(400, "invalid message", error.findings)
+        except errors.NotLeaderError:
+            return self._not_leader()
+        except (errors.NoQuorumError, errors.StorageError) as error:
+            return web.refusal(leader_client.STATUS_NO_QUORUM, str(error))
+
+    def _not_leader(self) -> web.Response:
+        name = self.node.leader_name()
+        known = "" if name == self.node.name else name
+        return web.json_response(
+            messages.NotLeader(leader=known), leader_client.STATUS_NOT_LEADER
+        )
+
+
+def run(settings: settings_lib.JobReplicaSettings) -> None:
+    """Runs a replica of jobs until SIGTERM or SIGINT.
+
+    Raises:
+      errors.StorageError: The data folder can't be used.
+    """
+    logs.start(settings.name, logs.STANDARD_OUTPUT)
+    process.run_until_signal(JobReplica(settings, clock_lib.Clock()))
--- /dev/null
+++ b/src/galenahook/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs that callers submit: stored, placed on workers and followed."""
--- /dev/null
+++ b/src/galenahook/jobs/dispatcher.py
@@ -0,0 +1,312 @@
+"""Starts tasks and follows them while this replica leads.
+
+A round commits what has ended, places waiting tasks, commits their runs and
+orders them, in that order. Nothing is ordered before it is committed.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
+from galenahook import logs
+from galenahook.jobs import calls
+from galenahook.jobs import departures
+from galenahook.jobs import health as health_lib
+from galenahook.jobs import link as link_lib
+from galenahook.jobs import placement
+from galenahook.jobs import tails as tails_lib
+from galenahook.jobs import tasks as tasks_lib
+from galenahook.jobs import worker_api
+from galenahook.jobs import workers as workers_lib
+from galenahook.replicas import node as node_lib
+from galenahook.replicas import notify
+
+# Longest time between two rounds, for what no event announces.
+ROUND_PERIOD_MS = 100
+# Pause after a round that could not commit.
+FAILED_ROUND_MS = 50
+# Starts committed in one command, so that a burst does not delay others.
+MAX_STARTS = 200
+
+ClientFactory = Callable[[calls.WorkerHeartbeat], worker_api.WorkerClient]
+
+
+class Dispatcher(link_lib.Site):
+    """Places tasks during one term.
+
+    Attributes:
+      term: Term of this leader.
+      started_ms: When the term began here.
+      pool: Workers that it has heard of.
+      links: Conversations by worker identifier.
+      unattached: Runs of earlier terms whose worker is not heard yet.
+      health: Workers that fail what they start.
+      tails: Throttles of what slows tasks that serve.
+    """
+
+    def __init__(
+        self,
+        node: node_lib.Node,
+        clock: clock_lib.Clock,
+        make_client: ClientFactory,
+        lease_ms: int,
+    ) -> None:
+        self.node = node
+        self.clock = clock
+        self.term = node.term()
+        self.lease_ms = lease_ms
+        self.pool = workers_lib.WorkerPool(clock)
+        self.links: dict[str, link_lib.Link] = {}
+        self.health = health_lib.WorkerHealth()
+        self.tails = tails_lib.TailControl()
+        self.now_ms = clock.monotonic_ms
+        self.started_ms = self.now_ms()
+        self.unattached = _active_runs(node)
+        self._make_client = make_client
+        self._ends: list[commands.RunEnd] = []
+        self._wake = notify.Signal()
+        self._is_woken = False
+
+    @property
+    def table(self) -> Any:
+        """The replicated jobs."""
+        return self.node.state.jobs
+
+    def may_act(self) -> bool:
+        """Whether this leader's lease is valid and the term is still its."""
+        return self.node.may_act() and self.node.term() == self.term
+
+    async def spawn(
+        self, function: Callable[..., Any], *arguments: Any
+    ) -> None:
+        """Runs a task beside the rounds."""
+        await curio.spawn(function, *arguments, daemon=True)
+
+    async def wake(self) -> None:
+        """Has a round run at once."""
+        self._is_woken = True
+        await self._wake.notify()
+
+    async def run(self) -> None:
+        """Runs rounds until cancelled or until the term is over."""
+        while self.node.term() == self.term:
+            if not self._is_woken:
+                await self._wake.wait(ROUND_PERIOD_MS)
+            self._is_woken = False
+            try:
+                await self._round()
+            except errors.GalenahookError as error:
+                logs.warning("round:failed", term=self.term, reason=str(error))
+                await curio.sleep(clock_lib.seconds(FAILED_ROUND_MS))
+
+    async def close(self) -> None:
+        """Ends every conversation."""
+        for link in self.links.values():
+            link.ended = True
+
+    async def _round(self) -> None:
+        if not self.node.is_leader():
+            return
+        self._ends += await departures.find_lost(self)
+        await self._commit_ends()
+        await departures.stop_leaving(self)
+        await self.tails.control(self)
+        await self._start_waiting()
+
+    async def _commit_ends(self) -> None:
+        ends, self._ends = self._ends, []
+        marks = [(link, link.recorded_end) for link in self.links.values()]
+        if ends:
+            command = commands.RecordRuns(
+                ends=tuple(ends), at_ms=self.clock.wall_ms()
+            )
+            try:
+                await self.node.submit(command)
+            except errors.GalenahookError:
+                self._ends = ends + self._ends
+                raise
+        for link, mark in marks:
+            if link.worker.acknowledged < mark:
+                await link.note_committed(mark)
+
+    async def _start_waiting(self) -> None:
+        placed = placement.place(self, MAX_STARTS)
+        if not placed:
+            return
+        starts = tuple(
+            commands.RunStart(
+                task=run.task,
+                run=run.run,
+                worker=worker.name,
+                born_ms=worker.heartbeat.born_ms,
+            )
+            for worker, run in placed
+        )
+        for worker, run in placed:
+            worker.runs[run.task] = run
+        try:
+            result = await self.node.submit(
+                commands.RecordRuns(starts=starts, at_ms=self.clock.wall_ms())
+            )
+        except errors.NoQuorumError:
+            # The starts may be committed later; none was ordered.
+            await self._withdraw(placed, committed=False)
+            raise
+        except errors.GalenahookError:
+            await self._withdraw(placed, committed=False)
+            raise
+        assert isinstance(result, commands.AttemptsApplied)
+        for (worker, run), applied in zip(placed, result.applied, strict=True):
+            link = self.links.get(worker.name)
+            if applied and link is not None and link.worker is worker:
+                _log_start(worker, run)
+                await self.spawn(link.start, run)
+            else:
+                await self._withdraw([(worker, run)], committed=applied)
+        if len(placed) >= MAX_STARTS:
+            await self.wake()
+
+    async def _withdraw(
+        self,
+        placed: list[tuple[workers_lib.Worker, workers_lib.LiveRun]],
+        committed: bool,
+    ) -> None:
+        """Takes back placements that were never ordered."""
+        del committed  # An end of a run that is not there changes nothing.
+        for worker, run in placed:
+            if worker.runs.get(run.task) is run:
+                del worker.runs[run.task]
+            self._ends.append(
+                commands.RunEnd(task=run.task, run=run.run, outcome="gone")
+            )
+
+    # --- Workers --------------------------------------------------------------
+
+    async def hear(self, heartbeat: calls.WorkerHeartbeat) -> None:
+        """Takes a worker's heartbeat."""
+        worker, ended = self.pool.hear(heartbeat)
+        if worker is None:
+            return
+        logs.info(
+            "worker:joined",
+            worker=worker.name,
+            born_ms=heartbeat.born_ms,
+            address=heartbeat.address,
+            ended=[other.name for other in ended],
+        )
+        link = link_lib.Link(
+            worker, self._make_client(heartbeat), self, self.lease_ms
+        )
+        before = {
+            other.name: self.links.pop(other.name, None) for other in ended
+        }
+        self.links[worker.name] = link
+        self._attach(worker)
+        ends: list[commands.RunEnd] = []
+        for other in ended:
+            other_link = before[other.name]
+            if other.name != worker.name:
+                self.pool.remove(other)
+            if other_link is not None:
+                successor = link if other.name == worker.name else None
+                ends += await other_link.end_incarnation(
+                    successor, "its worker started again"
+                )
+        await self.spawn(link.run)
+        if ends:
+            await self.record_ends(ends)
+
+    def _attach(self, worker: workers_lib.Worker) -> None:
+        """Follows runs of earlier terms on the worker that they were for."""
+        for task, record in list(self.unattached.items()):
+            if record.worker != worker.name:
+                continue
+            del self.unattached[task]
+            run = live_run(self, record.task, record.run)
+            if run is not None:
+                run.checkpoint = record.checkpoint
+                worker.runs[task] = run
+
+    async def leave(self, message: calls.WorkerLeft) -> None:
+        """Takes a worker's word that it ends now."""
+        worker = self.pool.workers.get(message.worker)
+        if worker is None or worker.left_ms:
+            return
+        if message.born_ms in (0, worker.heartbeat.born_ms):
+            worker.left_ms = self.now_ms()
+            logs.info("worker:left", worker=worker.name)
+            await self.wake()
+
+    # --- What links report ----------------------------------------------------
+
+    async def depose(self, worker: workers_lib.Worker) -> None:
+        """Takes note that a later leader gives orders."""
+        logs.warning("leader:deposed", worker=worker.name, term=self.term)
+
+    async def record_ends(self, ends: list[commands.RunEnd]) -> None:
+        """Commits ends in the next round."""
+        self._ends += ends
+        await self.wake()
+
+    def observe(self, worker: workers_lib.Worker) -> None:
+        """Learns from a worker's answer to a look."""
+        self.tails.observe(worker, self.now_ms())
+
+    def note_end(
+        self, worker: workers_lib.Worker, run: workers_lib.LiveRun, outcome: str
+    ) -> None:
+        """Learns from the end of a run."""
+        self.health.note_end(worker, run, outcome, self.now_ms())
+
+    def note_refusal(
+        self,
+        worker: workers_lib.Worker,
+        run: workers_lib.LiveRun,
+        answer: worker_api.StartAnswer,
+        reason: str,
+    ) -> None:
+        """Learns from a start that the worker refused."""
+        logs.warning(
+            "run:refused",
+            job=run.job.description.job,
+            task=run.task,
+            run=run.run,
+            worker=worker.name,
+            answer=answer.value,
+            reason=reason,
+        )
+        self.health.note_refusal(worker, self.now_ms())
+
+
+def live_run(
+    dispatcher: Dispatcher, task: str, run: int
+) -> workers_lib.LiveRun | None:
+    """Returns a run to follow, or None if its job is not known."""
+    identifier, key = tasks_lib.parse_task_name(task)
+    job = dispatcher.table.jobs.get(identifier)
+    if job is None:
+        return None
+    return workers_lib.LiveRun(task, run, job, key, job.step(key))
+
+
+def _active_runs(node: node_lib.Node) -> dict[str, tasks_lib.RunRecord]:
+    return {
+        job.runs[key].task: job.runs[key]
+        for job in node.state.jobs.open.values()
+        for key in job.active
+    }
+
+
+def _log_start(worker: workers_lib.Worker, run: workers_lib.LiveRun) -> None:
+    logs.info(
+        "run:start",
+        job=run.job.description.job,
+        task=run.task,
+        run=run.run,
+        worker=worker.name,
+        zone=worker.heartbeat.availability_zone,
+    )
--- /dev/null
+++ b/src/galenahook/jobs/leader.py
@@ -0,0 +1,209 @@
+"""Answers calls about jobs while this replica leads."""
+
+import re
+
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
+from galenahook import logs
+from galenahook.jobs import calls
+from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.replicas import node as node_lib
+
+_JOB_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+
+
+class JobLeader:
+    """The leader of one term, as callers and operators see it.
+
+    Attributes:
+      dispatcher: Places tasks.
+    """
+
+    def __init__(
+        self,
+        node: node_lib.Node,
+        clock: clock_lib.Clock,
+        dispatcher: dispatcher_lib.Dispatcher,
+    ) -> None:
+        self.node = node
+        self.clock = clock
+        self.dispatcher = dispatcher
+
+    async def answer(self, call: calls.JobCall) -> calls.JobReply:
+        """Answers one call.
+
+        Raises:
+          errors.NotLeaderError: This replica may not answer; nothing was done.
+          errors.NoQuorumError: A change may or may not be committed.
+        """
+        if not self.node.may_act():
+            raise errors.NotLeaderError("")
+        match call:
+            case calls.WorkerHeartbeat():
+                await self.dispatcher.hear(call)
+                return self._done()
+            case calls.WorkerLeft():
+                await self.dispatcher.leave(call)
+                return self._done()
+            case calls.EntryPoll():
+                return self._poll()
+            case calls.PutSiteCall() | calls.ReadSiteCall() | calls.ZoneCall():
+                return await self._answer_operator(call)
+            case _:
+                return await self._answer_caller(call)
+
+    def _done(self) -> calls.JobReply:
+        return calls.JobReply(outcome="done")
+
+    def _poll(self) -> calls.JobReply:
+        members = self.node.core.members.by_name.values()
+        return calls.JobReply(
+            outcome="done",
+            version=self.node.state.site.current.version,
+            replicas={member.name: member.address for member in members},
+        )
+
+    # --- Operators ------------------------------------------------------------
+
+    async def _answer_operator(
+        self, call: calls.PutSiteCall | calls.ReadSiteCall | calls.ZoneCall
+    ) -> calls.JobReply:
+        current = self.node.state.site.current
+        match call:
+            case calls.ReadSiteCall():
+                if not current.version:
+                    return calls.JobReply(outcome="no-configuration")
+                return calls.JobReply(
+                    outcome="done",
+                    document=current.document,
+                    version=current.version,
+                )
+            case calls.PutSiteCall():
+                return await self._put_site(call.command)
+            case calls.ZoneCall():
+                return await self._set_zone(call)
+
+    async def _put_site(self, command: commands.PutSite) -> calls.JobReply:
+        before = self.node.state.site.current.version
+        if command.version > before:
+            await self.node.submit(command)
+            logs.info(
+                "site:changed",
+                version=command.version,
+                before=before,
+                queues=len(command.queues),
+            )
+            await self.dispatcher.wake()
+        return self._done()
+
+    async def _set_zone(self, call: calls.ZoneCall) -> calls.JobReply:
+        zones_out = self.node.state.site.current.zones_out
+        if (call.availability_zone in zones_out) is not call.out:
+            await self.node.submit(
+                commands.SetZoneService(
+                    availability_zone=call.availability_zone,
+                    out=call.out,
+                    at_ms=self.clock.wall_ms(),
+                )
+            )
+            logs.info(
+                "zone:changed",
+                availability_zone=call.availability_zone,
+                out=call.out,
+            )
+            await self.dispatcher.wake()
+        return self._done()
+
+    # --- Callers --------------------------------------------------------------
+
+    async def _answer_caller(
+        self,
+        call: calls.SubmitJobCall | calls.JobStateCall | calls.CancelJobCall,
+    ) -> calls.JobReply:
+        site = self.node.state.site
+        if not site.current.version:
+            return calls.JobReply(outcome="no-configuration")
+        queue = site.find_queue(call.host, call.path)
+        if queue is None:
+            return calls.JobReply(outcome="no-queue")
+        identifier = call.path[len(queue.path_prefix) :]
+        if isinstance(call, calls.JobStateCall) and not identifier:
+            return self._queue_reply(queue)
+        if not _JOB_PATTERN.fullmatch(identifier):
+            return calls.JobReply(
+                outcome="invalid",
+                reason=f"job {identifier!r}: expected 16 hexadecimal digits",
+            )
+        match call:
+            case calls.SubmitJobCall():
+                return await self._submit(call, queue, identifier)
+            case calls.CancelJobCall():
+                return await self._cancel(identifier)
+            case calls.JobStateCall():
+                return self._state_reply(identifier)
+
+    def _queue_reply(self, queue: commands.QueueRow) -> calls.JobReply:
+        pending = sum(
+            not job.began and job.description.queue == queue.name
+            for job in self.node.state.jobs.open.values()
+            if not job.ended
+        )
+        return calls.JobReply(outcome="queue", pending=pending)
+
+    def _state_reply(self, identifier: str) -> calls.JobReply:
+        job = self.node.state.jobs.jobs.get(identifier)
+        if job is None:
+            return calls.JobReply(outcome="unknown-job")
+        return calls.JobReply(outcome="state", state=job.state())
+
+    async def _submit(
+        self,
+        call: calls.SubmitJobCall,
+        queue: commands.QueueRow,
+        identifier: str,
+    ) -> calls.JobReply:
+        if identifier in self.node.state.jobs.jobs:
+            return calls.JobReply(outcome="stored")
+        order = call.order
+        description = commands.JobDescription(
+            job=identifier,
+            queue=queue.name,
+            service=queue.service,
+            spec=order.spec,
+            steps=order.steps,
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            objective_ms=queue.objective_ms,
+            occurrences=order.occurrences,
+            first_start_ms=order.first_start_ms,
+            interval_ms=order.interval_ms,
+        )
+        try:
+            await self.node.submit(
+                commands.SubmitJob(
+                    description=description, at_ms=self.clock.wall_ms()
+                )
+            )
+        except errors.OverloadedError as error:
+            return calls.JobReply(outcome="overloaded", reason=str(error))
+        logs.info(
+            "job:stored",
+            job=identifier,
+            queue=queue.name,
+            version=self.node.state.site.current.version,
+            steps=len(order.steps),
+        )
+        await self.dispatcher.wake()
+        return calls.JobReply(outcome="stored")
+
+    async def _cancel(self, identifier: str) -> calls.JobReply:
+        if identifier not in self.node.state.jobs.jobs:
+            return calls.JobReply(outcome="unknown-job")
+        await self.node.submit(
+            commands.CancelJob(job=identifier, at_ms=self.clock.wall_ms())
+        )
+        logs.info("job:cancelled", job=identifier)
+        await self.dispatcher.wake()
+        return calls.JobReply(outcome="cancelled")
--- /dev/null
+++ b/src/galenahook/jobs/table.py
@@ -0,0 +1,189 @@
+"""The replicated table of jobs: applies commands, one after the other."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from galenahook import commands
+from galenahook.jobs import tasks as tasks_lib
+
+
+class JobTable:
+    """Every stored job.
+
+    Attributes:
+      jobs: Jobs by identifier.
+      open: Identifiers of jobs that have not ended, or still have runs that
+        may be active.
+    """
+
+    __slots__ = ("jobs", "open")
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, tasks_lib.Job] = {}
+        self.open: dict[str, tasks_lib.Job] = {}
+
+    def submit(self, command: commands.SubmitJob) -> commands.Result:
+        """Stores a job once."""
+        identifier = command.description.job
+        if identifier not in self.jobs:
+            self._add(
+                tasks_lib.JobRecord(
+                    description=command.description, submitted_ms=command.at_ms
+                )
+            )
+        return commands.JobStored()
+
+    def _add(self, record: tasks_lib.JobRecord) -> None:
+        job = tasks_lib.Job(record)
+        self.jobs[record.description.job] = job
+        if not job.ended:
+            self.open[record.description.job] = job
+
+    def cancel(self, command: commands.CancelJob) -> commands.Result:
+        """Cancels a job unless it has ended."""
+        job = self.jobs.get(command.job)
+        if job is None:
+            return commands.JobUnknown()
+        if not job.ended:
+            self._end(job, tasks_lib.Outcome.CANCELLED, command.at_ms)
+        return commands.Done()
+
+    def record(self, command: commands.RecordRuns) -> commands.Result:
+        """Records ends, then starts; what is out of date changes nothing."""
+        for end in command.ends:
+            self._record_end(end, command.at_ms)
+        started = tuple(self._record_start(start) for start in command.starts)
+        return commands.AttemptsApplied(applied=started)
+
+    def _find(
+        self, task: str
+    ) -> tuple[tasks_lib.Job, tasks_lib.TaskKey] | None:
+        identifier, key = tasks_lib.parse_task_name(task)
+        job = self.jobs.get(identifier)
+        return None if job is None else (job, key)
+
+    def _record_start(self, start: commands.RunStart) -> bool:
+        found = self._find(start.task)
+        if found is None:
+            return False
+        job, key = found
+        before = job.runs.get(key)
+        number = before.run if before else 0
+        if job.ended or key not in job.waiting or start.run != number + 1:
+            return False
+        run = tasks_lib.RunRecord(
+            task=start.task,
+            run=start.run,
+            worker=start.worker,
+            born_ms=start.born_ms,
+        )
+        if before is not None:
+            run = msgspec.structs.replace(
+                run,
+                failures=before.failures,
+                checkpoint=before.checkpoint,
+                last_worker=before.last_worker,
+            )
+        job.runs[key] = run
+        job.waiting.discard(key)
+        job.active.add(key)
+        job.began = True
+        return True
+
+    def _record_end(self, end: commands.RunEnd, at_ms: int) -> None:
+        found = self._find(end.task)
+        if found is None:
+            return
+        job, key = found
+        run = job.runs.get(key)
+        if run is None or not run.active or run.run != end.run:
+            return
+        failed = end.outcome == "failed"
+        run = msgspec.structs.replace(
+            run,
+            active=False,
+            done=end.outcome == "done",
+            failures=run.failures + failed,
+            checkpoint=end.checkpoint or run.checkpoint,
+            last_worker=run.worker if failed else run.last_worker,
+        )
+        job.runs[key] = run
+        job.active.discard(key)
+        self._follow_end(job, key, run, at_ms)
+
+    def _follow_end(
+        self,
+        job: tasks_lib.Job,
+        key: tasks_lib.TaskKey,
+        run: tasks_lib.RunRecord,
+        at_ms: int,
+    ) -> None:
+        step = job.step(key)
+        if not job.ended and not step.serves:
+            if run.done:
+                self._count_done(job, key, at_ms)
+            elif run.failures >= job.description.max_attempts:
+                self._end(job, tasks_lib.Outcome.FAILED, at_ms)
+        if job.ended:
+            self._close(job)
+        elif not run.done or step.serves:
+            if run.done:
+                job.runs[key] = msgspec.structs.replace(run, done=False)
+            job.waiting.add(key)
+
+    def _count_done(
+        self, job: tasks_lib.Job, key: tasks_lib.TaskKey, at_ms: int
+    ) -> None:
+        step_key = key[:2]
+        job.done[step_key] = job.done.get(step_key, 0) + 1
+        if not job.is_step_done(*step_key):
+            return
+        if job.is_done():
+            self._end(job, tasks_lib.Outcome.COMPLETED, at_ms)
+        else:
+            job.refresh_waiting()
+
+    def _end(
+        self, job: tasks_lib.Job, outcome: tasks_lib.Outcome, at_ms: int
+    ) -> None:
+        job.record = msgspec.structs.replace(
+            job.record, outcome=outcome, ended_ms=at_ms
+        )
+        job.waiting.clear()
+        self._close(job)
+
+    def _close(self, job: tasks_lib.Job) -> None:
+        if not job.active:
+            self.open.pop(job.description.job, None)
+
+    def snapshot_records(
+        self,
+    ) -> Iterator[tasks_lib.JobRecord | tasks_lib.RunRecord]:
+        """Returns the records of a consistent view taken now."""
+        jobs = [job.record for job in self.jobs.values()]
+        runs = [run for job in self.jobs.values() for run in job.runs.values()]
+        return iter([*jobs, *runs])
+
+    def restore_record(
+        self, record: tasks_lib.JobRecord | tasks_lib.RunRecord
+    ) -> None:
+        """Adds one record of a snapshot; a job comes before its runs."""
+        match record:
+            case tasks_lib.JobRecord():
+                self._add(record)
+            case tasks_lib.RunRecord():
+                self._restore_run(record)
+
+    def _restore_run(self, run: tasks_lib.RunRecord) -> None:
+        identifier, key = tasks_lib.parse_task_name(run.task)
+        job = self.jobs[identifier]
+        job.runs[key] = run
+        job.began = True
+        if run.done:
+            step_key = key[:2]
+            job.done[step_key] = job.done.get(step_key, 0) + 1
+        if run.active:
+            job.active.add(key)
+            self.open[identifier] = job
+        job.refresh_waiting()
--- /dev/null
+++ b/src/galenahook/jobs/tails.py
@@ -0,0 +1,249 @@
+"""Tails of tasks that serve, and what the work beside them does to them.
+
+For each pair of images, one that serves and one that uses idle processors, a
+weight is learned: the rise of the tail, as a share of its target, if the
+second took the whole worker. Placement asks for the predicted tail; control
+throttles work beside a tail that is over its target.
+"""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from galenahook import logs
+from galenahook.jobs import workers as workers_lib
+
+if TYPE_CHECKING:
+    from galenahook.jobs import dispatcher as dispatcher_lib
+    from galenahook.jobs import link as link_lib
+
+# Rise of a tail by an image that was never seen beside it.
+PRIOR_WEIGHT = 0.4
+PRIOR_BASE = 0.3
+# Step of the normalised least mean squares; samples are rough.
+LEARNING_STEP = 0.3
+BASE_STEP = 0.1
+# A share below this says nothing of an image.
+LEAST_SHARE = 0.02
+# Predicted tail, as a share of the target, up to which work is placed.
+PLACED_TAIL = 0.90
+# Time over the target after which work beside it is throttled.
+OVER_MS = 400
+# Time between two changes on one worker; tails lag by half a second.
+SETTLE_MS = 600
+# Measured tail under which a throttle is taken back.
+RELEASE_TAIL = 0.75
+
+
+@dataclasses.dataclass(slots=True)
+class _Base:
+    """Tail of an image without work beside it, as a share of its target."""
+
+    value: float = PRIOR_BASE
+
+
+class TailModel:
+    """Learned weights of pairs of images.
+
+    Attributes:
+      weights: Weight by serving image and image beside it.
+      bases: Tail of each serving image by itself.
+    """
+
+    __slots__ = ("bases", "weights")
+
+    def __init__(self) -> None:
+        self.weights: dict[tuple[str, str], float] = {}
+        self.bases: dict[str, _Base] = {}
+
+    def weight(self, serving: str, beside: str) -> float:
+        """Returns the weight of a pair."""
+        return self.weights.get((serving, beside), PRIOR_WEIGHT)
+
+    def predict(self, serving: str, shares: dict[str, float]) -> float:
+        """Returns the tail expected, as a share of the target."""
+        base = self.bases.get(serving)
+        value = base.value if base else PRIOR_BASE
+        return value + sum(
+            self.weight(serving, image) * share
+            for image, share in shares.items()
+        )
+
+    def learn(
+        self, serving: str, shares: dict[str, float], measured: float
+    ) -> None:
+        """Corrects the weights by one measured tail."""
+        base = self.bases.setdefault(serving, _Base())
+        error = measured - self.predict(serving, shares)
+        norm = sum(share * share for share in shares.values())
+        if norm < LEAST_SHARE * LEAST_SHARE:
+            base.value += BASE_STEP * error
+            return
+        base.value = max(0.05, base.value + BASE_STEP * 0.2 * error)
+        for image, share in shares.items():
+            step = LEARNING_STEP * error * share / (norm + 0.01)
+            weight = self.weight(serving, image) + step
+            self.weights[serving, image] = max(0.0, weight)
+
+
+def shares_of(worker: workers_lib.Worker) -> dict[str, float]:
+    """Returns the share of the worker that each image beside uses."""
+    shares: dict[str, float] = {}
+    for run in worker.runs.values():
+        if run.step.uses_idle_cpu and run.measure is not None:
+            share = run.measure / worker.heartbeat.cpu_millis
+            shares[run.step.image] = shares.get(run.step.image, 0.0) + share
+    return shares
+
+
+class TailControl:
+    """Learns tails and throttles what pushes them over their targets.
+
+    Attributes:
+      model: Learned weights.
+    """
+
+    def __init__(self) -> None:
+        self.model = TailModel()
+        self._changed_ms: dict[str, int] = {}
+
+    def observe(self, worker: workers_lib.Worker, now_ms: int) -> None:
+        """Learns from a worker's answer to a look."""
+        shares = shares_of(worker)
+        for run in worker.runs.values():
+            if not run.step.tail_target_ms or run.measure is None:
+                continue
+            if run.percent < 100:
+                continue
+            measured = run.measure / run.step.tail_target_ms
+            self.model.learn(run.step.image, shares, measured)
+            if measured <= 1.0:
+                run.over_since_ms = 0
+            elif not run.over_since_ms:
+                run.over_since_ms = now_ms
+
+    async def control(self, dispatcher: "dispatcher_lib.Dispatcher") -> None:
+        """Throttles and releases work beside tasks that serve."""
+        now_ms = dispatcher.now_ms()
+        for link in list(dispatcher.links.values()):
+            changed_ms = self._changed_ms.get(link.worker.name, 0)
+            if now_ms - changed_ms < SETTLE_MS:
+                continue
+            changes = self._changes(link.worker, now_ms)
+            for run, percent in changes:
+                run.throttle = percent
+                run.throttled_ms = now_ms
+                self._changed_ms[link.worker.name] = now_ms
+                await dispatcher.spawn(_throttle, link, run, percent)
+
+    def _changes(
+        self, worker: workers_lib.Worker, now_ms: int
+    ) -> list[tuple[workers_lib.LiveRun, int]]:
+        beside = [
+            run
+            for run in worker.runs.values()
+            if run.step.uses_idle_cpu and run.seen and not run.stopping
+        ]
+        serving = [
+            run for run in worker.runs.values() if run.step.tail_target_ms
+        ]
+        if not beside:
+            return []
+        over = [
+            run
+            for run in serving
+            if run.over_since_ms and now_ms - run.over_since_ms >= OVER_MS
+        ]
+        if over:
+            return self._throttles(worker, over, beside)
+        return self._releases(worker, serving, beside)
+
+    def _throttles(
+        self,
+        worker: workers_lib.Worker,
+        over: list[workers_lib.LiveRun],
+        beside: list[workers_lib.LiveRun],
+    ) -> list[tuple[workers_lib.LiveRun, int]]:
+        """Throttles to nothing the image that harms most."""
+        harm: dict[str, float] = {}
+        for run in beside:
+            if run.throttle == 0:
+                continue
+            share = (run.measure or 0.0) / worker.heartbeat.cpu_millis
+            for served in over:
+                weight = self.model.weight(served.step.image, run.step.image)
+                harm[run.step.image] = (
+                    harm.get(run.step.image, 0.0) + (weight + 0.01) * share
+                )
+        if not harm:
+            return []
+        worst = max(harm, key=lambda image: harm[image])
+        return [
+            (run, 0)
+            for run in beside
+            if run.step.image == worst and run.throttle
+        ]
+
+    def _releases(
+        self,
+        worker: workers_lib.Worker,
+        serving: list[workers_lib.LiveRun],
+        beside: list[workers_lib.LiveRun],
+    ) -> list[tuple[workers_lib.LiveRun, int]]:
+        """Lets one throttled run go on if every tail allows it."""
+        held = [run for run in beside if run.throttle < 100]
+        if not held:
+            return []
+        for served in serving:
+            target = served.step.tail_target_ms
+            if (served.measure or 0.0) > RELEASE_TAIL * target:
+                return []
+        for run in held:
+            share = run.step.cpu_millis / worker.heartbeat.cpu_millis
+            if self.allows(worker, run.step.image, share, {}):
+                return [(run, 100)]
+        return []
+
+    def allows(
+        self,
+        worker: workers_lib.Worker,
+        image: str,
+        share: float,
+        planned: dict[str, float],
+    ) -> bool:
+        """Whether every tail on a worker stays low with more of an image."""
+        return self.worst_tail(worker, image, share, planned) <= PLACED_TAIL
+
+    def worst_tail(
+        self,
+        worker: workers_lib.Worker,
+        image: str,
+        share: float,
+        planned: dict[str, float],
+    ) -> float:
+        """Returns the highest predicted tail, as a share of its target."""
+        shares = shares_of(worker)
+        for name, more in planned.items():
+            shares[name] = shares.get(name, 0.0) + more
+        shares[image] = shares.get(image, 0.0) + share
+        return max(
+            (
+                self.model.predict(run.step.image, shares)
+                for run in worker.runs.values()
+                if run.step.tail_target_ms
+            ),
+            default=0.0,
+        )
+
+
+async def _throttle(
+    link: "link_lib.Link", run: workers_lib.LiveRun, percent: int
+) -> None:
+    answered = await link.throttle(run, percent)
+    logs.info(
+        "run:throttle",
+        task=run.task,
+        run=run.run,
+        worker=link.worker.name,
+        percent=percent,
+        answered=answered,
+    )
--- /dev/null
+++ b/src/galenahook/jobs/tasks.py
@@ -0,0 +1,154 @@
+"""Replicated records of jobs and of the runs of their tasks."""
+
+import enum
+
+from galenahook import commands
+from galenahook import messages
+
+TaskKey = tuple[int, int, int]
+StepKey = tuple[int, int]
+
+
+class Outcome(enum.Enum):
+    """How a job ended; `NONE` while it has not."""
+
+    NONE = ""
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class JobRecord(messages.Message, frozen=True, kw_only=True, tag="job"):
+    """A stored job.
+
+    Attributes:
+      description: What was submitted.
+      submitted_ms: Wall time of its storing.
+      outcome: How it ended.
+      ended_ms: Wall time of its end; 0 before.
+    """
+
+    description: commands.JobDescription
+    submitted_ms: int
+    outcome: Outcome = Outcome.NONE
+    ended_ms: int = 0
+
+
+class RunRecord(messages.Message, frozen=True, kw_only=True, tag="run"):
+    """The latest run of a task; a task without one has never been started.
+
+    Attributes:
+      task: Task identifier.
+      run: Number of the run, from 1.
+      worker: Worker that it was ordered from.
+      born_ms: Incarnation of that worker.
+      active: Whether it may be running.
+      done: Whether the task is done.
+      failures: Runs that failed.
+      checkpoint: From where the next run resumes; empty for the start.
+      last_worker: Worker of the last run that failed; empty if none did.
+    """
+
+    task: str
+    run: int
+    worker: str
+    born_ms: int
+    active: bool = True
+    done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    last_worker: str = ""
+
+
+def task_name(job: str, key: TaskKey) -> str:
+    """Returns the identifier of a task: job, occurrence, step and index."""
+    return f"{job}.{key[0]}.{key[1]}.{key[2]}"
+
+
+def parse_task_name(name: str) -> tuple[str, TaskKey]:
+    """Splits the identifier of a task.
+
+    Raises:
+      ValueError: It has another form.
+    """
+    job, occurrence, step, index = name.split(".")
+    return job, (int(occurrence), int(step), int(index))
+
+
+class Job:
+    """A job with what follows from its records.
+
+    Attributes:
+      record: Its record.
+      runs: Latest run of each task that was ever started.
+      done: Number of tasks done, by occurrence and step.
+      waiting: Tasks whose turn has come and that are not running.
+      active: Tasks that may be running.
+      began: Whether any task was ever started.
+    """
+
+    __slots__ = ("active", "began", "done", "record", "runs", "waiting")
+
+    def __init__(self, record: JobRecord) -> None:
+        self.record = record
+        self.runs: dict[TaskKey, RunRecord] = {}
+        self.done: dict[StepKey, int] = {}
+        self.waiting: set[TaskKey] = set()
+        self.active: set[TaskKey] = set()
+        self.began = False
+        self.refresh_waiting()
+
+    @property
+    def description(self) -> commands.JobDescription:
+        """What was submitted."""
+        return self.record.description
+
+    @property
+    def ended(self) -> bool:
+        """Whether the job has an outcome."""
+        return self.record.outcome is not Outcome.NONE
+
+    def step(self, key: TaskKey) -> commands.StepDescription:
+        """Returns the step of a task."""
+        return self.record.description.steps[key[1]]
+
+    def state(self) -> str:
+        """Returns the job's state as callers read it."""
+        if self.ended:
+            return self.record.outcome.value
+        return "running" if self.began else "queued"
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Whether every task of a step is done."""
+        wanted = self.description.steps[step].tasks
+        return self.done.get((occurrence, step), 0) >= wanted
+
+    def is_step_ready(self, occurrence: int, step: int) -> bool:
+        """Whether every step before it is done."""
+        return all(
+            self.is_step_done(occurrence, before)
+            for before in self.description.steps[step].after
+        )
+
+    def is_done(self) -> bool:
+        """Whether every task of every occurrence is done."""
+        return all(
+            self.is_step_done(occurrence, step)
+            for occurrence in range(self.description.occurrences)
+            for step in range(len(self.description.steps))
+        )
+
+    def refresh_waiting(self) -> None:
+        """Recomputes which tasks wait; used when a step has ended."""
+        self.waiting.clear()
+        if self.ended:
+            return
+        for occurrence in range(self.description.occurrences):
+            for number, step in enumerate(self.description.steps):
+                if not self.is_step_ready(occurrence, number):
+                    continue
+                for index in range(step.tasks):
+                    key = (occurrence, number, index)
+                    run = self.runs.get(key)
+                    if run is None or not (run.active or run.done):
+                        self.waiting.add(key)
--- a/src/galenahook/leader_client.py
+++ b/src/galenahook/leader_client.py
@@ -15,6 +15,10 @@
 STATUS_NO_QUORUM = 503
 
 
+class NoLeaderError(errors.NoQuorumError):
+    """No replica that leads was found; nothing was done."""
+
+
 class LeaderClient:
     """Sends messages to whichever replica leads.
 
@@ -83,7 +87,7 @@
             response = await self._send_once(request, left_ms)
             if response is not None:
                 return response
-        raise errors.NoQuorumError("no leader found among the replicas")
+        raise NoLeaderError("no leader found among the replicas")
 
     async def _send_once(
         self, request: web.Request, timeout_ms: int
--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -18,6 +18,8 @@
 import msgspec
 
 MAX_QUEUED_LINES = 10_000
+# Name of standard output in place of a file.
+STANDARD_OUTPUT = "-"
 
 _FLUSH_TIMEOUT_S = 2.0
 _ENCODER = msgspec.json.Encoder(enc_hook=repr)
@@ -55,7 +57,7 @@
         self._stopping = True
         self._wakeup.set()
         self._thread.join(_FLUSH_TIMEOUT_S)
-        if self._stream is not sys.stderr.buffer:
+        if self._stream not in (sys.stderr.buffer, sys.stdout.buffer):
             with contextlib.suppress(OSError):
                 self._stream.close()
 
@@ -107,6 +109,8 @@
 
 
 def _open(log_file: str) -> Any:
+    if log_file == STANDARD_OUTPUT:
+        return sys.stdout.buffer
     if not log_file:
         return sys.stderr.buffer
     return pathlib.Path(log_file).open("ab")
--- a/src/galenahook/operators/daemons.py
+++ b/src/galenahook/operators/daemons.py
@@ -16,6 +16,18 @@
 from galenahook.operators import exit_codes
 from galenahook.operators import output
 
+_ROLES: dict[type, str] = {
+    settings_lib.EntrySettings: "entry",
+    settings_lib.ReplicaSettings: "replica",
+    settings_lib.JobEntrySettings: "job_entry",
+    settings_lib.JobReplicaSettings: "job_replica",
+}
+# What else the command of a role runs, by the settings that it is given.
+_JOB_TYPES: dict[type, tuple[type, ...]] = {
+    settings_lib.EntrySettings: (settings_lib.JobEntrySettings,),
+    settings_lib.ReplicaSettings: (settings_lib.JobReplicaSettings,),
+}
+
 
 def load_settings(path: str, settings_type: Any) -> settings_lib.Settings:
     """Loads settings, of either role if no type is given.
@@ -42,11 +54,12 @@
     Raises:
       output.CommandError: The settings have faults.
     """
+    found_type = settings_files.type_of(path)
+    if found_type in _JOB_TYPES.get(settings_type, ()):
+        settings_type = found_type
     settings = load_settings(path, settings_type)
     # A role's modules are loaded only by its own process.
-    role = "replica"
-    if isinstance(settings, settings_lib.EntrySettings):
-        role = "entry"
+    role = _ROLES[type(settings)]
     importlib.import_module(f"galenahook.{role}").run(settings)
 
 
--- /dev/null
+++ b/src/galenahook/platform/callers.py
@@ -0,0 +1,96 @@
+"""Listener of callers: the platform's HTTP calls on jobs and queues."""
+
+import msgspec
+
+from galenahook import errors
+from galenahook import logs
+from galenahook import web
+from galenahook.jobs import calls
+from galenahook.jobs import gateway as gateway_lib
+from galenahook.platform import wire
+
+# Wait of a caller that does not say how long it waits.
+DEFAULT_WAIT_MS = 3_000
+# Time kept back for the answer's way to the caller.
+ANSWER_MARGIN_MS = 60
+RETRY_AFTER = (b"retry-after", b"1")
+
+_STATUS = {
+    "stored": 200,
+    "cancelled": 200,
+    "state": 200,
+    "queue": 200,
+    "done": 200,
+    "no-queue": 404,
+    "no-configuration": 503,
+    "unknown-job": 410,
+    "invalid": 400,
+    "overloaded": 429,
+}
+
+
+class CallerListener:
+    """Translates callers' requests into calls to the leader."""
+
+    def __init__(self, gateway: gateway_lib.Gateway) -> None:
+        self._gateway = gateway
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers one request of a caller."""
+        call = self._call_of(request)
+        if isinstance(call, web.Response):
+            return call
+        try:
+            reply = await self._gateway.call(call, _wait_ms(request))
+        except gateway_lib.UnansweredError as error:
+            status = 504 if error.may_have_run else 503
+            reply = calls.JobReply(outcome="unanswered", reason=str(error))
+        else:
+            status = _STATUS.get(reply.outcome, 500)
+        if status >= 400:
+            logs.warning(
+                "caller:refused",
+                request=request.target.rpartition("/")[2],
+                method=request.method,
+                target=request.target,
+                status=status,
+                outcome=reply.outcome,
+                reason=reply.reason,
+            )
+        return _response(status, reply)
+
+    def _call_of(self, request: web.Request) -> calls.JobCall | web.Response:
+        host = request.header(b"host").decode("latin-1").partition(":")[0]
+        path = request.target.partition("?")[0]
+        match request.method:
+            case "GET":
+                return calls.JobStateCall(host=host, path=path)
+            case "DELETE":
+                return calls.CancelJobCall(host=host, path=path)
+            case "POST":
+                try:
+                    order = wire.job_order(request.body)
+                except errors.InvalidInputError as error:
+                    return web.refusal(400, "invalid job", error.findings)
+                return calls.SubmitJobCall(host=host, path=path, order=order)
+        return web.refusal(405, "expected GET, POST or DELETE")
+
+
+def _wait_ms(request: web.Request) -> int:
+    text = request.header(b"x-deadline-ms")
+    wait_ms = int(text) if text.isdigit() else DEFAULT_WAIT_MS
+    return max(0, wait_ms - ANSWER_MARGIN_MS)
+
+
+def _response(status: int, reply: calls.JobReply) -> web.Response:
+    body: dict[str, object] = {}
+    if reply.outcome == "state":
+        body["state"] = reply.state
+    elif reply.outcome == "queue":
+        body["pending"] = reply.pending
+    elif reply.reason:
+        body["reason"] = reply.reason
+    headers = [(b"content-type", b"application/json")]
+    if status in (429, 503):
+        headers.append(RETRY_AFTER)
+    return web.Response(status, headers, msgspec.json.encode(body))
--- a/src/galenahook/platform/health.py
+++ b/src/galenahook/platform/health.py
@@ -6,7 +6,7 @@
 
 
 class Health:
-    """Answers `/live` and `/ready`.
+    """Answers `/live` and `/ready`, by whichever name the balancer uses.
 
     Attributes:
       is_ready: Whether the balancer should send callers here.
@@ -22,7 +22,7 @@
         match request.target.partition("?")[0]:
             case "/live":
                 return web.Response(200)
-            case "/ready":
+            case "/ready" | "/galenahook/readiness":
                 return web.Response(200 if self.is_ready() else 503)
             case _:
                 return web.refusal(404, "no such route")
--- a/src/galenahook/replicas/core.py
+++ b/src/galenahook/replicas/core.py
@@ -26,6 +26,7 @@
 from galenahook.replicas import peers as peers_lib
 from galenahook.replicas import records
 from galenahook.replicas import storage
+from galenahook.replicas import wire
 
 _CLOCK_RATE_MARGIN_PERCENT = 2
 _MEMBERS_PREFIX = b'{"type":"change-members"'
@@ -69,6 +70,7 @@
       installing: Whether a snapshot is being loaded.
       peers: Leader: the other members by name.
       waiters: Leader: submitted commands by index.
+      joining: Leader: replicas that asked to be admitted, by name.
       error: Why the replica is unable, or None.
       committed: Notified when the commit index rises.
       role_changed: Notified when the role, the leader or the group changes.
@@ -108,6 +110,7 @@
         self.installing = False
         self.peers: dict[str, peers_lib.Peer] = {}
         self.waiters: dict[int, Waiter] = {}
+        self.joining: dict[str, wire.JoinRequest] = {}
         self.error: errors.StorageError | None = None
         self.members_history = [membership.Members()]
         self.committed = notify.Signal()
--- a/src/galenahook/replicas/founding.py
+++ b/src/galenahook/replicas/founding.py
@@ -34,7 +34,8 @@
 async def run(core: core_lib.Core) -> None:
     """Founds the cluster if this replica is to do it and all others agree."""
     while not core.cluster and core.error is None:
-        if core.name == min(core.settings.replicas):
+        settings = core.settings
+        if settings.may_found and core.name == min(settings.replicas):
             with contextlib.suppress(errors.ExchangeError, errors.StorageError):
                 await _try_to_found(core)
         await curio.sleep(clock_lib.seconds(_ASK_PERIOD_MS))
@@ -68,6 +69,8 @@
     )
     if status.cluster or status.error:
         raise errors.ExchangeError(f"{status.name} is not empty", True)
+    if not status.may_found:
+        raise errors.ExchangeError(f"{status.name} may not found", True)
     return status.folder
 
 
@@ -103,11 +106,13 @@
 ) -> None:
     """Binds an empty folder to a cluster whose log begins with these members.
 
+    A folder that may have been emptied by a lost disk is left alone.
+
     Raises:
       errors.StorageError: The folder failed.
     """
     async with core.join_lock:
-        if core.cluster:
+        if core.cluster or not core.settings.may_found:
             return
         command = commands.ChangeMembers(members=members)
         data = messages.encode(command)
--- a/src/galenahook/replicas/node.py
+++ b/src/galenahook/replicas/node.py
@@ -21,6 +21,7 @@
 from galenahook.replicas import election
 from galenahook.replicas import follower
 from galenahook.replicas import founding
+from galenahook.replicas import joining
 from galenahook.replicas import records
 from galenahook.replicas import recovery
 from galenahook.replicas import replication
@@ -73,6 +74,7 @@
                 self._receiver.handle_chunk,
             ),
             transport.FOUND_TARGET: (wire.FoundRequest, founding.handle_found),
+            transport.JOIN_TARGET: (wire.JoinRequest, joining.handle_join),
         }
 
     @property
@@ -101,6 +103,8 @@
             lambda: election.run(self.core),
             lambda: replication.run(self.core),
             lambda: founding.run(self.core),
+            lambda: joining.ask(self.core),
+            lambda: joining.admit(self),
             lambda: snapshot.run(self.core),
         )
         group = curio.TaskGroup(wait=any)
@@ -280,6 +284,8 @@
         identity, which only the members of that cluster know.
         """
         core = self.core
+        if isinstance(message, wire.JoinRequest):
+            return None
         if message.to_folder != core.folder_id:
             return web.refusal(
                 _HTTP_CONFLICT,
--- a/src/galenahook/replicas/status.py
+++ b/src/galenahook/replicas/status.py
@@ -26,6 +26,7 @@
         last_sync_ms=core.log.last_sync_ms,
         peers=tuple(_peer(core, peer) for peer in core.peers.values()),
         error="" if core.error is None else str(core.error),
+        may_found=core.settings.may_found,
     )
 
 
--- a/src/galenahook/replicas/transport.py
+++ b/src/galenahook/replicas/transport.py
@@ -13,6 +13,7 @@
 HAND_OVER_TARGET = "/v1/replicas/hand-over"
 SNAPSHOT_TARGET = "/v1/replicas/snapshot"
 FOUND_TARGET = "/v1/replicas/found"
+JOIN_TARGET = "/v1/replicas/join"
 STATUS_TARGET = "/v1/replicas/status"
 
 _HTTP_OK = 200
--- a/src/galenahook/replicas/wire.py
+++ b/src/galenahook/replicas/wire.py
@@ -214,6 +214,7 @@
       last_sync_ms: Duration of the last one.
       peers: What the leader knows of the others; empty elsewhere.
       error: Why the replica is unable, or an empty string.
+      may_found: Whether its empty folder may take part in founding.
     """
 
     name: str
@@ -234,6 +235,33 @@
     last_sync_ms: int
     peers: tuple[PeerStatus, ...] = ()
     error: str = ""
+    may_found: bool = True
+
+
+class JoinRequest(messages.Message, frozen=True, kw_only=True):
+    """A replica with an empty folder asks the leader to admit it.
+
+    Attributes:
+      name: Name of the replica.
+      address: Where it listens for its peers.
+      folder: Identity of its data folder.
+    """
+
+    name: str
+    address: str
+    folder: str
+
+
+class JoinReply(messages.Message, frozen=True, kw_only=True):
+    """Whether a leader took note; else where the leader may be.
+
+    Attributes:
+      accepted: Whether this replica leads and will admit the other.
+      leader_address: Where the leader listens; empty if not known.
+    """
+
+    accepted: bool
+    leader_address: str = ""
 
 
 class MemberChangeRefused(messages.Message, frozen=True, kw_only=True):
--- a/src/galenahook/settings_checks.py
+++ b/src/galenahook/settings_checks.py
@@ -57,6 +57,51 @@
     _check_data_folder(replica.data_folder, findings)
 
 
+def check_job_entry(
+    entry: settings.JobEntrySettings, findings: findings_lib.Findings
+) -> None:
+    """Adds every fault of the settings of an entry of jobs."""
+    listeners = {
+        "callers": entry.callers,
+        "platform": entry.platform,
+        "metrics": entry.metrics,
+    }
+    _check_listeners(listeners, findings)
+    _check_job_process(entry, findings)
+
+
+def check_job_replica(
+    replica: settings.JobReplicaSettings, findings: findings_lib.Findings
+) -> None:
+    """Adds every fault of the settings of a replica of jobs."""
+    listeners = {"control": replica.control, "metrics": replica.metrics}
+    _check_listeners(listeners, findings)
+    _check_job_process(replica, findings)
+    _check_peer_address(
+        f"{replica.host}:{replica.peer_port}", "$.host", findings
+    )
+    _check_data_folder(replica.data_folder, findings)
+    if replica.worker_lease_ms <= 0:
+        findings.add("$.worker_lease_ms", "must be above 0 ms")
+    _check_timing(replica.timing, findings)
+
+
+def _check_job_process(
+    checked: settings.JobEntrySettings | settings.JobReplicaSettings,
+    findings: findings_lib.Findings,
+) -> None:
+    for field in ("name", "availability_zone"):
+        _check_name(getattr(checked, field), f"$.{field}", findings)
+    if not checked.seeds:
+        findings.add("$.seeds", "none given; expected at least 1")
+    for index, seed in enumerate(checked.seeds):
+        _check_peer_address(seed, f"$.seeds[{index}]", findings)
+    if not 0 < checked.peer_port < 65_536:
+        findings.add("$.peer_port", "expected a port from 1 to 65535")
+    if checked.stop_ms <= 0:
+        findings.add("$.stop_ms", "must be above 0 ms")
+
+
 def _check_names(
     checked: settings.EntrySettings | settings.ReplicaSettings,
     findings: findings_lib.Findings,
--- a/src/galenahook/settings_files.py
+++ b/src/galenahook/settings_files.py
@@ -1,6 +1,7 @@
 """Loads a settings file and checks it whole, before anything starts."""
 
 import pathlib
+from typing import Any
 from typing import TypeVar
 
 import expression
@@ -46,14 +47,25 @@
 def load_any(
     path: str,
 ) -> expression.Result[settings_lib.Settings, list[findings_lib.Finding]]:
-    """Loads the settings of either role; only a replica has `peers`."""
+    """Loads the settings of either role; each kind has a field of its own."""
+    return load(path, type_of(path))
+
+
+def type_of(path: str) -> Any:
+    """Returns the type of the settings in a file, an entry's if unsure."""
     try:
         document = msgspec.json.decode(pathlib.Path(path).read_bytes())
     except (OSError, msgspec.MsgspecError, ValueError, RecursionError):
         document = None
-    if isinstance(document, dict) and "peers" in document:
-        return load(path, settings_lib.ReplicaSettings)
-    return load(path, settings_lib.EntrySettings)
+    if not isinstance(document, dict):
+        return settings_lib.EntrySettings
+    if "peers" in document:
+        return settings_lib.ReplicaSettings
+    if "control" in document:
+        return settings_lib.JobReplicaSettings
+    if "peer_port" in document:
+        return settings_lib.JobEntrySettings
+    return settings_lib.EntrySettings
 
 
 def _resolve_paths(settings: _SettingsT, path: str) -> _SettingsT:
@@ -76,6 +88,10 @@
             settings_checks.check_entry(settings, found)
         case settings_lib.ReplicaSettings():
             settings_checks.check_replica(settings, found)
+        case settings_lib.JobEntrySettings():
+            settings_checks.check_job_entry(settings, found)
+        case settings_lib.JobReplicaSettings():
+            settings_checks.check_job_replica(settings, found)
     known = tuple(finding.place for finding in findings.items)
     findings.items.extend(
         finding
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -14,6 +14,9 @@
 from galenahook import configuration_changes as changes_lib
 from galenahook import messages
 from galenahook.callers import claims as claims_lib
+from galenahook.jobs import site as site_lib
+from galenahook.jobs import table as job_table
+from galenahook.jobs import tasks as job_tasks
 from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
 
@@ -23,6 +26,9 @@
     | tasks_lib.RunTimeRecord
     | claims_lib.ClaimRecord
     | claims_lib.ClaimTimesRecord
+    | job_tasks.JobRecord
+    | job_tasks.RunRecord
+    | site_lib.SiteRecord
 )
 
 
@@ -33,14 +39,18 @@
       configuration: Sheet, availability zones, drains and change numbers.
       tasks: Every task with its current attempt.
       claims: Idempotency keys claimed.
+      jobs: Jobs that callers submitted.
+      site: Queues and pools of workers of these jobs.
     """
 
-    __slots__ = ("claims", "configuration", "tasks")
+    __slots__ = ("claims", "configuration", "jobs", "site", "tasks")
 
     def __init__(self) -> None:
         self.configuration = configuration_lib.ConfigurationState()
         self.tasks = task_table.TaskTable()
         self.claims = claims_lib.ClaimTable()
+        self.jobs = job_table.JobTable()
+        self.site = site_lib.SiteState()
 
     def apply(self, command: commands.Command) -> commands.Result:
         """Applies one committed command and returns its result."""
@@ -57,6 +67,21 @@
                 return self.tasks.evict(command)
             case commands.ClaimKeys():
                 return self.claims.claim(command)
+            case _:
+                return self._apply_to_jobs(command)
+
+    def _apply_to_jobs(self, command: commands.Command) -> commands.Result:
+        match command:
+            case commands.SubmitJob():
+                return self.jobs.submit(command)
+            case commands.CancelJob():
+                return self.jobs.cancel(command)
+            case commands.RecordRuns():
+                return self.jobs.record(command)
+            case commands.PutSite():
+                return self.site.put(command)
+            case commands.SetZoneService():
+                return self.site.set_zone_service(command)
             case _:
                 return commands.Done()
 
@@ -96,6 +121,8 @@
             self.configuration.snapshot_records(),
             self.tasks.snapshot_records(),
             self.claims.snapshot_records(),
+            self.site.snapshot_records(),
+            self.jobs.snapshot_records(),
         )
         return (record for part in parts for record in part)
 
@@ -112,6 +139,10 @@
                 self.tasks.restore_record(record)
             case claims_lib.ClaimRecord() | claims_lib.ClaimTimesRecord():
                 self.claims.restore_record(record)
+            case job_tasks.JobRecord() | job_tasks.RunRecord():
+                self.jobs.restore_record(record)
+            case site_lib.SiteRecord():
+                self.site.restore_record(record)
             case _:
                 self.configuration.restore_record(record)
 
