Look for the leader once for all callers; keep tails by worker in a round

Each waiting caller asked every seed each 40 ms; a restarted process knew only the seeds, and the new leader was none of them, while followers answered a poll without naming the group.

Ruled out: the election (0.6 s after the restart in the logs).

Change: one task finds the leader, calls wait for it; followers answer a poll with the group's members. Rounds keep each worker's expected tails.

--- a/src/galenahook/job_entry.py
+++ b/src/galenahook/job_entry.py
@@ -7,14 +7,10 @@
 from galenahook import process
 from galenahook import settings as settings_lib
 from galenahook import web
-from galenahook.jobs import calls
 from galenahook.jobs import gateway as gateway_lib
 from galenahook.platform import callers as callers_lib
 from galenahook.platform import health as health_lib
 
-# How often the entry asks whether it may serve.
-POLL_PERIOD_MS = 500
-POLL_TIMEOUT_MS = 900
 # Without a leader for so long the entry sends callers elsewhere. An election
 # takes about one second, after which calls that wait are still answered.
 READY_GRACE_MS = 2_500
@@ -41,6 +37,7 @@
         self.draining = False
         self.client = web.ControlClient(clock, [])
         self.gateway = gateway_lib.Gateway(
+            settings.name,
             settings_lib.peer_addresses(settings.seeds, settings.peer_port),
             self.client,
             clock,
@@ -57,18 +54,20 @@
             self.health.handle,
             web.CONTROL_LIMITS,
         )
-        self._served_ms: int | None = None
 
     def _is_ready(self) -> bool:
-        if self.draining or self._served_ms is None:
+        polled_ms = self.gateway.polled_ms
+        if self.draining or polled_ms is None or not self.gateway.version:
             return False
-        return self.clock.monotonic_ms() - self._served_ms < READY_GRACE_MS
+        return self.clock.monotonic_ms() - polled_ms < READY_GRACE_MS
 
     async def run(self, stop: curio.Event) -> None:
         """Runs until `stop` is set, then finishes what is in flight."""
         parts = process.Parts(stop)
         await parts.start(
-            self.callers_server.run, self.platform_server.run, self._poll
+            self.callers_server.run,
+            self.platform_server.run,
+            self.gateway.follow,
         )
         logs.info("entry:started", name=self.settings.name)
         await stop.wait()
@@ -90,31 +89,6 @@
         ):
             await curio.sleep(clock_lib.seconds(_DRAIN_POLL_MS))
 
-    async def _poll(self) -> None:
-        was_serving = False
-        while True:
-            reply = await self._poll_once()
-            serving = reply is not None and reply.version > 0
-            if serving:
-                self._served_ms = self.clock.monotonic_ms()
-            if serving is not was_serving:
-                logs.info(
-                    "entry:leader-found" if serving else "entry:leader-lost",
-                    leader=self.gateway.leader.leader,
-                    version=reply.version if reply else 0,
-                )
-            was_serving = serving
-            await curio.sleep(clock_lib.seconds(POLL_PERIOD_MS))
-
-    async def _poll_once(self) -> calls.JobReply | None:
-        poll = calls.EntryPoll(entry=self.settings.name)
-        try:
-            reply = await self.gateway.call(poll, POLL_TIMEOUT_MS)
-        except gateway_lib.UnansweredError:
-            return None
-        self.gateway.learn(reply.replicas)
-        return reply
-
 
 def run(settings: settings_lib.JobEntrySettings) -> None:
     """Runs an entry of jobs until SIGTERM or SIGINT."""
--- a/src/galenahook/job_replica.py
+++ b/src/galenahook/job_replica.py
@@ -39,7 +39,7 @@
         consensus = settings.replica()
         self.node = node_lib.Node(consensus, self.client, clock)
         self.gateway = gateway_lib.Gateway(
-            dict(consensus.replicas), self.client, clock
+            settings.name, dict(consensus.replicas), self.client, clock
         )
         self.leader: leader_lib.JobLeader | None = None
         self.control = control_lib.ControlListener(self._call, clock)
@@ -63,6 +63,7 @@
         await parts.start(
             self.node.run,
             self._follow_leadership,
+            self.gateway.follow,
             self.peers_server.run,
             self.control_server.run,
         )
@@ -113,26 +114,18 @@
                 return await leader.answer(call)
             except errors.NotLeaderError:
                 pass
-        name = self.node.leader_name()
-        members = self.node.core.members.by_name
-        self.gateway.learn({m.name: m.address for m in members.values()})
-        if name in members and name != self.node.name:
-            self.gateway.leader.leader = name
         return await self.gateway.call(call, wait_ms)
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answers a request of an entry or of another replica."""
         if request.target != gateway_lib.JOBS_TARGET:
             return await self.node.handle(request)
-        leader = self.leader
-        if leader is None or not self.node.is_leader():
-            return self._not_leader()
         try:
             call: calls.JobCall = messages.decode(
                 request.body,
                 calls.JobCall,  # type: ignore[arg-type]
             )
-            return web.json_response(await leader.answer(call))
+            return await self._answer(call)
         except errors.InvalidInputError as error:
             return web.refusal(400, "invalid message", error.findings)
         except errors.NotLeaderError:
@@ -140,6 +133,17 @@
         except (errors.NoQuorumError, errors.StorageError) as error:
             return web.refusal(leader_client.STATUS_NO_QUORUM, str(error))
 
+    async def _answer(self, call: calls.JobCall) -> web.Response:
+        leader = self.leader
+        if leader is not None and self.node.is_leader():
+            return web.json_response(await leader.answer(call))
+        if isinstance(call, calls.EntryPoll):
+            reply = calls.JobReply(
+                outcome="not-leader", replicas=leader_lib.members_of(self.node)
+            )
+            return web.json_response(reply)
+        return self._not_leader()
+
     def _not_leader(self) -> web.Response:
         name = self.node.leader_name()
         known = "" if name == self.node.name else name
--- a/src/galenahook/jobs/calls.py
+++ b/src/galenahook/jobs/calls.py
@@ -145,7 +145,8 @@
 
     Attributes:
       outcome: `stored`, `cancelled`, `state`, `queue`, `done`, `no-queue`,
-        `no-configuration`, `unknown-job`, `invalid` or `overloaded`.
+        `no-configuration`, `unknown-job`, `invalid`, `overloaded` or, to an
+        `EntryPoll`, `not-leader`.
       state: State of the job, for `state`.
       pending: Jobs of the queue that have not begun, for `queue`.
       reason: Why, for a person.
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -27,6 +27,8 @@
 
 # Longest time between two rounds, for what no event announces.
 ROUND_PERIOD_MS = 100
+# Least time between two rounds, so that events that come together share one.
+ROUND_GAP_MS = 10
 # Pause after a round that could not commit.
 FAILED_ROUND_MS = 50
 # Starts committed in one command, so that a burst does not delay others.
@@ -96,6 +98,7 @@
         while self.node.term() == self.term:
             if not self._is_woken:
                 await self._wake.wait(ROUND_PERIOD_MS)
+            await curio.sleep(clock_lib.seconds(ROUND_GAP_MS))
             self._is_woken = False
             try:
                 await self._round()
--- a/src/galenahook/jobs/gateway.py
+++ b/src/galenahook/jobs/gateway.py
@@ -1,6 +1,8 @@
 """Takes calls about jobs to whichever replica leads, until they are answered.
 
-Every call is idempotent, so one whose answer was lost is sent again.
+One task looks for the leader; calls wait for what it finds, so that callers
+who wait cost nothing while there is no leader. Every call is idempotent: one
+whose answer was lost is sent again.
 """
 
 import curio
@@ -8,14 +10,22 @@
 from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import leader_client
+from galenahook import logs
+from galenahook import messages
 from galenahook import web
 from galenahook.jobs import calls
+from galenahook.replicas import notify
 
 JOBS_TARGET = "/v1/jobs/call"
-# Longest wait for one replica's answer before another is tried.
+# Longest wait for the leader's answer before the leader is looked for again.
 ATTEMPT_MS = 900
-# Pause after every replica said that it does not lead.
-RETRY_MS = 40
+# Longest wait for one replica while the leader is looked for.
+SEARCH_TIMEOUT_MS = 400
+# Time between two searches, and between two polls of a known leader.
+SEARCH_PERIOD_MS = 100
+POLL_PERIOD_MS = 500
+# Pause before a call is sent again whose commit the leader did not see.
+UNCERTAIN_PAUSE_MS = 100
 
 
 class UnansweredError(errors.NoQuorumError):
@@ -34,17 +44,29 @@
     """Sends calls to the leader.
 
     Attributes:
-      leader: Client that finds the leader.
+      name: Name of this process, for the leader's logs.
+      replicas: Address of each known replica by name.
+      leader: Name of the leader; empty while it is not known.
+      version: Version of the site's configuration as last polled.
+      polled_ms: When the leader last answered a poll; None before.
     """
 
     def __init__(
         self,
+        name: str,
         replicas: dict[str, str],
         client: web.ControlClient,
         clock: clock_lib.Clock,
     ) -> None:
-        self.leader = leader_client.LeaderClient(replicas, client, clock)
+        self.name = name
+        self.replicas = replicas
+        self.leader = ""
+        self.version = 0
+        self.polled_ms: int | None = None
+        self._client = client
         self._clock = clock
+        self._found = notify.Signal()
+        self._lost = notify.Signal()
 
     async def call(
         self, call: calls.JobCall, timeout_ms: int
@@ -55,38 +77,98 @@
           UnansweredError: None came in time.
         """
         deadline_ms = self._clock.monotonic_ms() + timeout_ms
+        body = messages.encode(call)
         may_have_run = False
-        reason = "no time"
+        reason = "no leader is known"
         while True:
             left_ms = deadline_ms - self._clock.monotonic_ms()
             if left_ms <= 0:
                 raise UnansweredError(reason, may_have_run)
+            if not self.leader:
+                await self._found.wait(left_ms)
+                continue
+            name = self.leader
             try:
-                return await self.leader.post(
-                    JOBS_TARGET,
-                    call,
-                    calls.JobReply,
-                    min(left_ms, ATTEMPT_MS),
+                response = await self._post(
+                    self.replicas[name], body, min(left_ms, ATTEMPT_MS)
                 )
             except errors.ExchangeError as error:
                 may_have_run = may_have_run or error.sent
                 reason = str(error)
-            except errors.NoQuorumError as error:
-                reason = str(error)
-                may_have_run = may_have_run or _is_uncertain(error)
-            await curio.sleep(clock_lib.seconds(min(RETRY_MS, left_ms)))
-
-    def learn(self, replicas: dict[str, str]) -> None:
+                await self.lose(name, reason)
+                continue
+            if response.status == 200:
+                return messages.decode(response.body, calls.JobReply)
+            reason = f"{name}: status {response.status}"
+            if response.status == leader_client.STATUS_NOT_LEADER:
+                await self.lose(name, "it does not lead")
+            else:
+                may_have_run = True
+                await curio.sleep(clock_lib.seconds(UNCERTAIN_PAUSE_MS))
+
+    async def _post(
+        self, address: str, body: bytes, timeout_ms: int
+    ) -> web.Response:
+        headers = [(b"content-type", b"application/json")]
+        request = web.Request("POST", JOBS_TARGET, headers, body)
+        return await self._client.send(address, request, timeout_ms)
+
+    async def lose(self, name: str, reason: str) -> None:
+        """Takes note that a replica does not lead or does not answer."""
+        if self.leader == name:
+            self.leader = ""
+            logs.info("leader:lost", leader=name, reason=reason)
+            await self._lost.notify()
+
+    async def follow(self) -> None:
+        """Looks for the leader and polls it, until cancelled."""
+        body = messages.encode(calls.EntryPoll(entry=self.name))
+        while True:
+            if self.leader:
+                reason = await self._poll(self.leader, body, ATTEMPT_MS)
+                if reason:
+                    await self.lose(self.leader, reason)
+            else:
+                await self._search(body)
+            if self.leader:
+                await self._lost.wait(POLL_PERIOD_MS)
+            else:
+                await curio.sleep(clock_lib.seconds(SEARCH_PERIOD_MS))
+
+    async def _search(self, body: bytes) -> None:
+        """Asks every replica at once whether it leads."""
+        async with curio.TaskGroup() as group:
+            for name in list(self.replicas):
+                await group.spawn(self._poll, name, body, SEARCH_TIMEOUT_MS)
+            async for _ in group:
+                if self.leader:
+                    break
+
+    async def _poll(self, name: str, body: bytes, timeout_ms: int) -> str:
+        """Polls a replica; returns why it is not the leader, or ""."""
+        address = self.replicas.get(name, "")
+        try:
+            response = await self._post(address, body, timeout_ms)
+        except errors.ExchangeError as error:
+            return str(error)
+        if response.status != 200:
+            return f"status {response.status}"
+        reply = messages.decode(response.body, calls.JobReply)
+        if reply.outcome != "done":
+            self.replicas.update(reply.replicas)
+            return "it does not lead"
+        self.version = reply.version
+        self.polled_ms = self._clock.monotonic_ms()
+        self._learn(reply.replicas, name)
+        if self.leader != name:
+            self.leader = name
+            logs.info("leader:found", leader=name, version=reply.version)
+            await self._found.notify()
+        return ""
+
+    def _learn(self, replicas: dict[str, str], leader: str) -> None:
         """Takes the group's members, so that the first ones may go."""
-        known = self.leader.replicas
-        for name, address in replicas.items():
-            known[name] = address
-        for name in known.keys() - replicas.keys():
-            del known[name]
-        if self.leader.leader not in known:
-            self.leader.leader = next(iter(known))
-
-
-def _is_uncertain(error: errors.NoQuorumError) -> bool:
-    """Whether a leader answered that the commit is not known."""
-    return not isinstance(error, leader_client.NoLeaderError)
+        address = self.replicas[leader]
+        self.replicas.clear()
+        self.replicas.update(replicas)
+        self.replicas.setdefault(leader, address)
--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -57,11 +57,10 @@
         return calls.JobReply(outcome="done")
 
     def _poll(self) -> calls.JobReply:
-        members = self.node.core.members.by_name.values()
         return calls.JobReply(
             outcome="done",
             version=self.node.state.site.current.version,
-            replicas={member.name: member.address for member in members},
+            replicas=members_of(self.node),
         )
 
     # --- Operators ------------------------------------------------------------
@@ -207,3 +206,9 @@
         logs.info("job:cancelled", job=identifier)
         await self.dispatcher.wake()
         return calls.JobReply(outcome="cancelled")
+
+
+def members_of(node: node_lib.Node) -> dict[str, str]:
+    """Returns the address of each member of the group by name."""
+    members = node.core.members.by_name.values()
+    return {member.name: member.address for member in members}
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -60,8 +60,8 @@
     async def run(self) -> None:
         """Looks at the worker until its incarnation has ended."""
         try:
-            while not self.ended and self._site.may_act():
-                if not await self._look():
+            while not self.ended:
+                if not self._site.may_act() or not await self._look():
                     await curio.sleep(clock_lib.seconds(LOOK_RETRY_MS))
         finally:
             await self.client.close()
@@ -280,19 +280,21 @@
         run.stopping = True
         run.stop_reason = reason
         while self.worker.runs.get(run.task) is run and not self.ended:
-            if not self._site.may_act():
-                return
-            try:
-                answered = await self.client.stop(
-                    run.task, run.run, self._site.term
-                )
-            except worker_api.DeposedError:
-                await self._site.depose(self.worker)
-                return
-            if answered and not run.refused_after_ms:
-                run.refused_after_ms = self._site.now_ms()
+            if self._site.may_act():
+                await self._order_stop(run)
             await curio.sleep(clock_lib.seconds(STOP_RETRY_MS))
 
+    async def _order_stop(self, run: workers_lib.LiveRun) -> None:
+        try:
+            answered = await self.client.stop(
+                run.task, run.run, self._site.term
+            )
+        except worker_api.DeposedError:
+            await self._site.depose(self.worker)
+            return
+        if answered and not run.refused_after_ms:
+            run.refused_after_ms = self._site.now_ms()
+
     async def throttle(self, run: workers_lib.LiveRun, percent: int) -> bool:
         """Orders a share of its speed; False without an answer."""
         if not self._site.may_act():
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -5,12 +5,14 @@
 
 from galenahook import commands
 from galenahook.jobs import ordering
+from galenahook.jobs import tails as tails_lib
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import workers as workers_lib
 
 if TYPE_CHECKING:
     from galenahook.jobs import dispatcher as dispatcher_lib
 
+StepId = tuple[str, int, int]
 Placed = list[tuple[workers_lib.Worker, workers_lib.LiveRun]]
 
 # Share of its reservation that a task which serves uses at most of the time.
@@ -27,7 +29,9 @@
       memory_mb: Memory that no task reserves.
       gpus: Accelerators that no task reserves.
       idle_millis: Processors that no task is expected to use.
-      planned: Shares of the worker, by image, that this round adds.
+      tails: Tail expected of each image that serves there, as a share of its
+        target, with what this round adds.
+      placed: Tasks there of each step, by job, occurrence and step.
     """
 
     worker: workers_lib.Worker
@@ -35,15 +39,15 @@
     memory_mb: int
     gpus: int
     idle_millis: float
-    planned: dict[str, float] = dataclasses.field(default_factory=dict)
+    tails: dict[str, float] = dataclasses.field(default_factory=dict)
+    placed: dict[StepId, int] = dataclasses.field(default_factory=dict)
 
-    def take(self, step: commands.StepDescription) -> None:
+    def take(self, step: commands.StepDescription, step_id: StepId) -> None:
         """Reserves one task of a step."""
         self.memory_mb -= step.memory_mb
         self.gpus -= step.gpus
+        self.placed[step_id] = self.placed.get(step_id, 0) + 1
         if step.uses_idle_cpu:
-            share = step.cpu_millis / self.worker.heartbeat.cpu_millis
-            self.planned[step.image] = self.planned.get(step.image, 0) + share
             self.idle_millis -= step.cpu_millis
         else:
             self.cpu_millis -= step.cpu_millis
@@ -59,8 +63,33 @@
             and step.gpus <= self.gpus
         )
 
+    def share_of(self, step: commands.StepDescription) -> float:
+        """Returns the share of the worker that a task may use."""
+        return step.cpu_millis / self.worker.heartbeat.cpu_millis
+
+    def worst_tail(
+        self, model: tails_lib.TailModel, step: commands.StepDescription
+    ) -> float:
+        """Returns the highest tail expected with one more task of a step."""
+        share = self.share_of(step)
+        return max(
+            (
+                tail + model.weight(serving, step.image) * share
+                for serving, tail in self.tails.items()
+            ),
+            default=0.0,
+        )
+
+    def add_harm(
+        self, model: tails_lib.TailModel, step: commands.StepDescription
+    ) -> None:
+        """Adds what one more task of a step does to the tails."""
+        share = self.share_of(step)
+        for serving in self.tails:
+            self.tails[serving] += model.weight(serving, step.image) * share
+
 
-def room_of(worker: workers_lib.Worker) -> Room:
+def room_of(worker: workers_lib.Worker, model: tails_lib.TailModel) -> Room:
     """Returns what is free on a worker."""
     heartbeat = worker.heartbeat
     room = Room(
@@ -71,8 +100,12 @@
         heartbeat.cpu_millis,
     )
     for run in worker.runs.values():
-        room.take(run.step)
-    room.planned.clear()
+        room.take(run.step, (run.job.description.job, run.key[0], run.key[1]))
+    shares = tails_lib.expected_shares(worker)
+    for run in worker.runs.values():
+        image = run.step.image
+        if run.step.tail_target_ms and image not in room.tails:
+            room.tails[image] = model.predict(image, shares)
     return room
 
 
@@ -85,7 +118,7 @@
     zones_out = dispatcher.node.state.site.current.zones_out
     now_ms = dispatcher.now_ms()
     rooms = [
-        room_of(link.worker)
+        room_of(link.worker, dispatcher.tails.model)
         for link in dispatcher.links.values()
         if link.worker.is_usable(now_ms)
         and link.worker.heartbeat.availability_zone not in zones_out
@@ -126,7 +159,9 @@
             ordered_ms=dispatcher.now_ms(),
             checkpoint=before.checkpoint if before else "",
         )
-        room.take(step)
+        room.take(step, (job.description.job, key[0], key[1]))
+        if step.uses_idle_cpu:
+            room.add_harm(dispatcher.tails.model, step)
         room.worker.runs[run.task] = run
         placed.append((room.worker, run))
 
@@ -179,11 +214,8 @@
         return False
     if not step.max_per_worker:
         return True
-    here = sum(
-        run.job is job and run.key[:2] == key[:2]
-        for run in room.worker.runs.values()
-    )
-    return here < step.max_per_worker
+    step_id = (job.description.job, key[0], key[1])
+    return room.placed.get(step_id, 0) < step.max_per_worker
 
 
 def _cost(
@@ -194,11 +226,9 @@
     worker = room.worker
     capacity = worker.heartbeat.cpu_millis
     if step.uses_idle_cpu:
-        share = step.cpu_millis / capacity
-        tails = dispatcher.tails
-        if not tails.allows(worker, step.image, share, room.planned):
+        worst = room.worst_tail(dispatcher.tails.model, step)
+        if worst > tails_lib.PLACED_TAIL:
             return None
-        worst = tails.worst_tail(worker, step.image, share, room.planned)
         return (worst - room.idle_millis / capacity,)
     if step.serves:
         same = sum(
--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -95,6 +95,21 @@
     return shares
 
 
+def expected_shares(worker: workers_lib.Worker) -> dict[str, float]:
+    """Returns the share that each image beside will use at full speed.
+
+    A run that was just started has no measured use yet, and counts in full.
+    """
+    shares: dict[str, float] = {}
+    for run in worker.runs.values():
+        if not run.step.uses_idle_cpu or run.stopping:
+            continue
+        used = run.step.cpu_millis * run.throttle / 100
+        share = used / worker.heartbeat.cpu_millis
+        shares[run.step.image] = shares.get(run.step.image, 0.0) + share
+    return shares
+
+
 class TailControl:
     """Learns tails and throttles what pushes them over their targets.
 
@@ -198,40 +213,21 @@
             if (served.measure or 0.0) > RELEASE_TAIL * target:
                 return []
         for run in held:
-            share = run.step.cpu_millis / worker.heartbeat.cpu_millis
-            if self.allows(worker, run.step.image, share, {}):
+            if self._allows(worker, run):
                 return [(run, 100)]
         return []
 
-    def allows(
-        self,
-        worker: workers_lib.Worker,
-        image: str,
-        share: float,
-        planned: dict[str, float],
+    def _allows(
+        self, worker: workers_lib.Worker, run: workers_lib.LiveRun
     ) -> bool:
-        """Whether every tail on a worker stays low with more of an image."""
-        return self.worst_tail(worker, image, share, planned) <= PLACED_TAIL
-
-    def worst_tail(
-        self,
-        worker: workers_lib.Worker,
-        image: str,
-        share: float,
-        planned: dict[str, float],
-    ) -> float:
-        """Returns the highest predicted tail, as a share of its target."""
+        """Whether every tail on a worker stays low with a run at full speed."""
         shares = shares_of(worker)
-        for name, more in planned.items():
-            shares[name] = shares.get(name, 0.0) + more
-        shares[image] = shares.get(image, 0.0) + share
-        return max(
-            (
-                self.model.predict(run.step.image, shares)
-                for run in worker.runs.values()
-                if run.step.tail_target_ms
-            ),
-            default=0.0,
+        more = run.step.cpu_millis / worker.heartbeat.cpu_millis
+        shares[run.step.image] = shares.get(run.step.image, 0.0) + more
+        return all(
+            self.model.predict(served.step.image, shares) <= PLACED_TAIL
+            for served in worker.runs.values()
+            if served.step.tail_target_ms
         )
 
 
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -140,27 +140,6 @@
         """Whether every lease sent to it has ended on its own clock."""
         return self.least_clock_ms(now_ms) > self.lease_until_ms
 
-    def reserved(self) -> tuple[int, int, int]:
-        """Returns processors, memory and accelerators that runs reserve."""
-        cpu = memory = gpus = 0
-        for run in self.runs.values():
-            if not run.step.uses_idle_cpu:
-                cpu += run.step.cpu_millis
-            memory += run.step.memory_mb
-            gpus += run.step.gpus
-        return cpu, memory, gpus
-
-    def has_room(self, step: commands.StepDescription) -> bool:
-        """Whether one more task of the step fits."""
-        cpu, memory, gpus = self.reserved()
-        heartbeat = self.heartbeat
-        wanted = 0 if step.uses_idle_cpu else step.cpu_millis
-        return (
-            cpu + wanted <= heartbeat.cpu_millis
-            and memory + step.memory_mb <= heartbeat.memory_mb
-            and gpus + step.gpus <= heartbeat.gpus
-        )
-
     def is_usable(self, now_ms: int) -> bool:
         """Whether new runs may start there."""
         return (
--- a/src/galenahook/leader_client.py
+++ b/src/galenahook/leader_client.py
@@ -15,10 +15,6 @@
 STATUS_NO_QUORUM = 503
 
 
-class NoLeaderError(errors.NoQuorumError):
-    """No replica that leads was found; nothing was done."""
-
-
 class LeaderClient:
     """Sends messages to whichever replica leads.
 
@@ -87,7 +83,7 @@
             response = await self._send_once(request, left_ms)
             if response is not None:
                 return response
-        raise NoLeaderError("no leader found among the replicas")
+        raise errors.NoQuorumError("no leader found among the replicas")
 
     async def _send_once(
         self, request: web.Request, timeout_ms: int
