Learn pairs of images by a Kalman filter; throttle at the first high tail

Cause: with least mean squares every image beside a high tail was blamed in proportion to its share, known or not.

Change: independent variances for each weight, so that what is well known is hardly blamed; a sample over the target throttles at once.

--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -16,18 +16,24 @@
     from galenahook.jobs import dispatcher as dispatcher_lib
     from galenahook.jobs import link as link_lib
 
-# Rise of a tail by an image that was never seen beside it.
+# Rise of a tail by an image that was never seen beside it, and how far off
+# that may be; measured weights are near 0 or from 4 to 30.
 PRIOR_WEIGHT = 0.4
-PRIOR_BASE = 0.3
-# Step of the normalised least mean squares; samples are rough.
-LEARNING_STEP = 0.3
-BASE_STEP = 0.1
+PRIOR_VARIANCE = 30.0
+# Spread of measured tails around the model without work beside.
+NOISE_VARIANCE = 0.03
+# How fast weights may shift, for each sample of a pair.
+DRIFT_VARIANCE = 0.02
+PRIOR_BASE = 0.4
+BASE_STEP = 0.05
+# A tail this high says no more than that a weight is high.
+MAX_TAIL = 3.0
 # A share below this says nothing of an image.
-LEAST_SHARE = 0.02
+LEAST_SHARE = 0.01
 # Predicted tail, as a share of the target, up to which work is placed.
 PLACED_TAIL = 0.90
 # Time over the target after which work beside it is throttled.
-OVER_MS = 400
+OVER_MS = 0
 # Time between two changes on one worker; tails lag by half a second.
 SETTLE_MS = 600
 # Measured tail under which a throttle is taken back.
@@ -37,34 +43,43 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Base:
-    """Tail of an image without work beside it, as a share of its target."""
+class Weight:
+    """A learned weight of a pair of images.
 
-    value: float = PRIOR_BASE
+    Attributes:
+      value: Rise of the tail if the image took the whole worker.
+      variance: How uncertain the value is.
+    """
+
+    value: float = PRIOR_WEIGHT
+    variance: float = PRIOR_VARIANCE
 
 
 class TailModel:
     """Learned weights of pairs of images.
 
+    Each measured tail corrects the weights of the images beside it by a Kalman
+    filter with independent weights: what is well known is hardly blamed.
+
     Attributes:
       weights: Weight by serving image and image beside it.
-      bases: Tail of each serving image by itself.
+      bases: Tail of each serving image by itself, as a share of its target.
     """
 
     __slots__ = ("bases", "weights")
 
     def __init__(self) -> None:
-        self.weights: dict[tuple[str, str], float] = {}
-        self.bases: dict[str, _Base] = {}
+        self.weights: dict[tuple[str, str], Weight] = {}
+        self.bases: dict[str, float] = {}
 
     def weight(self, serving: str, beside: str) -> float:
         """Returns the weight of a pair."""
-        return self.weights.get((serving, beside), PRIOR_WEIGHT)
+        known = self.weights.get((serving, beside))
+        return known.value if known else PRIOR_WEIGHT
 
     def predict(self, serving: str, shares: dict[str, float]) -> float:
         """Returns the tail expected, as a share of the target."""
-        base = self.bases.get(serving)
-        value = base.value if base else PRIOR_BASE
+        value = self.bases.get(serving, PRIOR_BASE)
         return value + sum(
             self.weight(serving, image) * share
             for image, share in shares.items()
@@ -74,17 +89,25 @@
         self, serving: str, shares: dict[str, float], measured: float
     ) -> None:
         """Corrects the weights by one measured tail."""
-        base = self.bases.setdefault(serving, _Base())
+        measured = min(measured, MAX_TAIL)
         error = measured - self.predict(serving, shares)
-        norm = sum(share * share for share in shares.values())
-        if norm < LEAST_SHARE * LEAST_SHARE:
-            base.value += BASE_STEP * error
+        beside = [
+            (self.weights.setdefault((serving, image), Weight()), share)
+            for image, share in shares.items()
+            if share >= LEAST_SHARE
+        ]
+        base = self.bases.get(serving, PRIOR_BASE)
+        if not beside:
+            self.bases[serving] = base + BASE_STEP * error
             return
-        base.value = max(0.05, base.value + BASE_STEP * 0.2 * error)
-        for image, share in shares.items():
-            step = LEARNING_STEP * error * share / (norm + 0.01)
-            weight = self.weight(serving, image) + step
-            self.weights[serving, image] = max(0.0, weight)
+        spread = NOISE_VARIANCE + sum(
+            weight.variance * share * share for weight, share in beside
+        )
+        for weight, share in beside:
+            gain = weight.variance * share / spread
+            weight.value = max(0.0, weight.value + gain * error)
+            weight.variance *= 1 - gain * share
+            weight.variance += DRIFT_VARIANCE
 
 
 def shares_of(worker: workers_lib.Worker) -> dict[str, float]:
