--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -180,10 +180,12 @@
         job = self.jobs[identifier]
         job.runs[key] = run
         job.began = True
-        if run.done:
-            step_key = key[:2]
-            job.done[step_key] = job.done.get(step_key, 0) + 1
+        if run.active or run.done:
+            job.waiting.discard(key)
         if run.active:
             job.active.add(key)
             self.open[identifier] = job
-        job.refresh_waiting()
+        if run.done:
+            job.done[key[:2]] = job.done.get(key[:2], 0) + 1
+            if job.is_step_done(*key[:2]):
+                job.refresh_waiting()
--- /dev/null
+++ b/tests/job_builders.py
@@ -0,0 +1,170 @@
+"""Builders of jobs, workers and commands on them for tests.
+
+Each returns something valid; the arguments change what a test is about.
+"""
+
+from typing import Any
+
+import msgspec
+
+from galenahook import commands
+from galenahook.jobs import calls
+from galenahook.jobs import tasks as tasks_lib
+from galenahook.jobs import workers as workers_lib
+
+JOB = "00000000000000a1"
+WALL_MS = 1_800_000_000_000
+
+
+def step(**changes: Any) -> commands.StepDescription:
+    """Builds a step of one task that reserves a core and 1,000 MB."""
+    row = commands.StepDescription(
+        tasks=1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=500
+    )
+    return msgspec.structs.replace(row, **changes)
+
+
+def serving_step(**changes: Any) -> commands.StepDescription:
+    """Builds a step of one task that serves with a tail target of 100 ms."""
+    values = {"serves": True, "image": "shop", "tail_target_ms": 100, **changes}
+    return step(**values)
+
+
+def beside_step(**changes: Any) -> commands.StepDescription:
+    """Builds a step of one task that uses idle processors."""
+    return step(**{"uses_idle_cpu": True, "image": "batch", **changes})
+
+
+def description(
+    *steps: commands.StepDescription, job: str = JOB, **changes: Any
+) -> commands.JobDescription:
+    """Builds a job of one step, or of the steps given."""
+    row = commands.JobDescription(
+        job=job,
+        queue="quotes",
+        service="desk",
+        spec="spec",
+        steps=steps or (step(),),
+        max_attempts=2,
+        stretch=2.0,
+        objective_ms=250,
+    )
+    return msgspec.structs.replace(row, **changes)
+
+
+def job(*steps: commands.StepDescription, **changes: Any) -> tasks_lib.Job:
+    """Builds a stored job."""
+    return tasks_lib.Job(
+        tasks_lib.JobRecord(
+            description=description(*steps, **changes), submitted_ms=WALL_MS
+        )
+    )
+
+
+def submit(
+    *steps: commands.StepDescription, **changes: Any
+) -> commands.SubmitJob:
+    """Builds the command that stores a job."""
+    return commands.SubmitJob(
+        description=description(*steps, **changes), at_ms=WALL_MS
+    )
+
+
+def start(task: str, run: int = 1, worker: str = "w1") -> commands.RunStart:
+    """Builds a start on a worker."""
+    return commands.RunStart(task=task, run=run, worker=worker, born_ms=1)
+
+
+def end(
+    task: str, run: int = 1, outcome: str = "done", checkpoint: str = ""
+) -> commands.RunEnd:
+    """Builds an end."""
+    return commands.RunEnd(
+        task=task, run=run, outcome=outcome, checkpoint=checkpoint
+    )
+
+
+def starts(*items: commands.RunStart) -> commands.RecordRuns:
+    """Builds the command that records starts."""
+    return commands.RecordRuns(starts=items, at_ms=WALL_MS)
+
+
+def ends(*items: commands.RunEnd) -> commands.RecordRuns:
+    """Builds the command that records ends."""
+    return commands.RecordRuns(ends=items, at_ms=WALL_MS + 1)
+
+
+def heartbeat(worker: str = "w1", **changes: Any) -> calls.WorkerHeartbeat:
+    """Builds the heartbeat of a worker with 8 cores and 32,000 MB."""
+    beat = calls.WorkerHeartbeat(
+        worker=worker,
+        born_ms=1,
+        machine=f"m-{worker}",
+        address="127.0.0.1:9",
+        availability_zone="zone-a",
+        service="desk",
+        draining=False,
+        drain_remaining_ms=0,
+        sequence=1,
+        clock_ms=10_000,
+        cpu_millis=8_000,
+        memory_mb=32_000,
+        gpus=0,
+        labels=("a", "r1"),
+    )
+    return msgspec.structs.replace(beat, **changes)
+
+
+def worker(
+    name: str = "w1", now_ms: int = 0, **changes: Any
+) -> workers_lib.Worker:
+    """Builds a worker that has just answered a look."""
+    built = workers_lib.Worker(heartbeat(name, **changes), now_ms)
+    built.looked = True
+    built.heard_ms = now_ms
+    return built
+
+
+def live_run(
+    owner: tasks_lib.Job, index: int = 0, step_index: int = 0, **changes: Any
+) -> workers_lib.LiveRun:
+    """Builds a run of a job's task that was ordered and confirmed."""
+    key = (0, step_index, index)
+    values: dict[str, Any] = {"ordered_ms": 1, "confirmed_ms": 2, "seen": True}
+    values.update(changes)
+    return workers_lib.LiveRun(
+        task=tasks_lib.task_name(owner.description.job, key),
+        run=1,
+        job=owner,
+        key=key,
+        step=owner.step(key),
+        **values,
+    )
+
+
+def queue(name: str = "quotes", **changes: Any) -> commands.QueueRow:
+    """Builds a queue under `/quotes/` of the host `desk.example`."""
+    row = commands.QueueRow(
+        name=name,
+        host="desk.example",
+        path_prefix="/quotes/",
+        service="desk",
+        timeout_ms=3_000,
+        max_attempts=2,
+        stretch=2.0,
+        objective_ms=250,
+    )
+    return msgspec.structs.replace(row, **changes)
+
+
+def put_site(
+    version: int = 1, queues: tuple[commands.QueueRow, ...] | None = None
+) -> commands.PutSite:
+    """Builds the command that puts a configuration."""
+    return commands.PutSite(
+        version=version,
+        document=f'{{"version":{version}}}',
+        queues=(queue(),) if queues is None else queues,
+        services=(commands.ServicePool(name="desk"),),
+        at_ms=WALL_MS,
+    )
--- /dev/null
+++ b/tests/test_jobs_placement.py
@@ -0,0 +1,133 @@
+"""Where waiting tasks go, and where they must not."""
+
+import types
+
+import pytest
+
+import job_builders as build
+from galenahook.jobs import placement
+from galenahook.jobs import table as table_lib
+from galenahook.jobs import tails as tails_lib
+
+
+class FakeClock:
+    """A clock that stands still."""
+
+    def wall_ms(self):
+        return build.WALL_MS
+
+
+def dispatcher_of(workers, *submits, zones_out=()):
+    """Returns what placement reads of a dispatcher."""
+    table = table_lib.JobTable()
+    for command in submits:
+        table.submit(command)
+    current = types.SimpleNamespace(zones_out=zones_out)
+    state = types.SimpleNamespace(site=types.SimpleNamespace(current=current))
+    return types.SimpleNamespace(
+        clock=FakeClock(),
+        table=table,
+        now_ms=lambda: 0,
+        node=types.SimpleNamespace(state=state),
+        links={w.name: types.SimpleNamespace(worker=w) for w in workers},
+        tails=tails_lib.TailControl(),
+    )
+
+
+def places(dispatcher, limit=100):
+    return [
+        (worker.name, run.task.split(".", 1)[1])
+        for worker, run in placement.place(dispatcher, limit)
+    ]
+
+
+def test_a_worker_is_never_given_more_than_it_holds():
+    wanted = build.submit(build.step(tasks=20, cpu_millis=3_000))
+    placed = places(dispatcher_of([build.worker()], wanted))
+    assert len(placed) == 2
+
+
+def test_memory_of_work_on_idle_processors_counts():
+    wanted = build.submit(
+        build.beside_step(tasks=20, cpu_millis=100, memory_mb=10_000)
+    )
+    placed = places(dispatcher_of([build.worker()], wanted))
+    assert len(placed) == 3
+
+
+def test_a_stopping_run_still_counts():
+    worker = build.worker()
+    held = build.live_run(
+        build.job(build.step(cpu_millis=6_000), job="00000000000000d0"),
+        stopping=True,
+    )
+    worker.runs[held.task] = held
+    wanted = build.submit(build.step(tasks=9, cpu_millis=1_000))
+    assert len(places(dispatcher_of([worker], wanted))) == 2
+
+
+@pytest.mark.parametrize(
+    ("worker", "zones_out"),
+    [
+        ({"draining": True}, ()),
+        ({"service": "else"}, ()),
+        ({"labels": ("b", "r1")}, ()),
+        ({}, ("zone-a",)),
+    ],
+)
+def test_nothing_starts_where_it_may_not(worker, zones_out):
+    wanted = build.submit(build.step(required_label="a"))
+    workers = [build.worker(**worker)]
+    assert places(dispatcher_of(workers, wanted, zones_out=zones_out)) == []
+
+
+def test_tasks_of_a_step_keep_apart():
+    workers = [build.worker("w1"), build.worker("w2")]
+    wanted = build.submit(build.step(tasks=6, max_per_worker=2))
+    placed = places(dispatcher_of(workers, wanted))
+    assert sorted(name for name, _ in placed) == ["w1", "w1", "w2", "w2"]
+
+
+def test_work_that_serves_goes_before_other_work():
+    wanted = (
+        build.submit(build.step(cpu_millis=6_000), job="00000000000000e0"),
+        build.submit(
+            build.serving_step(cpu_millis=6_000),
+            job="00000000000000e1",
+            priority=5,
+        ),
+    )
+    dispatcher = dispatcher_of([build.worker()], *wanted)
+    placed = placement.place(dispatcher, 100)
+    assert [run.job.description.job for _, run in placed] == [
+        "00000000000000e1"
+    ]
+
+
+def test_work_beside_goes_where_it_harms_nothing():
+    workers = []
+    for name, image in (("w1", "shop"), ("w2", "till")):
+        worker = build.worker(name)
+        job = build.job(
+            build.serving_step(image=image), job=f"00000000000000{name}"
+        )
+        run = build.live_run(job, percent=100, measure=40.0)
+        worker.runs[run.task] = run
+        workers.append(worker)
+    dispatcher = dispatcher_of(
+        workers, build.submit(build.beside_step(tasks=2))
+    )
+    for _ in range(20):
+        dispatcher.tails.model.learn("shop", {"batch": 0.1}, 2.0)
+        dispatcher.tails.model.learn("till", {"batch": 0.1}, 0.4)
+    assert {name for name, _ in places(dispatcher)} == {"w2"}
+
+
+def test_a_timed_occurrence_waits_until_it_is_due():
+    wanted = build.submit(
+        occurrences=3,
+        first_start_ms=build.WALL_MS - 10,
+        interval_ms=10,
+    )
+    placed = places(dispatcher_of([build.worker()], wanted))
+    assert [task for _, task in placed] == ["0.0.0", "1.0.0"]
--- /dev/null
+++ b/tests/test_jobs_table.py
@@ -0,0 +1,147 @@
+"""The replicated table of jobs: what each command does, and what it ignores."""
+
+import pytest
+
+import job_builders as build
+from galenahook import state as state_lib
+from galenahook.jobs import table as table_lib
+from galenahook.jobs import tasks as tasks_lib
+
+FIRST = f"{build.JOB}.0.0.0"
+SECOND = f"{build.JOB}.0.1.0"
+
+
+@pytest.fixture
+def table():
+    return table_lib.JobTable()
+
+
+def the_job(table):
+    return table.jobs[build.JOB]
+
+
+def test_a_job_is_stored_once(table):
+    table.submit(build.submit())
+    table.record(build.starts(build.start(FIRST)))
+    table.submit(build.submit(build.step(tasks=9)))
+    assert the_job(table).description.steps[0].tasks == 1
+    assert the_job(table).state() == "running"
+
+
+def test_a_step_waits_until_every_task_before_it_is_done(table):
+    table.submit(build.submit(build.step(tasks=2), build.step(after=(0,))))
+    other = f"{build.JOB}.0.0.1"
+    table.record(build.starts(build.start(FIRST), build.start(other)))
+    table.record(build.ends(build.end(FIRST)))
+    assert the_job(table).waiting == set()
+    table.record(build.ends(build.end(other)))
+    assert the_job(table).waiting == {(0, 1, 0)}
+
+
+def test_a_job_completes_with_its_last_task(table):
+    table.submit(build.submit(build.step(), build.step(after=(0,))))
+    for task in (FIRST, SECOND):
+        assert the_job(table).state() != "completed"
+        table.record(build.starts(build.start(task)))
+        table.record(build.ends(build.end(task)))
+    assert the_job(table).state() == "completed"
+    assert table.open == {}
+
+
+def test_a_start_is_refused_while_a_run_may_be_active(table):
+    table.submit(build.submit())
+    table.record(build.starts(build.start(FIRST)))
+    result = table.record(build.starts(build.start(FIRST, run=2, worker="w2")))
+    assert result.applied == (False,)
+    assert the_job(table).runs[0, 0, 0].worker == "w1"
+
+
+def test_an_end_of_an_earlier_run_changes_nothing(table):
+    table.submit(build.submit())
+    table.record(build.starts(build.start(FIRST)))
+    table.record(build.ends(build.end(FIRST, outcome="gone")))
+    table.record(build.starts(build.start(FIRST, run=2, worker="w2")))
+    table.record(build.ends(build.end(FIRST, run=1)))
+    assert the_job(table).state() == "running"
+    assert the_job(table).active == {(0, 0, 0)}
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "state"),
+    [
+        (("failed",), "running"),
+        (("failed", "failed"), "failed"),
+        (("gone", "gone", "gone"), "running"),
+        (("failed", "gone", "done"), "completed"),
+    ],
+)
+def test_only_failed_runs_count_as_attempts(table, outcomes, state):
+    table.submit(build.submit())
+    for run, outcome in enumerate(outcomes, 1):
+        table.record(build.starts(build.start(FIRST, run=run)))
+        table.record(build.ends(build.end(FIRST, run=run, outcome=outcome)))
+    assert the_job(table).state() == state
+
+
+@pytest.mark.parametrize("outcome", ["done", "failed", "gone"])
+def test_a_task_that_serves_waits_again_however_it_ended(table, outcome):
+    table.submit(build.submit(build.serving_step()))
+    for run in range(1, 5):
+        table.record(build.starts(build.start(FIRST, run=run)))
+        table.record(build.ends(build.end(FIRST, run=run, outcome=outcome)))
+    assert the_job(table).state() == "running"
+    assert the_job(table).waiting == {(0, 0, 0)}
+
+
+def test_a_cancelled_job_stays_open_until_its_runs_have_ended(table):
+    table.submit(build.submit())
+    table.record(build.starts(build.start(FIRST)))
+    table.cancel(build.commands.CancelJob(job=build.JOB, at_ms=1))
+    assert the_job(table).state() == "cancelled"
+    assert build.JOB in table.open
+    table.record(build.ends(build.end(FIRST)))
+    assert the_job(table).state() == "cancelled"
+    assert table.open == {}
+
+
+def test_a_checkpoint_is_kept_until_a_newer_one(table):
+    table.submit(build.submit())
+    for run, checkpoint in enumerate(("c1", "", "c3"), 1):
+        table.record(build.starts(build.start(FIRST, run=run)))
+        end = build.end(FIRST, run, "gone", checkpoint)
+        table.record(build.ends(end))
+    assert the_job(table).runs[0, 0, 0].checkpoint == "c3"
+    assert the_job(table).runs[0, 0, 0].run == 3
+
+
+def test_a_snapshot_brings_back_what_waits_and_what_is_active():
+    state = state_lib.State()
+    steps = (build.step(tasks=3), build.step(after=(0,)))
+    state.apply(build.submit(*steps))
+    state.apply(
+        build.starts(*(build.start(f"{build.JOB}.0.0.{i}") for i in range(2)))
+    )
+    state.apply(build.ends(build.end(FIRST)))
+    state.apply(build.put_site(version=7))
+    restored = state_lib.State()
+    restored.restore(
+        state_lib.decode_record(state_lib.encode_record(record))
+        for record in state.snapshot_records()
+    )
+    before, after = state.jobs.jobs[build.JOB], restored.jobs.jobs[build.JOB]
+    assert after.waiting == before.waiting == {(0, 0, 2)}
+    assert after.active == before.active == {(0, 0, 1)}
+    assert after.done == before.done
+    assert restored.site.current == state.site.current
+    assert restored.site.find_queue("desk.example", "/quotes/x") is not None
+
+
+def test_occurrences_are_tasks_of_their_own(table):
+    table.submit(build.submit(occurrences=2, first_start_ms=5, interval_ms=5))
+    assert the_job(table).waiting == {(0, 0, 0), (1, 0, 0)}
+    for occurrence in range(2):
+        task = f"{build.JOB}.{occurrence}.0.0"
+        assert the_job(table).record.outcome is tasks_lib.Outcome.NONE
+        table.record(build.starts(build.start(task)))
+        table.record(build.ends(build.end(task)))
+    assert the_job(table).state() == "completed"
