Let the lease of a silent worker end; play the whole path in tests

Cause: each look carried a longer lease, also to a worker that did not answer, so the end of its lease moved on for good and its work was never started again. Found by the new test of a silent worker over loopback (no restart within 15 s).

Change: while a worker is silent, looks quote the lease that it may already have. An emulated worker of the platform in bench/fakes and six tests through real replicas, an entry and workers. SIGHUP reads the seeds again.

--- /dev/null
+++ b/bench/fakes/platform_worker.py
@@ -0,0 +1,197 @@
+"""A worker of the platform, in its published protocol, over loopback.
+
+It runs tasks as timers, keeps leases on its own clock and lists ends until
+they are acknowledged. A test tells it to lose answers or to end.
+"""
+
+import dataclasses
+import json
+import time
+from typing import Any
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import web
+
+_PERIOD_MS = 10
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """A run that is at work.
+
+    Attributes:
+      run: Number of the run.
+      left_ms: Work left; below 0 for a task that runs on.
+      total_ms: Work in all.
+    """
+
+    run: int
+    left_ms: float
+    total_ms: float
+
+
+class PlatformWorker:
+    """One incarnation of a worker.
+
+    Attributes:
+      running: Runs by task.
+      finished: Rows of ends that are not acknowledged.
+      highest: Highest run stopped or ended, by task.
+      started: Every start carried out, as task and run.
+      refuse_starts: Reason to refuse each start; empty for none.
+      lose_answers: Whether orders are carried out without an answer.
+    """
+
+    def __init__(
+        self, name: str, service: str = "desk", zone: str = "zone-a"
+    ) -> None:
+        self.name = name
+        self.born_ms = time.time_ns() // 1_000_000
+        self.service = service
+        self.zone = zone
+        self.running: dict[str, Task] = {}
+        self.finished: list[list[Any]] = []
+        self.highest: dict[str, int] = {}
+        self.started: list[tuple[str, int]] = []
+        self.refuse_starts = ""
+        self.lose_answers = False
+        self.state = "ready"
+        self._work_ms: dict[str, float] = {}
+        self._ends = 0
+        self._term = 0
+        self._sequence = 0
+        self._deadline_ms = 0
+        self._clock = clock_lib.Clock()
+        self._server = web.Server(
+            web.listen("127.0.0.1:0"), self.handle, web.CONTROL_LIMITS
+        )
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return self._server.address
+
+    def clock_ms(self) -> int:
+        """Returns its steady clock."""
+        return self._clock.monotonic_ms()
+
+    async def run(self, controls: list[str]) -> None:
+        """Serves, works and sends heartbeats until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._server.run)
+            await group.spawn(self._work)
+            await group.spawn(self._beat, controls)
+
+    async def _beat(self, controls: list[str]) -> None:
+        client = web.ControlClient(self._clock, [])
+        while True:
+            for control in controls:
+                if await self._beat_once(client, control):
+                    break
+            await curio.sleep(0.2)
+
+    async def _beat_once(self, client: web.ControlClient, control: str) -> bool:
+        self._sequence += 1
+        body = {
+            "backend": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "state": self.state,
+            "seq": self._sequence,
+            "capacity": {"cpu": 8000, "mem_mb": 32000, "gpu": 0},
+            "labels": ["a", "r1"],
+            "machine": f"m-{self.name}",
+            "born": self.born_ms,
+            "clock_ms": self.clock_ms(),
+            "drain_remaining_ms": 1000,
+        }
+        target = f"/galenahook/instances/{self.name}/heartbeat"
+        try:
+            response = await client.post(control, target, body, 900)
+        except Exception:  # Another control address is tried.
+            return False
+        return response.status == 200
+
+    async def _work(self) -> None:
+        while True:
+            await curio.sleep(_PERIOD_MS / 1000)
+            is_lapsed = self.clock_ms() > self._deadline_ms
+            for name, task in list(self.running.items()):
+                if is_lapsed:
+                    self._end(name, "lapsed")
+                elif task.left_ms >= 0:
+                    task.left_ms -= _PERIOD_MS
+                    if task.left_ms <= 0:
+                        self._end(name, "done")
+
+    def _end(self, name: str, how: str) -> None:
+        task = self.running.pop(name)
+        self._ends += 1
+        self.highest[name] = max(self.highest.get(name, 0), task.run)
+        self.finished.append([self._ends, name, task.run, how, ""])
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers one order."""
+        if request.header(b"x-expect-instance").decode() != self.name:
+            return web.refusal(421, "another instance")
+        body = json.loads(request.body)
+        if body.get("fencing_token", 0) < self._term:
+            return self._refuse("fence")
+        self._term = body["fencing_token"]
+        match request.target.rpartition("/")[2]:
+            case "run-start":
+                response = self._start(body)
+            case "run-stop":
+                response = self._stop(body)
+            case "hold":
+                return await self._hold(body)
+            case _:
+                response = self._answer()
+        if self.lose_answers:
+            await curio.sleep(3_600)
+        return response
+
+    def _answer(self, **fields: Any) -> web.Response:
+        return web.json_response({"clock_ms": self.clock_ms(), **fields})
+
+    def _refuse(self, reason: str) -> web.Response:
+        body = {"clock_ms": self.clock_ms(), "reason": reason}
+        return web.json_response(body, 409)
+
+    def _start(self, body: dict[str, Any]) -> web.Response:
+        name, run = body["task"], body["run"]
+        self._deadline_ms = max(self._deadline_ms, body["deadline_ms"])
+        if self.refuse_starts:
+            return self._refuse(self.refuse_starts)
+        if run <= self.highest.get(name, 0):
+            return self._refuse("old")
+        if name not in self.running:
+            work_ms = float(body["spec"])
+            self.running[name] = Task(run, work_ms, work_ms)
+            self.started.append((name, run))
+        return self._answer()
+
+    def _stop(self, body: dict[str, Any]) -> web.Response:
+        name, run = body["task"], body["run"]
+        self.highest[name] = max(self.highest.get(name, 0), run)
+        if name in self.running and self.running[name].run <= run:
+            self._end(name, "stopped")
+        return self._answer()
+
+    async def _hold(self, body: dict[str, Any]) -> web.Response:
+        deadline_ms = body.get("deadline_ms", 0)
+        self._deadline_ms = max(self._deadline_ms, deadline_ms)
+        acknowledged = body["ack_cursor"]
+        self.finished = [r for r in self.finished if r[0] > acknowledged]
+        until_ms = self.clock_ms() + body.get("wait_ms", 0)
+        while not self.finished and self.clock_ms() < until_ms:
+            await curio.sleep(_PERIOD_MS / 1000)
+        running = [
+            [name, task.run, "", 100 if task.left_ms < 0 else 50, None]
+            for name, task in self.running.items()
+        ]
+        return self._answer(
+            born=self.born_ms, running=running, finished=self.finished[:500]
+        )
--- a/src/galenahook/job_entry.py
+++ b/src/galenahook/job_entry.py
@@ -30,10 +30,14 @@
     """
 
     def __init__(
-        self, settings: settings_lib.JobEntrySettings, clock: clock_lib.Clock
+        self,
+        settings: settings_lib.JobEntrySettings,
+        clock: clock_lib.Clock,
+        read: gateway_lib.SettingsReader,
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self._read = read
         self.draining = False
         self.client = web.ControlClient(clock, [])
         self.gateway = gateway_lib.Gateway(
@@ -61,6 +65,10 @@
             return False
         return self.clock.monotonic_ms() - polled_ms < READY_GRACE_MS
 
+    def reload(self) -> None:
+        """Reads the settings again; only the seeds may change."""
+        gateway_lib.reload_seeds(self.gateway, self._read)
+
     async def run(self, stop: curio.Event) -> None:
         """Runs until `stop` is set, then finishes what is in flight."""
         parts = process.Parts(stop)
@@ -70,9 +78,11 @@
             self.gateway.follow,
         )
         logs.info("entry:started", name=self.settings.name)
-        await stop.wait()
-        await self._drain()
-        await parts.cancel()
+        try:
+            await stop.wait()
+            await self._drain()
+        finally:
+            await parts.cancel()
         await self.client.close()
         logs.info("entry:stopped", name=self.settings.name)
 
@@ -90,7 +100,9 @@
             await curio.sleep(clock_lib.seconds(_DRAIN_POLL_MS))
 
 
-def run(settings: settings_lib.JobEntrySettings) -> None:
+def run(
+    settings: settings_lib.JobEntrySettings, read: gateway_lib.SettingsReader
+) -> None:
     """Runs an entry of jobs until SIGTERM or SIGINT."""
     logs.start(settings.name, logs.STANDARD_OUTPUT)
-    process.run_until_signal(JobEntry(settings, clock_lib.Clock()))
+    process.run_until_signal(JobEntry(settings, clock_lib.Clock(), read))
--- a/src/galenahook/job_replica.py
+++ b/src/galenahook/job_replica.py
@@ -31,10 +31,14 @@
     """
 
     def __init__(
-        self, settings: settings_lib.JobReplicaSettings, clock: clock_lib.Clock
+        self,
+        settings: settings_lib.JobReplicaSettings,
+        clock: clock_lib.Clock,
+        read: gateway_lib.SettingsReader,
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self._read = read
         self.client = web.ControlClient(clock, [])
         consensus = settings.replica()
         self.node = node_lib.Node(consensus, self.client, clock)
@@ -52,6 +56,10 @@
             web.CONTROL_LIMITS,
         )
 
+    def reload(self) -> None:
+        """Reads the settings again; only the seeds may change."""
+        gateway_lib.reload_seeds(self.gateway, self._read)
+
     async def run(self, stop: curio.Event) -> None:
         """Runs until `stop` is set, then hands over and returns.
 
@@ -73,9 +81,11 @@
             term=self.node.term(),
             applied=self.node.core.applied_index,
         )
-        await stop.wait()
-        await self.node.stop()
-        await parts.cancel()
+        try:
+            await stop.wait()
+            await self.node.stop()
+        finally:
+            await parts.cancel()
         await self.client.close()
         logs.info("replica:stopped", name=self.settings.name)
 
@@ -152,11 +162,13 @@
         )
 
 
-def run(settings: settings_lib.JobReplicaSettings) -> None:
+def run(
+    settings: settings_lib.JobReplicaSettings, read: gateway_lib.SettingsReader
+) -> None:
     """Runs a replica of jobs until SIGTERM or SIGINT.
 
     Raises:
       errors.StorageError: The data folder can't be used.
     """
     logs.start(settings.name, logs.STANDARD_OUTPUT)
-    process.run_until_signal(JobReplica(settings, clock_lib.Clock()))
+    process.run_until_signal(JobReplica(settings, clock_lib.Clock(), read))
--- a/src/galenahook/jobs/gateway.py
+++ b/src/galenahook/jobs/gateway.py
@@ -5,17 +5,27 @@
 whose answer was lost is sent again.
 """
 
+from collections.abc import Callable
+from typing import Any
+
 import curio
+import expression
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import findings as findings_lib
 from galenahook import leader_client
 from galenahook import logs
 from galenahook import messages
+from galenahook import settings as settings_lib
 from galenahook import web
 from galenahook.jobs import calls
 from galenahook.replicas import notify
 
+SettingsReader = Callable[
+    [], expression.Result[Any, list[findings_lib.Finding]]
+]
+
 JOBS_TARGET = "/v1/jobs/call"
 # Longest wait for the leader's answer before the leader is looked for again.
 ATTEMPT_MS = 900
@@ -172,3 +182,22 @@
         self.replicas.clear()
         self.replicas.update(replicas)
         self.replicas.setdefault(leader, address)
+
+
+def reload_seeds(gateway: Gateway, read: SettingsReader) -> None:
+    """Adds the seeds of settings that may have changed; faulty ones stay out.
+
+    Args:
+      gateway: Looks for the leader among the seeds, too.
+      read: Reads the settings file again.
+    """
+    result = read()
+    if result.is_error():
+        logs.error(
+            "settings:invalid", findings=[str(item) for item in result.error]
+        )
+        return
+    settings = result.ok
+    seeds = settings_lib.peer_addresses(settings.seeds, settings.peer_port)
+    gateway.replicas.update(seeds)
+    logs.info("settings:reloaded", seeds=sorted(seeds))
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -54,6 +54,7 @@
         self.lease_ms = lease_ms
         self.recorded_end = 0
         self._site = site
+        self._is_silent = False
         self._strays: set[tuple[str, int]] = set()
         self._committed = notify.Signal()
 
@@ -80,7 +81,7 @@
             lists = await self.client.look(
                 self._site.term,
                 worker.acknowledged,
-                worker.next_lease_ms(sent_ms, self.lease_ms),
+                self._next_lease_ms(sent_ms),
                 LOOK_WAIT_MS,
             )
         except worker_api.DeposedError:
@@ -89,13 +90,26 @@
         except worker_api.ReplacedError:
             return False
         except errors.ExchangeError as error:
+            self._is_silent = True
             self._note_silence(str(error))
             return False
+        self._is_silent = False
         if lists.born_ms not in (0, worker.heartbeat.born_ms):
             return False
         await self._take(lists, sent_ms)
         return True
 
+    def _next_lease_ms(self, now_ms: int) -> int:
+        """Returns the end of the lease to send with a look.
+
+        A worker that did not answer may have taken the lease. While it is
+        silent the lease is not extended, so that it ends.
+        """
+        worker = self.worker
+        if self._is_silent and worker.lease_until_ms:
+            return worker.lease_until_ms
+        return worker.next_lease_ms(now_ms, self.lease_ms)
+
     def _note_silence(self, reason: str) -> None:
         worker = self.worker
         silent_ms = self._site.now_ms() - worker.heard_ms
--- a/src/galenahook/operators/daemons.py
+++ b/src/galenahook/operators/daemons.py
@@ -28,6 +28,12 @@
     settings_lib.ReplicaSettings: (settings_lib.JobReplicaSettings,),
 }
 
+# Settings whose daemons read them again at SIGHUP.
+_RELOADED_TYPES = (
+    settings_lib.JobEntrySettings,
+    settings_lib.JobReplicaSettings,
+)
+
 
 def load_settings(path: str, settings_type: Any) -> settings_lib.Settings:
     """Loads settings, of either role if no type is given.
@@ -60,7 +66,11 @@
     settings = load_settings(path, settings_type)
     # A role's modules are loaded only by its own process.
     role = _ROLES[type(settings)]
-    importlib.import_module(f"galenahook.{role}").run(settings)
+    module = importlib.import_module(f"galenahook.{role}")
+    if settings_type in _RELOADED_TYPES:
+        module.run(settings, lambda: settings_files.load(path, settings_type))
+    else:
+        module.run(settings)
 
 
 def run_local(
--- a/src/galenahook/process.py
+++ b/src/galenahook/process.py
@@ -67,6 +67,8 @@
 def run_until_signal(process: Process) -> None:
     """Runs a daemon until SIGTERM or SIGINT.
 
+    A daemon with a method `reload` has it called at each SIGHUP.
+
     An exception of the daemon is raised again here.
     """
     curio.run(_run_with_watcher, process)
@@ -74,13 +76,16 @@
 
 async def _run_with_watcher(process: Process) -> None:
     stop = curio.Event()
-    watcher = await curio.spawn(_set_on_signal, stop, daemon=True)
+    reload = getattr(process, "reload", None)
+    watcher = await curio.spawn(_set_on_signal, stop, reload, daemon=True)
     try:
         await process.run(stop)
     finally:
         await watcher.cancel()
 
 
-async def _set_on_signal(stop: curio.Event) -> None:
-    await signals.wait_for_stop()
+async def _set_on_signal(
+    stop: curio.Event, reload: Callable[[], None] | None
+) -> None:
+    await signals.wait_for_stop(reload)
     await stop.set()
--- a/tests/test_jobs_gateway.py
+++ b/tests/test_jobs_gateway.py
@@ -26,7 +26,7 @@
         self.sent = []
         self.silent = set()
 
-    async def send(self, address, request, timeout_ms):
+    async def send(self, address, request, _timeout_ms):
         call = messages.decode(request.body, calls.JobCall)
         self.sent.append((address, call))
         await curio.sleep(0.001)
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -3,10 +3,10 @@
 import curio
 import pytest
 
-import job_builders as build
 from galenahook import errors
 from galenahook.jobs import link as link_lib
 from galenahook.jobs import worker_api
+import job_builders as build
 
 
 class FakeWorker(worker_api.WorkerClient):
@@ -24,17 +24,19 @@
         self.stop_answer = True
         self.stopped = []
         self.started = []
+        self.leases = []
         self.acknowledged = []
 
     async def start(self, order):
         self.started.append(order)
         return self.start_answer
 
-    async def stop(self, task, run, term):
+    async def stop(self, task, run, _term):
         self.stopped.append((task, run))
         return self.stop_answer
 
-    async def look(self, term, acknowledged, lease_until_ms, wait_ms):
+    async def look(self, _term, acknowledged, lease_until_ms, _wait_ms):
+        self.leases.append(lease_until_ms)
         self.acknowledged.append(acknowledged)
         await curio.sleep(0.005)
         answer = self.looks.pop(0) if len(self.looks) > 1 else self.looks[0]
@@ -42,7 +44,7 @@
             raise answer
         return answer
 
-    async def throttle(self, task, run, percent, term):
+    async def throttle(self, *_):
         return True
 
     async def close(self):
@@ -69,19 +71,19 @@
     async def spawn(self, function, *arguments):
         await curio.spawn(function, *arguments, daemon=True)
 
-    async def depose(self, worker):
+    async def depose(self, _worker):
         self.acting = False
 
     async def record_ends(self, ends):
         self.ends += ends
 
-    def observe(self, worker):
+    def observe(self, _worker):
         pass
 
-    def note_end(self, worker, run, outcome):
+    def note_end(self, *_):
         pass
 
-    def note_refusal(self, worker, run, answer, reason):
+    def note_refusal(self, _worker, run, answer, _reason):
         self.refusals.append((run.task, answer))
 
 
@@ -274,3 +276,12 @@
     look_once(link)
     assert live.task in link.worker.runs
     assert site.ends == []
+
+
+def test_the_lease_of_a_silent_worker_is_not_extended():
+    silence = errors.ExchangeError("silent", sent=True)
+    link, client, _, _ = link_to(silence, silence, silence, lists(), lists())
+    for _ in range(5):
+        look_once(link)
+    first, second, third, fourth, fifth = client.leases
+    assert first == second == third == fourth < fifth
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-import job_builders as build
 from galenahook.jobs import placement
 from galenahook.jobs import table as table_lib
 from galenahook.jobs import tails as tails_lib
+import job_builders as build
 
 
 class FakeClock:
--- a/tests/test_jobs_site.py
+++ b/tests/test_jobs_site.py
@@ -1,8 +1,8 @@
 """The site's configuration: versions, queues and availability zones."""
 
-import job_builders as build
 from galenahook import commands
 from galenahook.jobs import site as site_lib
+import job_builders as build
 
 
 def test_the_highest_version_stays_in_force():
--- a/tests/test_jobs_table.py
+++ b/tests/test_jobs_table.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-import job_builders as build
 from galenahook import state as state_lib
 from galenahook.jobs import table as table_lib
 from galenahook.jobs import tasks as tasks_lib
+import job_builders as build
 
 FIRST = f"{build.JOB}.0.0.0"
 SECOND = f"{build.JOB}.0.1.0"
--- a/tests/test_jobs_tails.py
+++ b/tests/test_jobs_tails.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-import job_builders as build
 from galenahook.jobs import tails as tails_lib
+import job_builders as build
 
 
 class FakeLink:
--- /dev/null
+++ b/tests/test_jobs_whole_path.py
@@ -0,0 +1,312 @@
+"""Jobs through real replicas, an entry and workers, over loopback."""
+
+import contextlib
+import json
+import socket
+
+import curio
+import pytest
+
+from fakes import platform_worker
+from galenahook import clock as clock_lib
+from galenahook import job_entry
+from galenahook import job_replica
+from galenahook import settings as settings_lib
+from galenahook import web
+
+HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+LEASE_MS = 1_500
+JOB = "00000000000000a1"
+
+
+def free_port(hosts):
+    """Returns a port that is free on every host."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((hosts[0], 0))
+            port = probe.getsockname()[1]
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for host in hosts:
+                other = stack.enter_context(socket.socket())
+                other.bind((host, port))
+            return port
+
+
+async def silent(_request):
+    """Stands in for a process that is dead behind an open connection."""
+    await curio.sleep(3_600)
+
+
+class System:
+    """Three replicas, an entry and workers in one loop.
+
+    Attributes:
+      controls: Addresses of the replicas' control listeners.
+      workers: Workers by name.
+    """
+
+    def __init__(self, folder):
+        self.clock = clock_lib.Clock()
+        self.peer_port = free_port(HOSTS)
+        control_port = free_port(HOSTS)
+        self.controls = [f"{host}:{control_port}" for host in HOSTS]
+        self.folder = folder
+        self.replicas = {}
+        self.workers = {}
+        self.client = web.ControlClient(self.clock, [])
+        self.tasks = {}
+        self.entry = None
+
+    def replica_settings(self, host, may_found=True):
+        folder = self.folder / host
+        folder.mkdir(exist_ok=True)
+        return settings_lib.JobReplicaSettings(
+            name=f"replica-{host}",
+            availability_zone="zone-a",
+            control=settings_lib.Listener(
+                listen=self.controls[HOSTS.index(host)]
+            ),
+            metrics=settings_lib.Listener(listen=f"{host}:0"),
+            host=host,
+            seeds=tuple(self.controls),
+            peer_port=self.peer_port,
+            data_folder=str(folder),
+            may_found=may_found,
+            worker_lease_ms=LEASE_MS,
+            stop_ms=2_000,
+        )
+
+    async def start_replica(self, host, may_found=True):
+        settings = self.replica_settings(host, may_found)
+        replica = job_replica.JobReplica(settings, self.clock, None)
+        self.replicas[host] = replica
+        self.tasks[host] = await curio.spawn(replica.run, curio.Event())
+
+    async def kill_replica(self, host):
+        replica = self.replicas.pop(host)
+        await self.tasks.pop(host).cancel()
+        for server in (replica.peers_server, replica.control_server):
+            server._handler = silent
+            await server.close_listener()
+
+    async def start_worker(self, name, **changes):
+        worker = platform_worker.PlatformWorker(name, **changes)
+        self.workers[name] = worker
+        self.tasks[name] = await curio.spawn(worker.run, self.controls)
+        return worker
+
+    async def start(self, workers=2):
+        for host in HOSTS:
+            await self.start_replica(host)
+        for number in range(workers):
+            await self.start_worker(f"w{number}")
+        self.entry = job_entry.JobEntry(
+            settings_lib.JobEntrySettings(
+                name="entry",
+                availability_zone="zone-a",
+                callers=settings_lib.Listener(listen="127.0.0.1:0"),
+                platform=settings_lib.Listener(listen="127.0.0.1:0"),
+                metrics=settings_lib.Listener(listen="127.0.0.1:0"),
+                seeds=tuple(self.controls),
+                peer_port=self.peer_port,
+                stop_ms=2_000,
+            ),
+            self.clock,
+            None,
+        )
+        self.tasks["entry"] = await curio.spawn(self.entry.run, curio.Event())
+        await self.until(self.put_site)
+        await self.until(self.is_ready)
+
+    async def close(self):
+        for task in self.tasks.values():
+            await task.cancel()
+
+    async def until(self, condition, timeout_s=15.0):
+        async with curio.timeout_after(timeout_s):
+            while not await condition():
+                await curio.sleep(0.03)
+
+    async def put_site(self, version=1):
+        body = {
+            "version": version,
+            "routes": [
+                {
+                    "name": "q",
+                    "host": "desk.example",
+                    "path_prefix": "/q/",
+                    "timeout_ms": 3000,
+                    "backend": "desk",
+                    "max_attempts": 2,
+                }
+            ],
+            "services": [{"name": "desk"}],
+        }
+        with contextlib.suppress(Exception):
+            response = await self.client.post(
+                self.controls[0], "/galenahook/config/put", body
+            )
+            return response.status == 200
+        return False
+
+    async def is_ready(self):
+        return self.entry.health.is_ready()
+
+    async def ask(self, method, job=JOB, body=None):
+        connection = await web.connect(self.entry.callers_server.address)
+        connection.address = "desk.example"
+        data = b"" if body is None else json.dumps(body).encode()
+        request = web.Request(method, f"/q/{job}", [], data)
+        try:
+            return await connection.exchange(request, 5_000)
+        finally:
+            await connection.close()
+
+    async def submit(self, work_ms, job=JOB, **step):
+        body = {
+            "spec": str(work_ms),
+            "steps": [{"count": 2, "cpu": 1000, "mem_mb": 10, **step}],
+        }
+        return (await self.ask("POST", job, body)).status
+
+    async def state(self, job=JOB):
+        return json.loads((await self.ask("GET", job)).body).get("state")
+
+    def leader(self):
+        for host, replica in self.replicas.items():
+            if replica.node.may_act() and replica.leader is not None:
+                return host
+        return None
+
+    def starts(self):
+        return [item for w in self.workers.values() for item in w.started]
+
+
+@pytest.fixture
+def play(tmp_path):
+    """Runs a scenario on a system that is closed in the end."""
+
+    def run(scenario):
+        async def main():
+            system = System(tmp_path)
+            try:
+                await system.start()
+                await scenario(system)
+            finally:
+                await system.close()
+
+        curio.run(main)
+
+    return run
+
+
+def is_state(system, state, job=JOB):
+    async def check():
+        return await system.state(job) == state
+
+    return check
+
+
+def test_a_job_runs_from_its_caller_to_completed(play):
+    async def scenario(system):
+        assert (await system.ask("GET")).status == 410
+        assert await system.submit(50) == 200
+        assert await system.submit(50) == 200
+        await system.until(is_state(system, "completed"))
+        assert len(system.starts()) == 2
+        pending = await system.ask("GET", job="")
+        assert json.loads(pending.body) == {"pending": 0}
+
+    play(scenario)
+
+
+def test_a_cancelled_job_stops_on_its_workers(play):
+    async def scenario(system):
+        await system.submit(-1, long_running=True)
+
+        async def runs():
+            return sum(len(w.running) for w in system.workers.values()) == 2
+
+        async def is_empty():
+            return not any(w.running for w in system.workers.values())
+
+        await system.until(runs)
+        assert (await system.ask("DELETE")).status == 200
+        await system.until(is_empty)
+        assert await system.state() == "cancelled"
+
+    play(scenario)
+
+
+def test_work_of_a_silent_worker_runs_again_after_its_lease(play):
+    async def scenario(system):
+        await system.submit(-1, long_running=True, anti_affinity=1)
+
+        async def runs_on_w0():
+            return bool(system.workers["w0"].running)
+
+        await system.until(runs_on_w0)
+        lost = system.workers["w0"]
+        lost_at_ms = system.clock.monotonic_ms()
+        lost._server._handler = silent
+        await system.tasks.pop("w0").cancel()
+        await system.start_worker("w2")
+
+        async def runs_on_w2():
+            return bool(system.workers["w2"].running)
+
+        await system.until(runs_on_w2)
+        assert system.clock.monotonic_ms() - lost_at_ms >= LEASE_MS - 600
+
+    play(scenario)
+
+
+def test_a_new_leader_takes_over_what_runs(play):
+    async def scenario(system):
+        await system.submit(-1, long_running=True)
+
+        async def runs():
+            return sum(len(w.running) for w in system.workers.values()) == 2
+
+        await system.until(runs)
+        await system.kill_replica(system.leader())
+
+        async def is_followed():
+            return system.leader() is not None and (
+                await system.state() == "running"
+            )
+
+        await system.until(is_followed)
+        await curio.sleep(LEASE_MS / 1000 + 0.5)
+        assert await runs()
+        assert len(system.starts()) == 2
+
+    play(scenario)
+
+
+def test_starts_without_answers_run_each_task_once_at_a_time(play):
+    async def scenario(system):
+        system.workers["w0"].lose_answers = True
+        await system.submit(100, anti_affinity=1)
+        await system.until(is_state(system, "completed"), 25)
+        assert len(system.starts()) == 2
+
+    play(scenario)
+
+
+def test_a_lost_disk_comes_back_and_is_admitted_by_itself(play):
+    async def scenario(system):
+        lost = next(host for host in HOSTS if host != system.leader())
+        await system.kill_replica(lost)
+        for path in (system.folder / lost).iterdir():
+            path.unlink()
+        await system.start_replica(lost, may_found=False)
+
+        async def votes():
+            return system.replicas[lost].node.core.is_voter()
+
+        await system.until(votes)
+        await system.submit(20)
+        await system.until(is_state(system, "completed"))
+
+    play(scenario)
--- a/tests/test_jobs_workers.py
+++ b/tests/test_jobs_workers.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-import job_builders as build
 from galenahook import clock as clock_lib
 from galenahook.jobs import workers as workers_lib
+import job_builders as build
 
 
 class ManualClock(clock_lib.Clock):
