--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -30,8 +30,9 @@
 MAX_TAIL = 3.0
 # A share below this says nothing of an image.
 LEAST_SHARE = 0.01
-# Predicted tail, as a share of the target, up to which work is placed.
-PLACED_TAIL = 0.90
+# Predicted tail, as a share of the target, up to which work is placed; tails
+# swing by a quarter of the target with the load of what serves.
+PLACED_TAIL = 0.75
 # Time over the target after which work beside it is throttled.
 OVER_MS = 0
 # Time between two changes on one worker; tails lag by half a second.
