Split the dispatcher's start of tasks; drop what nothing reads

Change: one way to withdraw a placement, LinkOwner instead of Site, fields that nothing read are gone.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -37,7 +37,7 @@
 ClientFactory = Callable[[calls.WorkerHeartbeat], worker_api.WorkerClient]
 
 
-class Dispatcher(link_lib.Site):
+class Dispatcher(link_lib.LinkOwner):
     """Places tasks during one term.
 
     Attributes:
@@ -140,27 +140,16 @@
         placed = placement.place(self, MAX_STARTS)
         if not placed:
             return
-        starts = tuple(
-            commands.RunStart(
-                task=run.task,
-                run=run.run,
-                worker=worker.name,
-                born_ms=worker.heartbeat.born_ms,
-            )
-            for worker, run in placed
+        command = commands.RecordRuns(
+            starts=tuple(_start_of(worker, run) for worker, run in placed),
+            at_ms=self.clock.wall_ms(),
         )
-        for worker, run in placed:
-            worker.runs[run.task] = run
         try:
-            result = await self.node.submit(
-                commands.RecordRuns(starts=starts, at_ms=self.clock.wall_ms())
-            )
-        except errors.NoQuorumError:
-            # The starts may be committed later; none was ordered.
-            await self._withdraw(placed, committed=False)
-            raise
+            result = await self.node.submit(command)
         except errors.GalenahookError:
-            await self._withdraw(placed, committed=False)
+            # The starts may yet be committed, but none was ordered.
+            for worker, run in placed:
+                self._withdraw(worker, run)
             raise
         assert isinstance(result, commands.AttemptsApplied)
         for (worker, run), applied in zip(placed, result.applied, strict=True):
@@ -169,23 +158,19 @@
                 _log_start(worker, run)
                 await self.spawn(link.start, run)
             else:
-                await self._withdraw([(worker, run)], committed=applied)
+                self._withdraw(worker, run)
         if len(placed) >= MAX_STARTS:
             await self.wake()
 
-    async def _withdraw(
-        self,
-        placed: list[tuple[workers_lib.Worker, workers_lib.LiveRun]],
-        committed: bool,
+    def _withdraw(
+        self, worker: workers_lib.Worker, run: workers_lib.LiveRun
     ) -> None:
-        """Takes back placements that were never ordered."""
-        del committed  # An end of a run that is not there changes nothing.
-        for worker, run in placed:
-            if worker.runs.get(run.task) is run:
-                del worker.runs[run.task]
-            self._ends.append(
-                commands.RunEnd(task=run.task, run=run.run, outcome="gone")
-            )
+        """Takes back a placement that was never ordered."""
+        if worker.runs.get(run.task) is run:
+            del worker.runs[run.task]
+        self._ends.append(
+            commands.RunEnd(task=run.task, run=run.run, outcome="gone")
+        )
 
     # --- Workers --------------------------------------------------------------
 
@@ -304,6 +289,17 @@
     }
 
 
+def _start_of(
+    worker: workers_lib.Worker, run: workers_lib.LiveRun
+) -> commands.RunStart:
+    return commands.RunStart(
+        task=run.task,
+        run=run.run,
+        worker=worker.name,
+        born_ms=worker.heartbeat.born_ms,
+    )
+
+
 def _log_start(worker: workers_lib.Worker, run: workers_lib.LiveRun) -> None:
     logs.info(
         "run:start",
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -45,7 +45,7 @@
         self,
         worker: workers_lib.Worker,
         client: worker_api.WorkerClient,
-        site: "Site",
+        owner: "LinkOwner",
         lease_ms: int,
     ) -> None:
         self.worker = worker
@@ -53,7 +53,7 @@
         self.ended = False
         self.lease_ms = lease_ms
         self.recorded_end = 0
-        self._site = site
+        self._owner = owner
         self._is_silent = False
         self._strays: set[tuple[str, int]] = set()
         self._committed = notify.Signal()
@@ -62,7 +62,7 @@
         """Looks at the worker until its incarnation has ended."""
         try:
             while not self.ended:
-                if not self._site.may_act() or not await self._look():
+                if not self._owner.may_act() or not await self._look():
                     await curio.sleep(clock_lib.seconds(LOOK_RETRY_MS))
         finally:
             await self.client.close()
@@ -76,16 +76,16 @@
         worker = self.worker
         if worker.acknowledged < worker.seen_end:
             await self._committed.wait(COMMIT_WAIT_MS)
-        sent_ms = self._site.now_ms()
+        sent_ms = self._owner.now_ms()
         try:
             lists = await self.client.look(
-                self._site.term,
+                self._owner.term,
                 worker.acknowledged,
                 self._next_lease_ms(sent_ms),
                 LOOK_WAIT_MS,
             )
         except worker_api.DeposedError:
-            await self._site.depose(worker)
+            await self._owner.depose(worker)
             return False
         except worker_api.ReplacedError:
             return False
@@ -112,7 +112,7 @@
 
     def _note_silence(self, reason: str) -> None:
         worker = self.worker
-        silent_ms = self._site.now_ms() - worker.heard_ms
+        silent_ms = self._owner.now_ms() - worker.heard_ms
         if worker.looked and silent_ms < workers_lib.SUSPECT_MS * 2:
             logs.warning(
                 "worker:silent",
@@ -123,21 +123,21 @@
 
     async def _take(self, lists: worker_api.Lists, sent_ms: int) -> None:
         worker = self.worker
-        now_ms = self._site.now_ms()
+        now_ms = self._owner.now_ms()
         worker.note_clock(lists.clock_ms, now_ms)
         worker.heard_ms = now_ms
         first = not worker.looked
         worker.looked = True
         ends = self._take_finished(lists.finished)
         listed = {row.task: row for row in lists.running}
-        await self._take_running(lists.running, now_ms)
+        await self._take_running(lists.running)
         if lists.complete:
             ends += self._find_absent(listed, sent_ms)
-        self._site.observe(worker)
+        self._owner.observe(worker)
         moved = self.recorded_end < worker.seen_end
         self.recorded_end = worker.seen_end
         if ends or first or moved:
-            await self._site.record_ends(ends)
+            await self._owner.record_ends(ends)
 
     def _take_finished(
         self, rows: list[worker_api.FinishedRow]
@@ -151,17 +151,12 @@
             run = worker.runs.get(row.task)
             if run is None or run.run != row.run:
                 continue
-            self._count_outcome(row, run)
+            self._owner.note_end(worker, run, row.outcome)
             ends.append(
                 self.end_run(run, row.outcome, row.checkpoint, row.detail)
             )
         return ends
 
-    def _count_outcome(
-        self, row: worker_api.FinishedRow, run: workers_lib.LiveRun
-    ) -> None:
-        self._site.note_end(self.worker, run, row.outcome)
-
     def end_run(
         self,
         run: workers_lib.LiveRun,
@@ -187,9 +182,7 @@
             checkpoint=checkpoint or run.checkpoint,
         )
 
-    async def _take_running(
-        self, rows: list[worker_api.RunningRow], now_ms: int
-    ) -> None:
+    async def _take_running(self, rows: list[worker_api.RunningRow]) -> None:
         for row in rows:
             run = self.worker.runs.get(row.task)
             if run is None or run.run != row.run:
@@ -197,8 +190,6 @@
                 continue
             run.seen = True
             run.checkpoint = row.checkpoint or run.checkpoint
-            if row.percent != run.percent or not run.moved_ms:
-                run.moved_ms = now_ms
             run.percent = row.percent
             run.measure = row.measure
 
@@ -211,13 +202,13 @@
         logs.warning(
             "run:stray", task=row.task, run=row.run, worker=self.worker.name
         )
-        await self._site.spawn(self._send_stray_stop, row.task, row.run)
+        await self._owner.spawn(self._send_stray_stop, row.task, row.run)
 
     async def _send_stray_stop(self, task: str, run: int) -> None:
         try:
-            await self.client.stop(task, run, self._site.term)
+            await self.client.stop(task, run, self._owner.term)
         except worker_api.DeposedError:
-            await self._site.depose(self.worker)
+            await self._owner.depose(self.worker)
         self._strays.discard((task, run))
 
     def _find_absent(
@@ -234,12 +225,12 @@
     async def start(self, run: workers_lib.LiveRun) -> None:
         """Orders a start whose run is committed."""
         worker = self.worker
-        now_ms = self._site.now_ms()
+        now_ms = self._owner.now_ms()
         record = run.job.runs[run.key]
         answer, reason = worker_api.StartAnswer.REFUSED, "not leading"
-        if self._site.may_act() and run.job.ended:
+        if self._owner.may_act() and run.job.ended:
             reason = "the job has ended"
-        elif self._site.may_act():
+        elif self._owner.may_act():
             answer, reason = await self.client.start(
                 worker_api.StartOrder(
                     task=run.task,
@@ -247,7 +238,7 @@
                     spec=run.job.description.spec,
                     checkpoint=record.checkpoint,
                     lease_until_ms=worker.next_lease_ms(now_ms, self.lease_ms),
-                    term=self._site.term,
+                    term=self._owner.term,
                 )
             )
         await self._take_start_answer(run, answer, reason)
@@ -260,16 +251,16 @@
     ) -> None:
         match answer:
             case worker_api.StartAnswer.RUNNING:
-                run.confirmed_ms = self._site.now_ms()
+                run.confirmed_ms = self._owner.now_ms()
             case worker_api.StartAnswer.UNKNOWN:
                 await self._resolve_start(run, reason)
             case worker_api.StartAnswer.DEPOSED:
-                await self._site.depose(self.worker)
+                await self._owner.depose(self.worker)
             case _:
-                self._site.note_refusal(self.worker, run, answer, reason)
+                self._owner.note_refusal(self.worker, run, answer, reason)
                 if self.worker.runs.get(run.task) is run:
                     end = self.end_run(run, "gone", "", reason)
-                    await self._site.record_ends([end])
+                    await self._owner.record_ends([end])
 
     async def _resolve_start(
         self, run: workers_lib.LiveRun, reason: str
@@ -294,27 +285,27 @@
         run.stopping = True
         run.stop_reason = reason
         while self.worker.runs.get(run.task) is run and not self.ended:
-            if self._site.may_act():
+            if self._owner.may_act():
                 await self._order_stop(run)
             await curio.sleep(clock_lib.seconds(STOP_RETRY_MS))
 
     async def _order_stop(self, run: workers_lib.LiveRun) -> None:
         try:
             answered = await self.client.stop(
-                run.task, run.run, self._site.term
+                run.task, run.run, self._owner.term
             )
         except worker_api.DeposedError:
-            await self._site.depose(self.worker)
+            await self._owner.depose(self.worker)
             return
         if answered and not run.refused_after_ms:
-            run.refused_after_ms = self._site.now_ms()
+            run.refused_after_ms = self._owner.now_ms()
 
     async def throttle(self, run: workers_lib.LiveRun, percent: int) -> bool:
         """Orders a share of its speed; False without an answer."""
-        if not self._site.may_act():
+        if not self._owner.may_act():
             return False
         return await self.client.throttle(
-            run.task, run.run, percent, self._site.term
+            run.task, run.run, percent, self._owner.term
         )
 
     async def end_incarnation(
@@ -340,7 +331,7 @@
         run.confirmed_ms = 0
         run.stopping = False
         self.worker.runs[run.task] = run
-        await self._site.spawn(self.stop, run, "its worker started again")
+        await self._owner.spawn(self.stop, run, "its worker started again")
 
 
 def _is_proven_absent(run: workers_lib.LiveRun, sent_ms: int) -> bool:
@@ -353,7 +344,7 @@
     return bool(run.confirmed_ms and run.confirmed_ms < sent_ms)
 
 
-class Site:
+class LinkOwner:
     """What a link needs of the leader."""
 
     term: int
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -37,7 +37,6 @@
       throttle: Share in percent that it may work at.
       throttled_ms: When the throttle last changed.
       over_since_ms: Since when its tail has been over the target; 0 if not.
-      moved_ms: When its progress last moved.
     """
 
     task: str
@@ -57,7 +56,6 @@
     throttle: int = 100
     throttled_ms: int = 0
     over_since_ms: int = 0
-    moved_ms: int = 0
 
 
 class Worker:
@@ -67,7 +65,6 @@
       heartbeat: Its latest heartbeat.
       runs: Runs that may be on it, by task.
       heard_ms: When it last answered a look; 0 before.
-      known_ms: When this leader first heard of it.
       clock_ms: Its clock at `clock_at_ms`, a lower bound.
       clock_at_ms: When that clock was received.
       lease_until_ms: Latest end of a lease that was sent to it.
@@ -87,7 +84,6 @@
         "failures",
         "heard_ms",
         "heartbeat",
-        "known_ms",
         "lease_until_ms",
         "left_ms",
         "looked",
@@ -99,7 +95,6 @@
         self.heartbeat = heartbeat
         self.runs: dict[str, LiveRun] = {}
         self.heard_ms = 0
-        self.known_ms = now_ms
         self.clock_ms = heartbeat.clock_ms
         self.clock_at_ms = now_ms
         self.lease_until_ms = 0
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -51,7 +51,7 @@
         pass
 
 
-class FakeSite(link_lib.Site):
+class FakeOwner(link_lib.LinkOwner):
     """Collects what a link reports; its clock moves by 10 ms a reading."""
 
     def __init__(self):
@@ -106,7 +106,7 @@
 def link_to(*looks, **run_changes):
     """Returns a link whose worker may hold the only run of a job."""
     client = FakeWorker(*looks)
-    site = FakeSite()
+    site = FakeOwner()
     worker = build.worker(now_ms=1_000)
     link = link_lib.Link(worker, client, site, 6_000)
     run = build.live_run(build.job(), **run_changes)
