Cancel the accepting task before its listener closes; wait for connections

An entry that stops closed its listener while the accepting task still waited on it in curio's selector. The next socket that was opened, here the poll of a leader, got the same number, and the selector's change of an unknown number ended the whole process with its requests. Two smaller faults beside it: a request that had not arrived whole was not waited for, and one that came late in the notice could wait beyond the stop.

A fresh connection has 300 ms for its first bytes.

--- a/src/galenahook/entry.py
+++ b/src/galenahook/entry.py
@@ -135,7 +135,7 @@
 
     def _busy(self) -> bool:
         return bool(
-            self.callers_server.in_flight
+            self.callers_server.connections
             or self.operators_server.in_flight
             or self.upstreams_server.in_flight
         )
--- a/src/galenahook/job_entry.py
+++ b/src/galenahook/job_entry.py
@@ -16,6 +16,8 @@
 READY_GRACE_MS = 2_500
 # Part of the stop's time that is left to the end of the process.
 STOP_MARGIN_MS = 1_500
+# Part of the stop's time in which the last answers reach their callers.
+ANSWER_MARGIN_MS = 200
 _DRAIN_POLL_MS = 20
 # The balancer takes two misses, a second apart, to send nobody here.
 DRAIN_NOTICE_MS = 2_300
@@ -46,7 +48,7 @@
             self.client,
             clock,
         )
-        self.callers = callers_lib.CallerListener(self.gateway)
+        self.callers = callers_lib.CallerListener(self.gateway, clock)
         self.health = health_lib.Health(self._is_ready)
         self.callers_server = web.Server(
             web.listen(settings.callers.listen),
@@ -87,16 +89,22 @@
         logs.info("entry:stopped", name=self.settings.name)
 
     async def _drain(self) -> None:
-        self.draining = True
-        logs.info("entry:draining", in_flight=self.callers_server.in_flight)
+        server = self.callers_server
         end_ms = (
             self.clock.monotonic_ms() + self.settings.stop_ms - STOP_MARGIN_MS
         )
+        self.draining = True
+        self.callers.end_ms = end_ms - ANSWER_MARGIN_MS
+        server.draining = True
+        logs.info(
+            "entry:draining",
+            in_flight=server.in_flight,
+            connections=server.connections,
+        )
         await curio.sleep(clock_lib.seconds(DRAIN_NOTICE_MS))
-        await self.callers_server.close_listener()
-        while (
-            self.callers_server.in_flight and self.clock.monotonic_ms() < end_ms
-        ):
+        await server.close_listener()
+        # A connection may hold a request that has not arrived whole.
+        while server.connections and self.clock.monotonic_ms() < end_ms:
             await curio.sleep(clock_lib.seconds(_DRAIN_POLL_MS))
 
 
--- a/src/galenahook/platform/callers.py
+++ b/src/galenahook/platform/callers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import logs
 from galenahook import web
@@ -30,10 +31,19 @@
 
 
 class CallerListener:
-    """Translates callers' requests into calls to the leader."""
+    """Translates callers' requests into calls to the leader.
 
-    def __init__(self, gateway: gateway_lib.Gateway) -> None:
+    Attributes:
+      end_ms: Monotonic time by which every request is answered; None unless a
+        planned stop has begun.
+    """
+
+    def __init__(
+        self, gateway: gateway_lib.Gateway, clock: clock_lib.Clock
+    ) -> None:
+        self.end_ms: int | None = None
         self._gateway = gateway
+        self._clock = clock
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answers one request of a caller."""
@@ -41,7 +51,7 @@
         if isinstance(call, web.Response):
             return call
         try:
-            reply = await self._gateway.call(call, _wait_ms(request))
+            reply = await self._gateway.call(call, self._wait_ms(request))
         except gateway_lib.UnansweredError as error:
             status = 504 if error.may_have_run else 503
             reply = calls.JobReply(outcome="unanswered", reason=str(error))
@@ -59,6 +69,14 @@
             )
         return _response(status, reply)
 
+    def _wait_ms(self, request: web.Request) -> int:
+        text = request.header(b"x-deadline-ms")
+        wait_ms = int(text) if text.isdigit() else DEFAULT_WAIT_MS
+        wait_ms -= ANSWER_MARGIN_MS
+        if self.end_ms is not None:
+            wait_ms = min(wait_ms, self.end_ms - self._clock.monotonic_ms())
+        return max(0, wait_ms)
+
     def _call_of(self, request: web.Request) -> calls.JobCall | web.Response:
         host = request.header(b"host").decode("latin-1").partition(":")[0]
         path = request.target.partition("?")[0]
@@ -76,12 +94,6 @@
         return web.refusal(405, "expected GET, POST or DELETE")
 
 
-def _wait_ms(request: web.Request) -> int:
-    text = request.header(b"x-deadline-ms")
-    wait_ms = int(text) if text.isdigit() else DEFAULT_WAIT_MS
-    return max(0, wait_ms - ANSWER_MARGIN_MS)
-
-
 def _response(status: int, reply: calls.JobReply) -> web.Response:
     body: dict[str, object] = {}
     if reply.outcome == "state":
--- a/src/galenahook/web/server.py
+++ b/src/galenahook/web/server.py
@@ -17,6 +17,9 @@
 from galenahook.web import stream as stream_lib
 
 ACCEPT_RETRY_MS = 50
+# Time in which a connection that was just accepted may bring its first bytes
+# while the listener closes; a round trip between availability zones is less.
+FRESH_CONNECTION_MS = 300
 
 Limits = stream_lib.Limits
 CONTROL_LIMITS = Limits(max_body_bytes=defaults.MAX_CONTROL_BODY_BYTES)
@@ -31,11 +34,13 @@
     Attributes:
       sock: Its socket.
       stream: Its requests and responses.
+      accepted_ms: Monotonic time of its acceptance.
       handling: Whether a request of it is being handled.
     """
 
     sock: Any
     stream: stream_lib.ServerStream
+    accepted_ms: int
     handling: bool = False
 
 
@@ -60,18 +65,28 @@
         self.draining = False
         self.limits = limits
         self._handler = handler
+        self._clock = clock_lib.Clock()
         self._sock = curio.io.Socket(sock)
         self._connections: dict[_Connection, None] = {}
+        self._acceptor: curio.Task | None = None
 
     async def run(self) -> None:
         """Accepts connections until cancelled or until the listener closes."""
-        while not self.draining:
+        self._acceptor = await curio.spawn(self._accept_all, daemon=True)
+        try:
+            await self._acceptor.wait()
+        finally:
+            await self._acceptor.cancel()
+
+    async def _accept_all(self) -> None:
+        while True:
             try:
                 sock, peer = await self._sock.accept()
             except OSError:
                 await curio.sleep(clock_lib.seconds(ACCEPT_RETRY_MS))
                 continue
-            await self._accept(sock, peer)
+            async with curio.disable_cancellation():
+                await self._accept(sock, peer)
 
     async def _accept(self, sock: Any, peer: tuple[str, int]) -> None:
         if not self._make_room():
@@ -79,7 +94,7 @@
             return
         peer_address = f"{peer[0]}:{peer[1]}"
         stream = stream_lib.ServerStream(sock, self.limits, peer_address)
-        connection = _Connection(sock, stream)
+        connection = _Connection(sock, stream, self._clock.monotonic_ms())
         self._connections[connection] = None
         await curio.spawn(self._serve_connection, connection, daemon=True)
 
@@ -104,13 +119,31 @@
         _end_reading(oldest.sock)
         return True
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     async def close_listener(self) -> None:
         """Stops accepting and ends idle connections; requests go on."""
         self.draining = True
+        if self._acceptor is not None:
+            # The selector must forget the socket before its number is free.
+            await self._acceptor.cancel()
         await self._accept_waiting()
         await self._sock.close()
+        self._end_idle(FRESH_CONNECTION_MS)
+        await curio.spawn(self._end_fresh, daemon=True)
+
+    async def _end_fresh(self) -> None:
+        """Ends what was accepted last, if it brings no request."""
+        await curio.sleep(clock_lib.seconds(FRESH_CONNECTION_MS))
+        self._end_idle(0)
+
+    def _end_idle(self, least_age_ms: int) -> None:
+        latest_ms = self._clock.monotonic_ms() - least_age_ms
         for connection in self._connections:
-            if connection.stream.idle:
+            if connection.stream.idle and connection.accepted_ms <= latest_ms:
                 _end_reading(connection.sock)
 
     async def _accept_waiting(self) -> None:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -236,6 +236,21 @@
     run(test)
 
 
+def test_socket_opened_after_the_listener_closed_may_take_its_number() -> None:
+    async def test(server: web.Server) -> None:
+        peers = web.Server(web.listen("127.0.0.1:0"), echo, web.Limits())
+        peer_task = await curio.spawn(peers.run)
+        await curio.sleep(0.03)
+        await server.close_listener()
+        for _ in range(3):
+            connection = await web.connect(peers.address)
+            request = web.Request("GET", "/later")
+            assert (await connection.exchange(request, 500)).body == b"/later"
+        await peer_task.cancel()
+
+    run(test)
+
+
 # --- The client's side -------------------------------------------------------
 
 LENGTH = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"
