Follow headrooms in place of tails; one level for each step, by its swing

Target over tail is linear in the work beside: with a level and a swing for each step, pairs have weights of 0 to 1 or 4 to 20, and the rest is 0.25 of 0.75.

Ruled out: one period for all sites; tails themselves as the quantity (rest 0.47 where 0.31 with the reciprocal).

Change: jobs/headroom.py (a filter for each step and each of 15 periods, and for each pair of images); placement by the least headroom forecast, new pairs with a margin; throttles to the share that is borne in place of nothing; work that has just ended counts in what was measured.

--- /dev/null
+++ b/src/galenahook/jobs/headroom.py
@@ -0,0 +1,312 @@
+"""How much the tails of tasks that serve can still bear.
+
+The headroom of a task that serves is the target of its tail over its tail: 1
+at the target, 4 at a quarter of it. A tail grows as the reciprocal of what is
+left over, so the headroom falls by the same amount for each share of a worker
+that work beside it takes, whatever else is there:
+
+    headroom = level of its step now - sum of weight x share of the work beside
+
+The level swings with the load of the step's own users. One Kalman filter for
+each step follows it, for each of several periods that the swing may have; the
+period that predicts all steps best is used. A weight belongs to a pair of
+images, one that serves and one beside it, and is followed by a filter of its
+own, so that what is well known is hardly blamed.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+# Periods that a swing may have; neighbours are close enough for a filter that
+# keeps adjusting the phase.
+PERIODS_MS = tuple(round(4_000 * 1.15**power) for power in range(15))
+# Level and swing of a step of which nothing is known: tails of idle services
+# stood at a quarter to a half of their targets.
+PRIOR_LEVEL = 2.5
+PRIOR_LEVEL_VARIANCE = 0.25
+PRIOR_SWING_VARIANCE = 0.5
+# How fast a level and its swing may change, in a second.
+DRIFT_VARIANCE = 0.01
+# A weight of which nothing is known; measured ones are from 0 to 1 or 4 to 20.
+PRIOR_WEIGHT = 2.0
+PRIOR_WEIGHT_VARIANCE = 16.0
+# How fast a weight may shift, for each measured tail.
+WEIGHT_DRIFT_VARIANCE = 0.002
+# Spread of measured tails, as a share of the headroom and in any case.
+NOISE_SHARE = 0.08
+LEAST_NOISE = 0.05
+# Measured tails are means of the last half second.
+MEASURE_AGE_MS = 250
+# Time over which tails of one step are gathered into one correction.
+GATHER_MS = 250
+# A headroom below this says no more than that it is low.
+LEAST_HEADROOM = 0.3
+# A share below this says nothing of an image.
+LEAST_SHARE = 0.01
+# Standard deviations by which a level is taken to be lower than forecast.
+LEVEL_CAUTION = 0.5
+# Time for which a forecast is used again.
+FORECAST_MS = 100
+# How much of the score of a period each correction of a step leaves.
+SCORE_MEMORY = 0.999
+
+Shares = dict[str, float]
+
+
+class Wave:
+    """A level that swings with one period, and how uncertain it is.
+
+    Attributes:
+      period_ms: Its period.
+      state: Mean, cosine part and sine part.
+      covariance: Covariance of the state, by rows.
+    """
+
+    __slots__ = ("covariance", "period_ms", "state")
+
+    def __init__(self, period_ms: int, level: float, swing: float) -> None:
+        self.period_ms = period_ms
+        self.state = [level, 0.0, 0.0]
+        self.covariance = [
+            [PRIOR_LEVEL_VARIANCE, 0.0, 0.0],
+            [0.0, swing, 0.0],
+            [0.0, 0.0, swing],
+        ]
+
+    def _factors(self, at_ms: float) -> tuple[float, float, float]:
+        phase = 2 * math.pi * at_ms / self.period_ms
+        return 1.0, math.cos(phase), math.sin(phase)
+
+    def predict(self, at_ms: float) -> tuple[float, float]:
+        """Returns the level expected at a time, and its variance."""
+        factors = self._factors(at_ms)
+        mean = sum(f * x for f, x in zip(factors, self.state, strict=True))
+        variance = sum(
+            factors[i] * factors[j] * self.covariance[i][j]
+            for i in range(3)
+            for j in range(3)
+        )
+        return mean, variance
+
+    def correct(
+        self, at_ms: float, value: float, variance: float, passed_ms: float
+    ) -> float:
+        """Takes a measured level; returns how well it was predicted.
+
+        The result is the logarithm of its likelihood, but for a constant.
+        """
+        drift = DRIFT_VARIANCE * passed_ms / 1_000
+        for index in range(3):
+            self.covariance[index][index] += drift
+        factors = self._factors(at_ms)
+        rows = self.covariance
+        carried = [
+            row[0] * factors[0] + row[1] * factors[1] + row[2] * factors[2]
+            for row in rows
+        ]
+        spread = variance + sum(
+            f * c for f, c in zip(factors, carried, strict=True)
+        )
+        error = value - sum(
+            f * x for f, x in zip(factors, self.state, strict=True)
+        )
+        for i in range(3):
+            gain = carried[i] / spread
+            self.state[i] += gain * error
+            for j in range(3):
+                rows[i][j] -= gain * carried[j]
+        return -0.5 * (error * error / spread + math.log(spread))
+
+
+class StepLevel:
+    """The level of one step, as each period would have it.
+
+    Attributes:
+      waves: The level by period.
+      corrected_ms: When it was last corrected.
+    """
+
+    __slots__ = ("_gathered", "_weight", "corrected_ms", "waves")
+
+    def __init__(self, now_ms: int, level: float, swing: float) -> None:
+        self.waves = [Wave(period, level, swing) for period in PERIODS_MS]
+        self.corrected_ms = now_ms
+        self._gathered = 0.0
+        self._weight = 0.0
+
+    def gather(self, value: float, variance: float) -> None:
+        """Adds a measured level to the next correction."""
+        self._gathered += value / variance
+        self._weight += 1.0 / variance
+
+    def correct(self, now_ms: int) -> list[float] | None:
+        """Corrects every wave if it is time to; returns their scores."""
+        passed_ms = now_ms - self.corrected_ms
+        if passed_ms < GATHER_MS or not self._weight:
+            return None
+        value = self._gathered / self._weight
+        variance = 1.0 / self._weight + LEAST_NOISE**2
+        self._gathered = self._weight = 0.0
+        self.corrected_ms = now_ms
+        at_ms = now_ms - MEASURE_AGE_MS
+        return [
+            wave.correct(at_ms, value, variance, passed_ms)
+            for wave in self.waves
+        ]
+
+
+@dataclasses.dataclass(slots=True)
+class Weight:
+    """A learned weight of a pair of images.
+
+    Attributes:
+      value: Fall of the headroom if the image took the whole worker.
+      variance: How uncertain the value is.
+    """
+
+    value: float = PRIOR_WEIGHT
+    variance: float = PRIOR_WEIGHT_VARIANCE
+
+
+_UNKNOWN = Weight()
+
+
+class HeadroomModel:
+    """Levels of steps that serve, and weights of pairs of images.
+
+    Attributes:
+      weights: Weight by serving image and image beside it.
+      levels: Level by step.
+      scores: How well each period predicted the levels.
+    """
+
+    __slots__ = ("_forecasts", "levels", "scores", "weights")
+
+    def __init__(self) -> None:
+        self.weights: dict[tuple[str, str], Weight] = {}
+        self.levels: dict[object, StepLevel] = {}
+        self.scores = [0.0] * len(PERIODS_MS)
+        self._forecasts: dict[tuple[object, int], tuple[int, float]] = {}
+
+    def weight(self, serving: str, beside: str) -> Weight:
+        """Returns the weight of a pair."""
+        return self.weights.get((serving, beside), _UNKNOWN)
+
+    def mean_weight(self, serving: str) -> float:
+        """Returns the mean weight of the images seen beside one that serves."""
+        values = [
+            weight.value
+            for (image, _), weight in self.weights.items()
+            if image == serving
+        ]
+        return sum(values) / len(values) if values else PRIOR_WEIGHT
+
+    def _best(self) -> int:
+        return max(range(len(self.scores)), key=self.scores.__getitem__)
+
+    def _level(self, step: object, now_ms: int) -> StepLevel:
+        known = self.levels.get(step)
+        if known is None:
+            level, swing = self._typical()
+            known = self.levels[step] = StepLevel(now_ms, level, swing)
+        return known
+
+    def _typical(self) -> tuple[float, float]:
+        """Returns the level and the variance of swings of known steps."""
+        best = self._best()
+        waves = [
+            level.waves[best]
+            for level in self.levels.values()
+            if level.waves[best].covariance[1][1] < PRIOR_SWING_VARIANCE / 4
+        ]
+        if len(waves) < 3:
+            return PRIOR_LEVEL, PRIOR_SWING_VARIANCE
+        count = len(waves)
+        level = sum(wave.state[0] for wave in waves) / count
+        swing = sum(w.state[1] ** 2 + w.state[2] ** 2 for w in waves) / count
+        return level, swing / 2 + 0.02
+
+    def level(self, step: object, at_ms: float) -> tuple[float, float]:
+        """Returns the level of a step expected at a time, and its variance."""
+        known = self.levels.get(step)
+        if known is None:
+            level, swing = self._typical()
+            return level, PRIOR_LEVEL_VARIANCE + swing
+        return known.waves[self._best()].predict(at_ms)
+
+    def least_level(self, step: object, now_ms: int, ahead_ms: int) -> float:
+        """Returns the least level expected of a step in a time ahead."""
+        known = self._forecasts.get((step, ahead_ms))
+        if known is not None and now_ms - known[0] < FORECAST_MS:
+            return known[1]
+        least = min(
+            self._careful_level(step, now_ms + ahead_ms * part / 4)
+            for part in range(5)
+        )
+        self._forecasts[(step, ahead_ms)] = (now_ms, least)
+        return least
+
+    def _careful_level(self, step: object, at_ms: float) -> float:
+        mean, variance = self.level(step, at_ms)
+        return mean - LEVEL_CAUTION * math.sqrt(variance)
+
+    def fall(self, serving: str, shares: Shares, sigmas: float = 0.0) -> float:
+        """Returns by how much work beside lowers a headroom.
+
+        Args:
+          serving: Image that serves.
+          shares: Share of the worker that each image beside takes.
+          sigmas: Standard deviations added to each weight.
+        """
+        total = 0.0
+        for image, share in shares.items():
+            weight = self.weight(serving, image)
+            value = weight.value
+            if sigmas:
+                value += sigmas * math.sqrt(weight.variance)
+            total += value * share
+        return total
+
+    def learn(
+        self,
+        serving: str,
+        step: object,
+        shares: Shares,
+        measured: float,
+        now_ms: int,
+    ) -> None:
+        """Takes one measured headroom of a task of a step."""
+        level = self._level(step, now_ms)
+        mean, variance = self.level(step, now_ms - MEASURE_AGE_MS)
+        beside = [
+            (self.weights.setdefault((serving, image), Weight()), share)
+            for image, share in shares.items()
+            if share >= LEAST_SHARE
+        ]
+        fall = sum(weight.value * share for weight, share in beside)
+        unsure = sum(weight.variance * s * s for weight, s in beside)
+        measured = max(measured, LEAST_HEADROOM)
+        if measured == LEAST_HEADROOM and mean - fall < measured:
+            return
+        noise = max(LEAST_NOISE, NOISE_SHARE * measured) ** 2
+        level.gather(measured + fall, noise + unsure)
+        error = measured - (mean - fall)
+        spread = noise + variance + unsure
+        for weight, share in beside:
+            gain = weight.variance * share / spread
+            weight.value = max(0.0, weight.value - gain * error)
+            weight.variance *= 1 - gain * share
+            weight.variance += WEIGHT_DRIFT_VARIANCE
+        scores = level.correct(now_ms)
+        if scores is not None:
+            self.scores = [
+                SCORE_MEMORY * score + new
+                for score, new in zip(self.scores, scores, strict=True)
+            ]
+
+    def forget(self, steps: Iterable[object]) -> None:
+        """Forgets steps that no longer serve."""
+        for step in steps:
+            self.levels.pop(step, None)
+        self._forecasts.clear()
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -165,7 +165,7 @@
         detail: str,
     ) -> commands.RunEnd:
         """Takes a run that is proven to have ended off the worker."""
-        self.worker.runs.pop(run.task, None)
+        self.worker.take_off(run, self._owner.now_ms())
         logs.info(
             "run:end",
             job=run.job.description.job,
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from galenahook import commands
+from galenahook.jobs import headroom as headroom_lib
 from galenahook.jobs import ordering
 from galenahook.jobs import tails as tails_lib
 from galenahook.jobs import tasks as tasks_lib
@@ -12,12 +13,23 @@
 if TYPE_CHECKING:
     from galenahook.jobs import dispatcher as dispatcher_lib
 
-StepId = tuple[str, int, int]
 Placed = list[tuple[workers_lib.Worker, workers_lib.LiveRun]]
 
 # Share of its reservation that a task which serves uses in the mean; work
 # beside it was never slowed by less on the users' bench.
 SERVING_USE = 0.42
+# Age of a run from which its measured use of processors is that of full speed.
+SETTLED_MS = 1_200
+# Standard deviations by which a weight is taken to be higher than learned, so
+# that a pair that is new is tried where it can do no harm.
+CAUTION = 1.0
+# A fall of the headroom by one task that is always borne; harmless pairs have
+# weights up to 1 and tasks take a tenth of a worker.
+BORNE_FALL = 0.12
+# How much a place that suits the image, and idle processors, count in a cost
+# that is a fall of the headroom.
+SUITED_WEIGHT = 0.5
+IDLE_WEIGHT = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,8 +42,8 @@
       memory_mb: Memory that no task reserves.
       gpus: Accelerators that no task reserves.
       idle_millis: Processors that no task is expected to use.
-      tails: Tail expected of each image that serves there, as a share of its
-        target, with what this round adds.
+      served: Steps that serve there, with forecasts of their headroom.
+      shares: Share of the worker that each image beside is to use.
       placed: Tasks there of each step, by job, occurrence and step.
     """
 
@@ -40,16 +52,32 @@
     memory_mb: int
     gpus: int
     idle_millis: float
-    tails: dict[str, float] = dataclasses.field(default_factory=dict)
-    placed: dict[StepId, int] = dataclasses.field(default_factory=dict)
+    served: list[tails_lib.Served] = dataclasses.field(default_factory=list)
+    shares: headroom_lib.Shares = dataclasses.field(default_factory=dict)
+    placed: dict[workers_lib.StepId, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def take(
+        self,
+        step: commands.StepDescription,
+        step_id: workers_lib.StepId,
+        used_millis: float | None = None,
+    ) -> None:
+        """Reserves one task of a step.
 
-    def take(self, step: commands.StepDescription, step_id: StepId) -> None:
-        """Reserves one task of a step."""
+        Args:
+          step: Its step.
+          step_id: Where that step belongs.
+          used_millis: Processors that it was measured to use; None if it
+            counts as its step says.
+        """
         self.memory_mb -= step.memory_mb
         self.gpus -= step.gpus
         self.placed[step_id] = self.placed.get(step_id, 0) + 1
         if step.uses_idle_cpu:
-            self.idle_millis -= step.cpu_millis
+            used = step.cpu_millis if used_millis is None else used_millis
+            self.idle_millis -= used
         else:
             self.cpu_millis -= step.cpu_millis
             used = SERVING_USE if step.serves else 1.0
@@ -68,29 +96,34 @@
         """Returns the share of the worker that a task may use."""
         return step.cpu_millis / self.worker.heartbeat.cpu_millis
 
-    def worst_tail(
-        self, model: tails_lib.TailModel, step: commands.StepDescription
-    ) -> float:
-        """Returns the highest tail expected with one more task of a step."""
-        share = self.share_of(step)
-        return max(
-            (
-                tail + model.weight(serving, step.image) * share
-                for serving, tail in self.tails.items()
-            ),
-            default=0.0,
-        )
+    def bears(
+        self, model: headroom_lib.HeadroomModel, step: commands.StepDescription
+    ) -> bool:
+        """Whether the tails of what serves bear one more task of a step.
 
-    def add_harm(
-        self, model: tails_lib.TailModel, step: commands.StepDescription
-    ) -> None:
-        """Adds what one more task of a step does to the tails."""
+        A fall too small to matter is borne whatever the level.
+        """
         share = self.share_of(step)
-        for serving in self.tails:
-            self.tails[serving] += model.weight(serving, step.image) * share
+        shares = self.shares.copy()
+        shares[step.image] = shares.get(step.image, 0.0) + share
+        own = {step.image: share}
+        for item in self.served:
+            if model.fall(item.image, own, CAUTION) <= BORNE_FALL:
+                continue
+            left = item.level - model.fall(item.image, shares, CAUTION)
+            if left < tails_lib.PLACED_HEADROOM:
+                return False
+        return True
+
+    def add_beside(self, step: commands.StepDescription) -> None:
+        """Adds one more task of a step to the work beside."""
+        share = self.shares.get(step.image, 0.0) + self.share_of(step)
+        self.shares[step.image] = share
 
 
-def room_of(worker: workers_lib.Worker, model: tails_lib.TailModel) -> Room:
+def room_of(
+    worker: workers_lib.Worker, tails: tails_lib.TailControl, now_ms: int
+) -> Room:
     """Returns what is free on a worker."""
     heartbeat = worker.heartbeat
     room = Room(
@@ -101,15 +134,18 @@
         heartbeat.cpu_millis,
     )
     for run in worker.runs.values():
-        room.take(run.step, (run.job.description.job, run.key[0], run.key[1]))
-    shares = tails_lib.expected_shares(worker)
-    for run in worker.runs.values():
-        image = run.step.image
-        if run.step.tail_target_ms and image not in room.tails:
-            room.tails[image] = model.predict(image, shares)
+        room.take(run.step, run.step_id, _used_millis(run, now_ms))
+    room.shares = tails_lib.expected_shares(worker, unthrottled=True)
+    room.served = tails.served(worker, now_ms, tails_lib.PLACED_AHEAD_MS)
     return room
 
 
+def _used_millis(run: workers_lib.LiveRun, now_ms: int) -> float | None:
+    """Returns the processors that a run at full speed was measured to use."""
+    is_settled = now_ms - run.ordered_ms > SETTLED_MS and run.throttle == 100
+    return run.measure if is_settled else None
+
+
 def place(dispatcher: "dispatcher_lib.Dispatcher", limit: int) -> Placed:
     """Chooses a worker for as many waiting tasks as fit."""
     now_wall_ms = dispatcher.clock.wall_ms()
@@ -119,7 +155,7 @@
     zones_out = dispatcher.node.state.site.current.zones_out
     now_ms = dispatcher.now_ms()
     rooms = [
-        room_of(link.worker, dispatcher.tails.model)
+        room_of(link.worker, dispatcher.tails, now_ms)
         for link in dispatcher.links.values()
         if link.worker.is_usable(now_ms)
         and link.worker.heartbeat.availability_zone not in zones_out
@@ -160,9 +196,9 @@
             ordered_ms=dispatcher.now_ms(),
             checkpoint=before.checkpoint if before else "",
         )
-        room.take(step, (job.description.job, key[0], key[1]))
+        room.take(step, run.step_id)
         if step.uses_idle_cpu:
-            room.add_harm(dispatcher.tails.model, step)
+            room.add_beside(step)
         room.worker.runs[run.task] = run
         placed.append((room.worker, run))
 
@@ -227,10 +263,7 @@
     worker = room.worker
     capacity = worker.heartbeat.cpu_millis
     if step.uses_idle_cpu:
-        worst = room.worst_tail(dispatcher.tails.model, step)
-        if worst > tails_lib.PLACED_TAIL:
-            return None
-        return (worst - room.idle_millis / capacity,)
+        return _cost_beside(dispatcher.tails.model, step, room)
     if step.serves:
         images = [
             run.step.image for run in worker.runs.values() if run.step.serves
@@ -239,3 +272,26 @@
         is_first = step.image not in images
         return (float(others), float(is_first), room.cpu_millis / capacity)
     return (-room.cpu_millis / capacity,)
+
+
+def _cost_beside(
+    model: headroom_lib.HeadroomModel,
+    step: commands.StepDescription,
+    room: Room,
+) -> tuple[float, ...] | None:
+    """Returns the cost of a place for work beside; None if it would harm.
+
+    Places that suit the image better than others are preferred, so that those
+    that suit every image stay free.
+    """
+    if not room.bears(model, step):
+        return None
+    share = room.share_of(step)
+    weights = [
+        model.weight(item.image, step.image).value for item in room.served
+    ]
+    others = [model.mean_weight(item.image) for item in room.served]
+    fall = share * max(weights, default=0.0)
+    usual_fall = share * max(others, default=0.0)
+    idle = room.idle_millis / room.worker.heartbeat.cpu_millis
+    return (fall - SUITED_WEIGHT * usual_fall - IDLE_WEIGHT * idle,)
--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -1,119 +1,72 @@
-"""Tails of tasks that serve, and what the work beside them does to them.
+"""Keeps the tails of tasks that serve under their targets.
 
-For each pair of images, one that serves and one that uses idle processors, a
-weight is learned: the rise of the tail, as a share of its target, if the
-second took the whole worker. Placement asks for the predicted tail; control
-throttles work beside a tail that is over its target.
+Work beside tasks that serve is slowed as far as a forecast of their headroom
+asks for, let go again when it allows it, and moved where it would stay slow.
 """
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from galenahook import logs
+from galenahook.jobs import headroom as headroom_lib
 from galenahook.jobs import workers as workers_lib
 
 if TYPE_CHECKING:
     from galenahook.jobs import dispatcher as dispatcher_lib
     from galenahook.jobs import link as link_lib
 
-# Rise of a tail by an image that was never seen beside it, and how far off
-# that may be; measured weights are near 0 or from 4 to 30.
-PRIOR_WEIGHT = 0.4
-PRIOR_VARIANCE = 30.0
-# Spread of measured tails around the model without work beside.
-NOISE_VARIANCE = 0.03
-# How fast weights may shift, for each sample of a pair.
-DRIFT_VARIANCE = 0.02
-PRIOR_BASE = 0.4
-BASE_STEP = 0.05
-# A tail this high says no more than that a weight is high.
-MAX_TAIL = 3.0
-# A share below this says nothing of an image.
-LEAST_SHARE = 0.01
-# Predicted tail, as a share of the target, up to which work is placed; tails
-# swing by a quarter of the target with the load of what serves.
-PLACED_TAIL = 0.75
-# Time over the target after which work beside it is throttled.
-OVER_MS = 0
-# Time between two changes on one worker; tails lag by half a second.
-SETTLE_MS = 600
-# Measured tail under which a throttle is taken back.
-RELEASE_TAIL = 0.75
-# Time after which throttled work that may not go on is moved.
-MOVE_AFTER_MS = 300
-
-
-@dataclasses.dataclass(slots=True)
-class Weight:
-    """A learned weight of a pair of images.
+# Headroom to be left by the work beside when it is placed, when it is let go
+# again, and while it runs; tails scatter by a tenth around the forecast.
+PLACED_HEADROOM = 1.15
+RELEASED_HEADROOM = 1.15
+KEPT_HEADROOM = 1.05
+# Time ahead for which a place must be good; most tasks take 1 to 4 s.
+PLACED_AHEAD_MS = 2_000
+# Time ahead for which work may go on: a throttle takes 100 ms to act, and tails
+# show it half a second later.
+KEPT_AHEAD_MS = 800
+# Time between two reviews of all workers, and between two changes of throttles
+# on one worker.
+REVIEW_MS = 50
+SETTLE_MS = 300
+# Least rise of a throttle that is worth an order, unless it ends it.
+LEAST_RISE = 20
+# Throttled below this share, work is moved if it would stay so.
+MOVED_SHARE = 50
+# Time for which it must have been throttled by then, and that it would be.
+MOVE_AFTER_MS = 600
+MOVE_AHEAD_MS = 2_000
+# Progress in percent up to which work without checkpoints is moved.
+MOVED_PROGRESS = 25
+# A fall of the headroom below this is not worth a throttle.
+LEAST_FALL = 0.1
+# Cuts after which the search for throttles gives up; there are few images.
+MAX_CUTS = 20
+# A step whose tails were not seen for so long is forgotten.
+FORGET_MS = 20_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Served:
+    """A step that serves on a worker.
 
     Attributes:
-      value: Rise of the tail if the image took the whole worker.
-      variance: How uncertain the value is.
+      image: Its image.
+      level: Least headroom expected of it without work beside.
     """
 
-    value: float = PRIOR_WEIGHT
-    variance: float = PRIOR_VARIANCE
+    image: str
+    level: float
 
 
-class TailModel:
-    """Learned weights of pairs of images.
+def shares_of(worker: workers_lib.Worker, now_ms: int) -> headroom_lib.Shares:
+    """Returns the share of the worker that each image beside used lately.
 
-    Each measured tail corrects the weights of the images beside it by a Kalman
-    filter with independent weights: what is well known is hardly blamed.
-
-    Attributes:
-      weights: Weight by serving image and image beside it.
-      bases: Tail of each serving image by itself, as a share of its target.
+    Measured tails are means of a time in which work that has just ended was
+    there for a part.
     """
-
-    __slots__ = ("bases", "weights")
-
-    def __init__(self) -> None:
-        self.weights: dict[tuple[str, str], Weight] = {}
-        self.bases: dict[str, float] = {}
-
-    def weight(self, serving: str, beside: str) -> float:
-        """Returns the weight of a pair."""
-        known = self.weights.get((serving, beside))
-        return known.value if known else PRIOR_WEIGHT
-
-    def predict(self, serving: str, shares: dict[str, float]) -> float:
-        """Returns the tail expected, as a share of the target."""
-        value = self.bases.get(serving, PRIOR_BASE)
-        return value + sum(
-            self.weight(serving, image) * share
-            for image, share in shares.items()
-        )
-
-    def learn(
-        self, serving: str, shares: dict[str, float], measured: float
-    ) -> None:
-        """Corrects the weights by one measured tail."""
-        measured = min(measured, MAX_TAIL)
-        error = measured - self.predict(serving, shares)
-        beside = [
-            (self.weights.setdefault((serving, image), Weight()), share)
-            for image, share in shares.items()
-            if share >= LEAST_SHARE
-        ]
-        base = self.bases.get(serving, PRIOR_BASE)
-        if not beside:
-            self.bases[serving] = base + BASE_STEP * error
-            return
-        spread = NOISE_VARIANCE + sum(
-            weight.variance * share * share for weight, share in beside
-        )
-        for weight, share in beside:
-            gain = weight.variance * share / spread
-            weight.value = max(0.0, weight.value + gain * error)
-            weight.variance *= 1 - gain * share
-            weight.variance += DRIFT_VARIANCE
-
-
-def shares_of(worker: workers_lib.Worker) -> dict[str, float]:
-    """Returns the share of the worker that each image beside uses."""
-    shares: dict[str, float] = {}
+    shares = worker.ended_shares(now_ms)
     for run in worker.runs.values():
         if run.step.uses_idle_cpu and run.measure is not None:
             share = run.measure / worker.heartbeat.cpu_millis
@@ -121,157 +74,213 @@
     return shares
 
 
-def expected_shares(worker: workers_lib.Worker) -> dict[str, float]:
-    """Returns the share that each image beside will use at full speed.
+def expected_shares(
+    worker: workers_lib.Worker, unthrottled: bool = False
+) -> headroom_lib.Shares:
+    """Returns the share that each image beside will use.
 
     A run that was just started has no measured use yet, and counts in full.
     """
-    shares: dict[str, float] = {}
+    shares: headroom_lib.Shares = {}
     for run in worker.runs.values():
         if not run.step.uses_idle_cpu or run.stopping:
             continue
-        used = run.step.cpu_millis * run.throttle / 100
-        share = used / worker.heartbeat.cpu_millis
+        speed = 1.0 if unthrottled else run.throttle / 100
+        share = run.step.cpu_millis * speed / worker.heartbeat.cpu_millis
         shares[run.step.image] = shares.get(run.step.image, 0.0) + share
     return shares
 
 
 class TailControl:
-    """Learns tails and throttles what pushes them over their targets.
+    """Learns headrooms and throttles what uses them up.
 
     Attributes:
-      model: Learned weights.
+      model: What is learned.
     """
 
     def __init__(self) -> None:
-        self.model = TailModel()
+        self.model = headroom_lib.HeadroomModel()
         self._changed_ms: dict[str, int] = {}
+        self._pruned_ms = 0
+        self._reviewed_ms = 0
 
     def observe(self, worker: workers_lib.Worker, now_ms: int) -> None:
         """Learns from a worker's answer to a look."""
-        shares = shares_of(worker)
+        shares = shares_of(worker, now_ms)
         for run in worker.runs.values():
-            if not run.step.tail_target_ms or run.measure is None:
-                continue
-            if run.percent < 100:
-                continue
-            measured = run.measure / run.step.tail_target_ms
-            self.model.learn(run.step.image, shares, measured)
-            if measured <= 1.0:
-                run.over_since_ms = 0
-            elif not run.over_since_ms:
-                run.over_since_ms = now_ms
+            if _is_measured(run):
+                self.model.learn(
+                    run.step.image,
+                    run.step_id,
+                    shares,
+                    _headroom(run),
+                    now_ms,
+                )
+
+    def served(
+        self, worker: workers_lib.Worker, now_ms: int, ahead_ms: int
+    ) -> list[Served]:
+        """Returns the steps that serve on a worker, with their forecasts."""
+        steps = {
+            run.step_id: run.step.image
+            for run in worker.runs.values()
+            if run.step.tail_target_ms
+        }
+        return [
+            Served(image, self.model.least_level(step, now_ms, ahead_ms))
+            for step, image in steps.items()
+        ]
 
     async def control(self, dispatcher: "dispatcher_lib.Dispatcher") -> None:
-        """Throttles and releases work beside tasks that serve."""
+        """Throttles, releases and moves work beside tasks that serve."""
         now_ms = dispatcher.now_ms()
+        if now_ms - self._reviewed_ms < REVIEW_MS:
+            return
+        self._reviewed_ms = now_ms
+        self._prune(now_ms)
         for link in list(dispatcher.links.values()):
-            await self._move_held(dispatcher, link, now_ms)
-            changed_ms = self._changed_ms.get(link.worker.name, 0)
-            if now_ms - changed_ms < SETTLE_MS:
+            worker = link.worker
+            beside = _beside(worker)
+            changed_ms = self._changed_ms.get(worker.name, -SETTLE_MS)
+            if not beside or now_ms - changed_ms < SETTLE_MS:
                 continue
-            changes = self._changes(link.worker, now_ms)
-            for run, percent in changes:
+            for run, percent in self.changes(worker, beside, now_ms):
+                if run.throttle >= MOVED_SHARE > percent:
+                    run.slowed_ms = now_ms
                 run.throttle = percent
-                run.throttled_ms = now_ms
-                self._changed_ms[link.worker.name] = now_ms
+                self._changed_ms[worker.name] = now_ms
                 await dispatcher.spawn(_throttle, link, run, percent)
-
-    async def _move_held(
-        self,
-        dispatcher: "dispatcher_lib.Dispatcher",
-        link: "link_lib.Link",
-        now_ms: int,
-    ) -> None:
-        """Stops throttled work that harms here, to resume it elsewhere."""
-        for run in list(link.worker.runs.values()):
-            if run.throttle == 100 or run.stopping:
-                continue
-            if now_ms - run.throttled_ms < MOVE_AFTER_MS:
-                continue
-            if not self._allows(link.worker, run):
+            for run in self.to_move(worker, beside, now_ms):
                 reason = "it slows tasks that serve beside it"
                 await dispatcher.spawn(link.stop, run, reason)
 
-    def _changes(
-        self, worker: workers_lib.Worker, now_ms: int
-    ) -> list[tuple[workers_lib.LiveRun, int]]:
-        beside = [
-            run
-            for run in worker.runs.values()
-            if run.step.uses_idle_cpu and run.seen and not run.stopping
-        ]
-        serving = [
-            run for run in worker.runs.values() if run.step.tail_target_ms
-        ]
-        if not beside:
-            return []
-        over = [
-            run
-            for run in serving
-            if run.over_since_ms and now_ms - run.over_since_ms >= OVER_MS
-        ]
-        if over:
-            return self._throttles(worker, over, beside)
-        return self._releases(worker, serving, beside)
+    def _prune(self, now_ms: int) -> None:
+        if now_ms - self._pruned_ms < FORGET_MS:
+            return
+        self._pruned_ms = now_ms
+        self.model.forget(
+            [
+                step
+                for step, level in self.model.levels.items()
+                if now_ms - level.corrected_ms > FORGET_MS
+            ]
+        )
 
-    def _throttles(
+    def changes(
         self,
         worker: workers_lib.Worker,
-        over: list[workers_lib.LiveRun],
         beside: list[workers_lib.LiveRun],
+        now_ms: int,
     ) -> list[tuple[workers_lib.LiveRun, int]]:
-        """Throttles to nothing the image that harms most."""
-        harm: dict[str, float] = {}
+        """Returns the runs whose throttles change, each with its percent."""
+        served = self._served_with_measures(worker, now_ms)
+        kept = self.allowed(worker, served, KEPT_HEADROOM)
+        released = self.allowed(worker, served, RELEASED_HEADROOM)
+        changed = []
         for run in beside:
-            if run.throttle == 0:
+            image = run.step.image
+            if kept[image] < run.throttle:
+                changed.append((run, kept[image]))
+            elif (
+                released[image] == 100 > run.throttle
+                or released[image] >= run.throttle + LEAST_RISE
+            ):
+                changed.append((run, released[image]))
+        return changed
+
+    def _served_with_measures(
+        self, worker: workers_lib.Worker, now_ms: int
+    ) -> list[Served]:
+        """Returns forecasts, lowered where a tail is over its target now."""
+        served = self.served(worker, now_ms, KEPT_AHEAD_MS)
+        shares = shares_of(worker, now_ms)
+        for run in worker.runs.values():
+            if _is_measured(run) and _headroom(run) < 1.0:
+                fall = self.model.fall(run.step.image, shares)
+                served.append(Served(run.step.image, _headroom(run) + fall))
+        return served
+
+    def allowed(
+        self, worker: workers_lib.Worker, served: list[Served], left: float
+    ) -> dict[str, int]:
+        """Returns the percent that each image beside may work at.
+
+        Args:
+          worker: Where it works.
+          served: Steps that serve there.
+          left: Headroom that must be left to each of them.
+        """
+        shares = expected_shares(worker, unthrottled=True)
+        speeds = dict.fromkeys(shares, 1.0)
+        for _ in range(MAX_CUTS):
+            if not self._cut(served, shares, speeds, left):
+                break
+        return {
+            image: math.floor(speed * 10 + 1e-6) * 10
+            for image, speed in speeds.items()
+        }
+
+    def _cut(
+        self,
+        served: list[Served],
+        shares: headroom_lib.Shares,
+        speeds: dict[str, float],
+        left: float,
+    ) -> bool:
+        """Slows the image that takes most where too little is left."""
+        for item in served:
+            falls = {
+                image: self.model.weight(item.image, image).value * share
+                for image, share in shares.items()
+            }
+            short = left - item.level
+            short += sum(fall * speeds[image] for image, fall in falls.items())
+            if short <= 0:
                 continue
-            share = (run.measure or 0.0) / worker.heartbeat.cpu_millis
-            for served in over:
-                weight = self.model.weight(served.step.image, run.step.image)
-                harm[run.step.image] = (
-                    harm.get(run.step.image, 0.0) + (weight + 0.01) * share
-                )
-        if not harm:
-            return []
-        worst = max(harm, key=lambda image: harm[image])
-        return [
-            (run, 0)
-            for run in beside
-            if run.step.image == worst and run.throttle
-        ]
+            worst = max(falls, key=lambda i: falls[i] * speeds[i], default="")
+            if not worst or falls[worst] * speeds[worst] < LEAST_FALL:
+                continue
+            speed = speeds[worst] - short / falls[worst]
+            speeds[worst] = max(0.0, speed)
+            return True
+        return False
 
-    def _releases(
+    def to_move(
         self,
         worker: workers_lib.Worker,
-        serving: list[workers_lib.LiveRun],
         beside: list[workers_lib.LiveRun],
-    ) -> list[tuple[workers_lib.LiveRun, int]]:
-        """Lets one throttled run go on if every tail allows it."""
-        held = [run for run in beside if run.throttle < 100]
-        if not held:
+        now_ms: int,
+    ) -> list[workers_lib.LiveRun]:
+        """Returns slow runs that would stay slow here."""
+        slow = [
+            run
+            for run in beside
+            if run.throttle < MOVED_SHARE
+            and now_ms - run.slowed_ms >= MOVE_AFTER_MS
+            and (run.step.saves_checkpoints or run.percent <= MOVED_PROGRESS)
+        ]
+        if not slow:
             return []
-        for served in serving:
-            target = served.step.tail_target_ms
-            if (served.measure or 0.0) > RELEASE_TAIL * target:
-                return []
-        for run in held:
-            if self._allows(worker, run):
-                return [(run, 100)]
-        return []
-
-    def _allows(
-        self, worker: workers_lib.Worker, run: workers_lib.LiveRun
-    ) -> bool:
-        """Whether every tail on a worker stays low with a run at full speed."""
-        shares = shares_of(worker)
-        more = run.step.cpu_millis / worker.heartbeat.cpu_millis
-        shares[run.step.image] = shares.get(run.step.image, 0.0) + more
-        return all(
-            self.model.predict(served.step.image, shares) <= PLACED_TAIL
-            for served in worker.runs.values()
-            if served.step.tail_target_ms
-        )
+        served = self.served(worker, now_ms, MOVE_AHEAD_MS)
+        allowed = self.allowed(worker, served, RELEASED_HEADROOM)
+        return [run for run in slow if allowed[run.step.image] < MOVED_SHARE]
+
+
+def _is_measured(run: workers_lib.LiveRun) -> bool:
+    """Whether a run serves, is at work and has a measured tail."""
+    return bool(run.step.tail_target_ms and run.measure and run.percent >= 100)
+
+
+def _headroom(run: workers_lib.LiveRun) -> float:
+    return run.step.tail_target_ms / (run.measure or 1.0)
+
+
+def _beside(worker: workers_lib.Worker) -> list[workers_lib.LiveRun]:
+    return [
+        run
+        for run in worker.runs.values()
+        if run.step.uses_idle_cpu and run.seen and not run.stopping
+    ]
 
 
 async def _throttle(
@@ -280,6 +289,7 @@
     answered = await link.throttle(run, percent)
     logs.info(
         "run:throttle",
+        job=run.job.description.job,
         task=run.task,
         run=run.run,
         worker=link.worker.name,
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -11,6 +11,10 @@
 SLOWEST_CLOCK = 0.98
 # Time without an answer after which nothing new starts on a worker.
 SUSPECT_MS = 1_500
+# Measured tails are means of this time.
+MEASURED_MS = 500
+
+StepId = tuple[str, int, int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,8 +39,7 @@
       percent: Progress heard of.
       measure: Latest tail or use of processors.
       throttle: Share in percent that it may work at.
-      throttled_ms: When the throttle last changed.
-      over_since_ms: Since when its tail has been over the target; 0 if not.
+      slowed_ms: When it was last throttled below half its speed.
     """
 
     task: str
@@ -54,8 +57,12 @@
     percent: float = 0.0
     measure: float | None = None
     throttle: int = 100
-    throttled_ms: int = 0
-    over_since_ms: int = 0
+    slowed_ms: int = 0
+
+    @property
+    def step_id(self) -> StepId:
+        """Its step: job, occurrence and number of the step."""
+        return self.job.description.job, self.key[0], self.key[1]
 
 
 class Worker:
@@ -74,6 +81,8 @@
       bad_until_ms: Until when nothing new starts there.
       failures: Starts or runs in a row that failed.
       looked: Whether it has answered a look in this term.
+      ended_beside: Work on idle processors that has just ended: when, image
+        and processors used.
     """
 
     __slots__ = (
@@ -81,6 +90,7 @@
         "bad_until_ms",
         "clock_at_ms",
         "clock_ms",
+        "ended_beside",
         "failures",
         "heard_ms",
         "heartbeat",
@@ -104,6 +114,7 @@
         self.bad_until_ms = 0
         self.failures = 0
         self.looked = False
+        self.ended_beside: list[tuple[int, str, float]] = []
 
     @property
     def name(self) -> str:
@@ -135,6 +146,26 @@
         """Whether every lease sent to it has ended on its own clock."""
         return self.least_clock_ms(now_ms) > self.lease_until_ms
 
+    def take_off(self, run: LiveRun, now_ms: int) -> None:
+        """Takes a run that has ended off the worker."""
+        if self.runs.pop(run.task, None) and run.step.uses_idle_cpu:
+            ended = (now_ms, run.step.image, run.measure or 0.0)
+            self.ended_beside.append(ended)
+
+    def ended_shares(self, now_ms: int) -> dict[str, float]:
+        """Returns the share that work which ended takes of measured tails."""
+        self.ended_beside = [
+            ended
+            for ended in self.ended_beside
+            if now_ms - ended[0] < MEASURED_MS
+        ]
+        shares: dict[str, float] = {}
+        for ended_ms, image, used in self.ended_beside:
+            part = 1 - (now_ms - ended_ms) / MEASURED_MS
+            share = part * used / self.heartbeat.cpu_millis
+            shares[image] = shares.get(image, 0.0) + share
+        return shares
+
     def is_usable(self, now_ms: int) -> bool:
         """Whether new runs may start there."""
         return (
