Put jobs that can't be in time last, by learned run times; move only to a place

Cause: jobs whose objective was out of reach took room until their age passed it, and moved work often waited for a place again.

Change: run times learned by queue and job; a job is late once its time so far and its longest chain left exceed the objective. Moves ask for a place first.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -18,6 +18,7 @@
 from galenahook.jobs import health as health_lib
 from galenahook.jobs import link as link_lib
 from galenahook.jobs import placement
+from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tails as tails_lib
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import worker_api
@@ -48,6 +49,7 @@
       unattached: Runs of earlier terms whose worker is not heard yet.
       health: Workers that fail what they start.
       tails: Throttles of what slows tasks that serve.
+      run_times: Run times of tasks, learned.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.links: dict[str, link_lib.Link] = {}
         self.health = health_lib.WorkerHealth()
         self.tails = tails_lib.TailControl()
+        self.run_times = run_times_lib.RunTimes()
         self.now_ms = clock.monotonic_ms
         self.started_ms = self.now_ms()
         self.unattached = _active_runs(node)
@@ -248,7 +251,15 @@
         self, worker: workers_lib.Worker, run: workers_lib.LiveRun, outcome: str
     ) -> None:
         """Learns from the end of a run."""
-        self.health.note_end(worker, run, outcome, self.now_ms())
+        now_ms = self.now_ms()
+        self.health.note_end(worker, run, outcome, now_ms)
+        is_whole = run.run == 1 and run.ordered_ms and not run.slowed_ms
+        if outcome == "done" and is_whole and not run.step.serves:
+            self.run_times.learn(run.job, now_ms - run.ordered_ms)
+
+    def has_place(self, run: workers_lib.LiveRun) -> bool:
+        """Whether a run could go on somewhere else now."""
+        return placement.has_place(self, run)
 
     def note_refusal(
         self,
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -152,21 +152,37 @@
     waiting = [job for job in dispatcher.table.open.values() if job.waiting]
     if not waiting:
         return []
+    rooms = _rooms(dispatcher)
+    waiting.sort(
+        key=lambda job: ordering.rank(job, dispatcher.run_times, now_wall_ms)
+    )
+    placed: Placed = []
+    for job in waiting:
+        _place_job(dispatcher, job, rooms, now_wall_ms, placed)
+        if len(placed) >= limit:
+            break
+    return placed
+
+
+def has_place(
+    dispatcher: "dispatcher_lib.Dispatcher", run: workers_lib.LiveRun
+) -> bool:
+    """Whether a run could go on somewhere else now."""
+    rooms = [
+        room for room in _rooms(dispatcher) if run.task not in room.worker.runs
+    ]
+    return _choose(dispatcher, run.job, run.key, run.step, rooms) is not None
+
+
+def _rooms(dispatcher: "dispatcher_lib.Dispatcher") -> list[Room]:
     zones_out = dispatcher.node.state.site.current.zones_out
     now_ms = dispatcher.now_ms()
-    rooms = [
+    return [
         room_of(link.worker, dispatcher.tails, now_ms)
         for link in dispatcher.links.values()
         if link.worker.is_usable(now_ms)
         and link.worker.heartbeat.availability_zone not in zones_out
     ]
-    waiting.sort(key=lambda job: ordering.rank(job, now_wall_ms))
-    placed: Placed = []
-    for job in waiting:
-        _place_job(dispatcher, job, rooms, now_wall_ms, placed)
-        if len(placed) >= limit:
-            break
-    return placed
 
 
 def _place_job(
--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -151,6 +151,8 @@
                 self._changed_ms[worker.name] = now_ms
                 await dispatcher.spawn(_throttle, link, run, percent)
             for run in self.to_move(worker, beside, now_ms):
+                if not dispatcher.has_place(run):
+                    continue
                 reason = "it slows tasks that serve beside it"
                 await dispatcher.spawn(link.stop, run, reason)
 
