Keep what is learned of tails in the log; rank jobs by what they still earn

The new leader knew no weights, blamed an image that harms nothing (97f596: 13.6, by a fit of the samples 0.5) and never tried it again; runs that the earlier leader had throttled to nothing were taken to be at full speed. Jobs that had become late were left for up to 40 s with one or two tasks to go.

Change: the weights and levels are a command each 3 s, taken up by a new leader; pairs that are not seen are forgotten by half in 20 s; adopted runs count as throttled until released; jobs are ranked by earnings to work left, in powers of two; lower margins, with a strict one where a tail is over its target for 1 s.

--- a/src/galenahook/commands/__init__.py
+++ b/src/galenahook/commands/__init__.py
@@ -18,6 +18,9 @@
 from galenahook.commands.changes import UndrainUpstream as UndrainUpstream
 from galenahook.commands.jobs import CancelJob as CancelJob
 from galenahook.commands.jobs import JobDescription as JobDescription
+from galenahook.commands.jobs import KeepLearned as KeepLearned
+from galenahook.commands.jobs import LearnedLevel as LearnedLevel
+from galenahook.commands.jobs import LearnedWeight as LearnedWeight
 from galenahook.commands.jobs import PutSite as PutSite
 from galenahook.commands.jobs import QueueRow as QueueRow
 from galenahook.commands.jobs import RecordRuns as RecordRuns
--- a/src/galenahook/commands/jobs.py
+++ b/src/galenahook/commands/jobs.py
@@ -203,3 +203,49 @@
     availability_zone: str
     out: bool
     at_ms: int
+
+
+class LearnedWeight(messages.Message, frozen=True, kw_only=True):
+    """What one image beside another that serves costs the latter's headroom.
+
+    Attributes:
+      serving: Image that serves.
+      beside: Image beside it.
+      value: Fall of the headroom if the image took the whole worker.
+      variance: How uncertain the value is.
+    """
+
+    serving: str
+    beside: str
+    value: float
+    variance: float
+
+
+class LearnedLevel(messages.Message, frozen=True, kw_only=True):
+    """The headroom of a step without work beside, as it swings.
+
+    Attributes:
+      step: Job, occurrence and number of the step.
+      state: Mean, cosine part and sine part, from the time of the command.
+    """
+
+    step: tuple[str, int, int]
+    state: tuple[float, float, float]
+
+
+class KeepLearned(
+    messages.Message, frozen=True, kw_only=True, tag="keep-learned"
+):
+    """Keeps what a leader has learned of tails for the next one.
+
+    Attributes:
+      weights: Weights of pairs of images.
+      levels: Levels of steps that serve.
+      period_ms: Period of their swings.
+      at_ms: Wall time at which it was learned.
+    """
+
+    weights: tuple[LearnedWeight, ...] = ()
+    levels: tuple[LearnedLevel, ...] = ()
+    period_ms: int = 0
+    at_ms: int = 0
--- a/src/galenahook/commands/log.py
+++ b/src/galenahook/commands/log.py
@@ -176,6 +176,7 @@
     | jobs.RecordRuns
     | jobs.PutSite
     | jobs.SetZoneService
+    | jobs.KeepLearned
 )
 
 
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -32,6 +32,9 @@
 ROUND_GAP_MS = 10
 # Pause after a round that could not commit.
 FAILED_ROUND_MS = 50
+# Time between two records of what is learned of tails; what a restart of every
+# replica loses is learned again in a few seconds.
+KEEP_LEARNED_MS = 3_000
 # Starts committed in one command, so that a burst does not delay others.
 MAX_STARTS = 200
 
@@ -75,6 +78,8 @@
         self._ends: list[commands.RunEnd] = []
         self._wake = notify.Signal()
         self._is_woken = False
+        self._kept_ms = self.started_ms
+        self._take_learned()
 
     @property
     def table(self) -> Any:
@@ -122,6 +127,34 @@
         await departures.stop_leaving(self)
         await self.tails.control(self)
         await self._start_waiting()
+        if self.now_ms() - self._kept_ms >= KEEP_LEARNED_MS:
+            self._kept_ms = self.now_ms()
+            await self.spawn(self._keep_learned)
+
+    def _take_learned(self) -> None:
+        """Goes on from what an earlier leader has learned."""
+        learned = self.node.state.learned
+        if not learned.at_ms:
+            return
+        age_ms = max(0, self.clock.wall_ms() - learned.at_ms)
+        self.tails.model.take(learned, self.now_ms() - age_ms)
+        logs.info(
+            "leader:taught",
+            term=self.term,
+            age_ms=age_ms,
+            weights=len(learned.weights),
+            levels=len(learned.levels),
+        )
+
+    async def _keep_learned(self) -> None:
+        model = self.tails.model
+        if not model.levels:
+            return
+        learned = model.export(self.now_ms(), self.clock.wall_ms())
+        try:
+            await self.node.submit(learned)
+        except errors.GalenahookError as error:
+            logs.warning("learned:not-kept", term=self.term, reason=str(error))
 
     async def _commit_ends(self) -> None:
         ends, self._ends = self._ends, []
@@ -220,6 +253,9 @@
             run = live_run(self, record.task, record.run)
             if run is not None:
                 run.checkpoint = record.checkpoint
+                # What an earlier leader throttled it to is not known.
+                run.throttle = 0 if run.step.uses_idle_cpu else 100
+                run.slowed_ms = self.now_ms()
                 worker.runs[task] = run
 
     async def leave(self, message: calls.WorkerLeft) -> None:
@@ -257,10 +293,6 @@
         if outcome == "done" and is_whole and not run.step.serves:
             self.run_times.learn(run.job, now_ms - run.ordered_ms)
 
-    def has_place(self, run: workers_lib.LiveRun) -> bool:
-        """Whether a run could go on somewhere else now."""
-        return placement.has_place(self, run)
-
     def note_refusal(
         self,
         worker: workers_lib.Worker,
--- a/src/galenahook/jobs/headroom.py
+++ b/src/galenahook/jobs/headroom.py
@@ -18,6 +18,8 @@
 import dataclasses
 import math
 
+from galenahook import commands
+
 # Periods that a swing may have; neighbours are close enough for a filter that
 # keeps adjusting the phase.
 PERIODS_MS = tuple(round(4_000 * 1.15**power) for power in range(15))
@@ -27,12 +29,19 @@
 PRIOR_LEVEL_VARIANCE = 0.25
 PRIOR_SWING_VARIANCE = 0.5
 # How fast a level and its swing may change, in a second.
-DRIFT_VARIANCE = 0.01
+DRIFT_VARIANCE = 0.03
 # A weight of which nothing is known; measured ones are from 0 to 1 or 4 to 20.
 PRIOR_WEIGHT = 2.0
 PRIOR_WEIGHT_VARIANCE = 16.0
 # How fast a weight may shift, for each measured tail.
 WEIGHT_DRIFT_VARIANCE = 0.002
+# Time in which half of what is known of a pair that is not seen is forgotten,
+# so that wrong blame does not last.
+FORGET_WEIGHT_MS = 20_000
+# Time after which a pair counts as not seen.
+AGE_MS = 1_000
+# How far levels are from the truth beyond their own variance.
+MODEL_VARIANCE = 0.05
 # Spread of measured tails, as a share of the headroom and in any case.
 NOISE_SHARE = 0.08
 LEAST_NOISE = 0.05
@@ -45,13 +54,18 @@
 # A share below this says nothing of an image.
 LEAST_SHARE = 0.01
 # Standard deviations by which a level is taken to be lower than forecast.
-LEVEL_CAUTION = 0.5
+LEVEL_CAUTION = 0.25
 # Time for which a forecast is used again.
 FORECAST_MS = 100
+# How uncertain a level and its swing are that an earlier leader learned.
+TAKEN_VARIANCE = 0.05
+# Lead of the period that an earlier leader found best.
+TAKEN_SCORE = 10.0
 # How much of the score of a period each correction of a step leaves.
 SCORE_MEMORY = 0.999
 
 Shares = dict[str, float]
+StepId = tuple[str, int, int]
 
 
 class Wave:
@@ -89,6 +103,20 @@
         )
         return mean, variance
 
+    def state_at(self, now_ms: int) -> tuple[float, float, float]:
+        """Returns the state with the swing counted from a time."""
+        _, cosine, sine = self._factors(now_ms)
+        level, a, b = self.state
+        return level, a * cosine + b * sine, b * cosine - a * sine
+
+    def set_state(self, state: tuple[float, float, float], now_ms: int) -> None:
+        """Takes a state whose swing is counted from a time."""
+        _, cosine, sine = self._factors(now_ms)
+        level, a, b = state
+        self.state = [level, a * cosine - b * sine, b * cosine + a * sine]
+        for index in range(3):
+            self.covariance[index][index] = TAKEN_VARIANCE
+
     def correct(
         self, at_ms: float, value: float, variance: float, passed_ms: float
     ) -> float:
@@ -163,10 +191,21 @@
     Attributes:
       value: Fall of the headroom if the image took the whole worker.
       variance: How uncertain the value is.
+      seen_ms: When the pair was last seen.
     """
 
     value: float = PRIOR_WEIGHT
     variance: float = PRIOR_WEIGHT_VARIANCE
+    seen_ms: int = 0
+
+    def age(self, now_ms: int) -> None:
+        """Forgets a part of what is known, by the time since it was seen."""
+        kept = 0.5 ** ((now_ms - self.seen_ms) / FORGET_WEIGHT_MS)
+        self.seen_ms = now_ms
+        self.value = PRIOR_WEIGHT + kept * (self.value - PRIOR_WEIGHT)
+        self.variance = PRIOR_WEIGHT_VARIANCE + kept * (
+            self.variance - PRIOR_WEIGHT_VARIANCE
+        )
 
 
 _UNKNOWN = Weight()
@@ -185,14 +224,27 @@
 
     def __init__(self) -> None:
         self.weights: dict[tuple[str, str], Weight] = {}
-        self.levels: dict[object, StepLevel] = {}
+        self.levels: dict[StepId, StepLevel] = {}
         self.scores = [0.0] * len(PERIODS_MS)
-        self._forecasts: dict[tuple[object, int], tuple[int, float]] = {}
+        self._forecasts: dict[tuple[StepId, int], tuple[int, float]] = {}
 
     def weight(self, serving: str, beside: str) -> Weight:
         """Returns the weight of a pair."""
         return self.weights.get((serving, beside), _UNKNOWN)
 
+    def _seen(self, serving: str, beside: str, now_ms: int) -> Weight:
+        known = self.weights.get((serving, beside))
+        if known is None:
+            known = self.weights[(serving, beside)] = Weight(seen_ms=now_ms)
+        known.seen_ms = now_ms
+        return known
+
+    def age(self, now_ms: int) -> None:
+        """Forgets a part of what is known of pairs that were not seen."""
+        for weight in self.weights.values():
+            if now_ms - weight.seen_ms >= AGE_MS:
+                weight.age(now_ms)
+
     def mean_weight(self, serving: str) -> float:
         """Returns the mean weight of the images seen beside one that serves."""
         values = [
@@ -205,7 +257,7 @@
     def _best(self) -> int:
         return max(range(len(self.scores)), key=self.scores.__getitem__)
 
-    def _level(self, step: object, now_ms: int) -> StepLevel:
+    def _level(self, step: StepId, now_ms: int) -> StepLevel:
         known = self.levels.get(step)
         if known is None:
             level, swing = self._typical()
@@ -227,7 +279,7 @@
         swing = sum(w.state[1] ** 2 + w.state[2] ** 2 for w in waves) / count
         return level, swing / 2 + 0.02
 
-    def level(self, step: object, at_ms: float) -> tuple[float, float]:
+    def level(self, step: StepId, at_ms: float) -> tuple[float, float]:
         """Returns the level of a step expected at a time, and its variance."""
         known = self.levels.get(step)
         if known is None:
@@ -235,7 +287,7 @@
             return level, PRIOR_LEVEL_VARIANCE + swing
         return known.waves[self._best()].predict(at_ms)
 
-    def least_level(self, step: object, now_ms: int, ahead_ms: int) -> float:
+    def least_level(self, step: StepId, now_ms: int, ahead_ms: int) -> float:
         """Returns the least level expected of a step in a time ahead."""
         known = self._forecasts.get((step, ahead_ms))
         if known is not None and now_ms - known[0] < FORECAST_MS:
@@ -247,7 +299,7 @@
         self._forecasts[(step, ahead_ms)] = (now_ms, least)
         return least
 
-    def _careful_level(self, step: object, at_ms: float) -> float:
+    def _careful_level(self, step: StepId, at_ms: float) -> float:
         mean, variance = self.level(step, at_ms)
         return mean - LEVEL_CAUTION * math.sqrt(variance)
 
@@ -271,7 +323,7 @@
     def learn(
         self,
         serving: str,
-        step: object,
+        step: StepId,
         shares: Shares,
         measured: float,
         now_ms: int,
@@ -280,7 +332,7 @@
         level = self._level(step, now_ms)
         mean, variance = self.level(step, now_ms - MEASURE_AGE_MS)
         beside = [
-            (self.weights.setdefault((serving, image), Weight()), share)
+            (self._seen(serving, image, now_ms), share)
             for image, share in shares.items()
             if share >= LEAST_SHARE
         ]
@@ -292,7 +344,7 @@
         noise = max(LEAST_NOISE, NOISE_SHARE * measured) ** 2
         level.gather(measured + fall, noise + unsure)
         error = measured - (mean - fall)
-        spread = noise + variance + unsure
+        spread = noise + variance + unsure + MODEL_VARIANCE
         for weight, share in beside:
             gain = weight.variance * share / spread
             weight.value = max(0.0, weight.value - gain * error)
@@ -305,7 +357,51 @@
                 for score, new in zip(self.scores, scores, strict=True)
             ]
 
-    def forget(self, steps: Iterable[object]) -> None:
+    def export(self, now_ms: int, wall_ms: int) -> commands.KeepLearned:
+        """Returns what is learned, for a leader to come."""
+        best = self._best()
+        return commands.KeepLearned(
+            weights=tuple(
+                commands.LearnedWeight(
+                    serving=serving,
+                    beside=beside,
+                    value=weight.value,
+                    variance=weight.variance,
+                )
+                for (serving, beside), weight in self.weights.items()
+            ),
+            levels=tuple(
+                commands.LearnedLevel(
+                    step=step, state=level.waves[best].state_at(now_ms)
+                )
+                for step, level in self.levels.items()
+            ),
+            period_ms=PERIODS_MS[best],
+            at_ms=wall_ms,
+        )
+
+    def take(self, learned: commands.KeepLearned, at_ms: int) -> None:
+        """Takes what an earlier leader had learned.
+
+        Args:
+          learned: What it had learned.
+          at_ms: When, on this clock. If it is far off, as wall clocks may
+            step, the levels are soon learned again.
+        """
+        for item in learned.weights:
+            self.weights[(item.serving, item.beside)] = Weight(
+                item.value, item.variance, at_ms
+            )
+        if learned.period_ms not in PERIODS_MS:
+            return
+        best = PERIODS_MS.index(learned.period_ms)
+        self.scores[best] += TAKEN_SCORE
+        for level in learned.levels:
+            taken = StepLevel(at_ms, level.state[0], PRIOR_SWING_VARIANCE)
+            taken.waves[best].set_state(level.state, at_ms)
+            self.levels[level.step] = taken
+
+    def forget(self, steps: Iterable[StepId]) -> None:
         """Forgets steps that no longer serve."""
         for step in steps:
             self.levels.pop(step, None)
--- a/src/galenahook/jobs/ordering.py
+++ b/src/galenahook/jobs/ordering.py
@@ -1,10 +1,18 @@
 """The order in which jobs are considered for room."""
 
+import math
+
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tasks as tasks_lib
 
 # A job that ends later than this many objectives earns nothing.
 LATEST_OBJECTIVES = 3.0
+# What a late job earns, as a share of one in time, and what is set for one that
+# earns nothing, so that it is done at last.
+LATE_SHARE = 0.15
+HOPELESS_SHARE = 0.001
+# A job with less of its work left counts as if so much were.
+LEAST_WORK_LEFT = 0.05
 
 
 def objective_ms(
@@ -15,25 +23,43 @@
     return wanted + job.description.objective_ms
 
 
+def work_left(job: tasks_lib.Job) -> float:
+    """Returns the share of a job's work that is not done, above 0."""
+    total = left = 0.0
+    occurrences = job.description.occurrences
+    for number, step in enumerate(job.description.steps):
+        done = sum(
+            job.done.get((occurrence, number), 0)
+            for occurrence in range(occurrences)
+        )
+        size = step.cpu_millis or 1
+        total += size * step.tasks * occurrences
+        left += size * (step.tasks * occurrences - done)
+    return max(left / total, LEAST_WORK_LEFT)
+
+
 def rank(
     job: tasks_lib.Job, run_times: run_times_lib.RunTimes, now_wall_ms: int
 ) -> tuple[float, ...]:
-    """Returns the sort key of a job: what serves, priority, then lateness.
+    """Returns the sort key of a job: what serves, priority, then its gain.
 
-    A job that can't end within its objective any more goes behind those that
-    can, and one that can't end within three times that behind all others.
+    The gain is what the job earns by the work that is left of it, in powers
+    of two: a job that is nearly done goes before one that has not begun, and
+    one that can't end in time any more behind others unless little is left.
     """
     description = job.description
     serves = any(step.serves for step in description.steps)
     objective = objective_ms(job, run_times)
     age_ms = now_wall_ms - job.record.submitted_ms
     end_ms = age_ms + run_times.chain_ms(job, left=True)
-    is_hopeless = end_ms > LATEST_OBJECTIVES * objective
-    is_late = end_ms > objective
+    earns = 1.0
+    if end_ms > LATEST_OBJECTIVES * objective:
+        earns = HOPELESS_SHARE
+    elif end_ms > objective:
+        earns = LATE_SHARE
     return (
         0 if serves else 1,
         description.priority,
-        2 if is_hopeless else 1 if is_late else 0,
-        0 if job.began else 1,
+        -math.floor(math.log2(earns / work_left(job))),
         job.record.submitted_ms + objective,
     )
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -22,7 +22,7 @@
 SETTLED_MS = 1_200
 # Standard deviations by which a weight is taken to be higher than learned, so
 # that a pair that is new is tried where it can do no harm.
-CAUTION = 1.0
+CAUTION = 0.5
 # A fall of the headroom by one task that is always borne; harmless pairs have
 # weights up to 1 and tasks take a tenth of a worker.
 BORNE_FALL = 0.12
@@ -152,7 +152,14 @@
     waiting = [job for job in dispatcher.table.open.values() if job.waiting]
     if not waiting:
         return []
-    rooms = _rooms(dispatcher)
+    zones_out = dispatcher.node.state.site.current.zones_out
+    now_ms = dispatcher.now_ms()
+    rooms = [
+        room_of(link.worker, dispatcher.tails, now_ms)
+        for link in dispatcher.links.values()
+        if link.worker.is_usable(now_ms)
+        and link.worker.heartbeat.availability_zone not in zones_out
+    ]
     waiting.sort(
         key=lambda job: ordering.rank(job, dispatcher.run_times, now_wall_ms)
     )
@@ -164,27 +171,6 @@
     return placed
 
 
-def has_place(
-    dispatcher: "dispatcher_lib.Dispatcher", run: workers_lib.LiveRun
-) -> bool:
-    """Whether a run could go on somewhere else now."""
-    rooms = [
-        room for room in _rooms(dispatcher) if run.task not in room.worker.runs
-    ]
-    return _choose(dispatcher, run.job, run.key, run.step, rooms) is not None
-
-
-def _rooms(dispatcher: "dispatcher_lib.Dispatcher") -> list[Room]:
-    zones_out = dispatcher.node.state.site.current.zones_out
-    now_ms = dispatcher.now_ms()
-    return [
-        room_of(link.worker, dispatcher.tails, now_ms)
-        for link in dispatcher.links.values()
-        if link.worker.is_usable(now_ms)
-        and link.worker.heartbeat.availability_zone not in zones_out
-    ]
-
-
 def _place_job(
     dispatcher: "dispatcher_lib.Dispatcher",
     job: tasks_lib.Job,
--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -17,15 +17,19 @@
     from galenahook.jobs import link as link_lib
 
 # Headroom to be left by the work beside when it is placed, when it is let go
-# again, and while it runs; tails scatter by a tenth around the forecast.
-PLACED_HEADROOM = 1.15
-RELEASED_HEADROOM = 1.15
-KEPT_HEADROOM = 1.05
+# again, and while it runs. A target missed for a moment costs less than work
+# that waits; tails scatter by a tenth around the forecast.
+PLACED_HEADROOM = 1.05
+RELEASED_HEADROOM = 1.1
+KEPT_HEADROOM = 0.95
 # Time ahead for which a place must be good; most tasks take 1 to 4 s.
 PLACED_AHEAD_MS = 2_000
 # Time ahead for which work may go on: a throttle takes 100 ms to act, and tails
 # show it half a second later.
 KEPT_AHEAD_MS = 800
+# A tail over its target for so long has work beside it slowed as if it were
+# placed anew; after 4 s on end it is a broken promise.
+LONG_OVER_MS = 1_000
 # Time between two reviews of all workers, and between two changes of throttles
 # on one worker.
 REVIEW_MS = 50
@@ -109,6 +113,7 @@
         shares = shares_of(worker, now_ms)
         for run in worker.runs.values():
             if _is_measured(run):
+                _note_over(run, now_ms)
                 self.model.learn(
                     run.step.image,
                     run.step_id,
@@ -137,6 +142,7 @@
         if now_ms - self._reviewed_ms < REVIEW_MS:
             return
         self._reviewed_ms = now_ms
+        self.model.age(now_ms)
         self._prune(now_ms)
         for link in list(dispatcher.links.values()):
             worker = link.worker
@@ -151,8 +157,6 @@
                 self._changed_ms[worker.name] = now_ms
                 await dispatcher.spawn(_throttle, link, run, percent)
             for run in self.to_move(worker, beside, now_ms):
-                if not dispatcher.has_place(run):
-                    continue
                 reason = "it slows tasks that serve beside it"
                 await dispatcher.spawn(link.stop, run, reason)
 
@@ -176,7 +180,12 @@
     ) -> list[tuple[workers_lib.LiveRun, int]]:
         """Returns the runs whose throttles change, each with its percent."""
         served = self._served_with_measures(worker, now_ms)
-        kept = self.allowed(worker, served, KEPT_HEADROOM)
+        is_long = any(
+            run.over_since_ms and now_ms - run.over_since_ms >= LONG_OVER_MS
+            for run in worker.runs.values()
+        )
+        left = RELEASED_HEADROOM if is_long else KEPT_HEADROOM
+        kept = self.allowed(worker, served, left)
         released = self.allowed(worker, served, RELEASED_HEADROOM)
         changed = []
         for run in beside:
@@ -273,6 +282,14 @@
     return bool(run.step.tail_target_ms and run.measure and run.percent >= 100)
 
 
+def _note_over(run: workers_lib.LiveRun, now_ms: int) -> None:
+    """Takes note of since when a tail has been over its target."""
+    if _headroom(run) >= 1.0:
+        run.over_since_ms = 0
+    elif not run.over_since_ms:
+        run.over_since_ms = now_ms
+
+
 def _headroom(run: workers_lib.LiveRun) -> float:
     return run.step.tail_target_ms / (run.measure or 1.0)
 
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -40,6 +40,7 @@
       measure: Latest tail or use of processors.
       throttle: Share in percent that it may work at.
       slowed_ms: When it was last throttled below half its speed.
+      over_since_ms: Since when its tail has been over the target; 0 if not.
     """
 
     task: str
@@ -58,6 +59,7 @@
     measure: float | None = None
     throttle: int = 100
     slowed_ms: int = 0
+    over_since_ms: int = 0
 
     @property
     def step_id(self) -> StepId:
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -29,6 +29,7 @@
     | job_tasks.JobRecord
     | job_tasks.RunRecord
     | site_lib.SiteRecord
+    | commands.KeepLearned
 )
 
 
@@ -41,9 +42,17 @@
       claims: Idempotency keys claimed.
       jobs: Jobs that callers submitted.
       site: Queues and pools of workers of these jobs.
+      learned: What the last leader has learned of tails.
     """
 
-    __slots__ = ("claims", "configuration", "jobs", "site", "tasks")
+    __slots__ = (
+        "claims",
+        "configuration",
+        "jobs",
+        "learned",
+        "site",
+        "tasks",
+    )
 
     def __init__(self) -> None:
         self.configuration = configuration_lib.ConfigurationState()
@@ -51,6 +60,7 @@
         self.claims = claims_lib.ClaimTable()
         self.jobs = job_table.JobTable()
         self.site = site_lib.SiteState()
+        self.learned = commands.KeepLearned()
 
     def apply(self, command: commands.Command) -> commands.Result:
         """Applies one committed command and returns its result."""
@@ -82,6 +92,9 @@
                 return self.site.put(command)
             case commands.SetZoneService():
                 return self.site.set_zone_service(command)
+            case commands.KeepLearned():
+                self.learned = command
+                return commands.Done()
             case _:
                 return commands.Done()
 
@@ -123,6 +136,7 @@
             self.claims.snapshot_records(),
             self.site.snapshot_records(),
             self.jobs.snapshot_records(),
+            (self.learned,) if self.learned.at_ms else (),
         )
         return (record for part in parts for record in part)
 
@@ -143,6 +157,8 @@
                 self.jobs.restore_record(record)
             case site_lib.SiteRecord():
                 self.site.restore_record(record)
+            case commands.KeepLearned():
+                self.learned = record
             case _:
                 self.configuration.restore_record(record)
 
