Test headrooms, throttles, ranks and handover; ports that nothing else takes

Stand-ins take ports below the kernel's choices on addresses of their own process; the whole-path tests, which shared three hosts among all test processes, too.

--- a/bench/fakes/scenario.py
+++ b/bench/fakes/scenario.py
@@ -17,6 +17,7 @@
 from fakes import caller as caller_lib
 from fakes import events as events_lib
 from fakes import executor as executor_lib
+from fakes import loopback
 from fakes import operators as operators_lib
 from fakes import oracle
 from fakes import relay as relay_lib
@@ -310,7 +311,7 @@
     async def _start_worker(
         self, name: str, zone: str, entries: list[str]
     ) -> None:
-        address = site_lib.free_addresses(1)[0]
+        address = loopback.free_addresses(1)[0]
         worker = worker_lib.FakeWorker(
             name,
             entries,
@@ -326,7 +327,7 @@
     async def _start_executor(
         self, name: str, service: str, zone: str, entries: list[str]
     ) -> None:
-        address = site_lib.free_addresses(1)[0]
+        address = loopback.free_addresses(1)[0]
         executor = executor_lib.FakeExecutor(
             name,
             service,
--- /dev/null
+++ b/tests/test_jobs_dispatcher.py
@@ -0,0 +1,122 @@
+"""What a new leader takes over from an earlier one."""
+
+import curio
+import pytest
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import state as state_lib
+from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import headroom
+import job_builders as build
+
+TASK = f"{build.JOB}.0.0.0"
+
+
+class FakeNode:
+    """A replica that leads and commits at once."""
+
+    def __init__(self):
+        self.state = state_lib.State()
+        self.submitted = []
+        self.has_quorum = True
+
+    def term(self):
+        return 7
+
+    def may_act(self):
+        return True
+
+    def is_leader(self):
+        return True
+
+    async def submit(self, command):
+        if not self.has_quorum:
+            raise errors.NoQuorumError("no majority")
+        self.submitted.append(command)
+        return self.state.apply(command)
+
+
+class FakeClient:
+    """A worker that never answers."""
+
+    async def look(self, *_arguments):
+        raise errors.ExchangeError("silent", sent=False)
+
+    async def close(self):
+        """Closes nothing."""
+
+
+def make(node):
+    return dispatcher_lib.Dispatcher(
+        node, clock_lib.Clock(), lambda _heartbeat: FakeClient(), 3_000
+    )
+
+
+def running(step):
+    """Returns a node whose state has a run on the worker w1."""
+    node = FakeNode()
+    node.state.apply(build.submit(step))
+    node.state.apply(build.starts(build.start(TASK)))
+    return node
+
+
+def adopt(node):
+    dispatcher = make(node)
+
+    async def main():
+        await dispatcher.hear(build.heartbeat())
+        await dispatcher.close()
+
+    curio.run(main)
+    return dispatcher.links["w1"].worker.runs[TASK]
+
+
+def test_an_adopted_run_beside_others_counts_as_throttled():
+    assert adopt(running(build.beside_step())).throttle == 0
+
+
+@pytest.mark.parametrize("step", [build.step(), build.serving_step()])
+def test_an_adopted_run_that_is_never_throttled_is_at_full_speed(step):
+    assert adopt(running(step)).throttle == 100
+
+
+def test_a_new_leader_knows_the_weights_of_the_earlier_one():
+    node = FakeNode()
+    first = make(node)
+    weights = first.tails.model.weights
+    weights[("shop", "batch")] = headroom.Weight(9.0, 0.1)
+    first.tails.model.learn("shop", (build.JOB, 0, 0), {}, 2.5, 0)
+    curio.run(first._keep_learned)
+    later = make(node)
+    assert later.tails.model.weight("shop", "batch").value == 9.0
+
+
+def test_nothing_is_kept_before_anything_serves():
+    node = FakeNode()
+    curio.run(make(node)._keep_learned)
+    assert node.submitted == []
+
+
+def test_what_cannot_be_kept_ends_nothing():
+    node = FakeNode()
+    dispatcher = make(node)
+    dispatcher.tails.model.learn("shop", (build.JOB, 0, 0), {}, 2.5, 0)
+    node.has_quorum = False
+    curio.run(dispatcher._keep_learned)
+    assert node.submitted == []
+
+
+def test_run_times_are_learned_from_whole_runs_at_full_speed():
+    node = running(build.step())
+    dispatcher = make(node)
+    job = node.state.jobs.jobs[build.JOB]
+    worker = build.worker()
+    for changes, known in (
+        ({"slowed_ms": 5}, 500.0),
+        ({"ordered_ms": 0}, 500.0),
+        ({"ordered_ms": dispatcher.now_ms() - 2_000}, 2_000.0),
+    ):
+        dispatcher.note_end(worker, build.live_run(job, **changes), "done")
+        learned = dispatcher.run_times.expect_ms(job, 500)
+        assert learned == pytest.approx(known, rel=0.05)
--- /dev/null
+++ b/tests/test_jobs_headroom.py
@@ -0,0 +1,139 @@
+"""Learned headrooms: swinging levels, weights of pairs, their handover."""
+
+import itertools
+import math
+
+import pytest
+
+from galenahook import commands
+from galenahook import state as state_lib
+from galenahook.jobs import headroom
+
+STEP_MS = 250
+BASE = 2.5
+SWING = 0.9
+PHASES_MS = {"00000000000000a1": 0, "00000000000000a2": 3_000}
+MIXES = ({"good": 0.1}, {"bad": 0.1}, {"good": 0.2, "bad": 0.05}, {})
+
+
+def level_at(job, now_ms, period_ms):
+    phase = 2 * math.pi * (now_ms + PHASES_MS[job]) / period_ms
+    return BASE + SWING * math.sin(phase)
+
+
+def teach(model, weights, from_ms=0, for_ms=30_000, period_ms=10_000):
+    """Lets a model see headrooms that follow known weights and a swing.
+
+    Each step has four tasks, on workers with different work beside them that
+    changes each 1.5 s.
+    """
+    for tick, now_ms in enumerate(range(from_ms, from_ms + for_ms, STEP_MS)):
+        for job, place in itertools.product(PHASES_MS, range(4)):
+            shares = MIXES[(tick // 6 + place) % len(MIXES)]
+            at_ms = now_ms - headroom.MEASURE_AGE_MS
+            value = level_at(job, at_ms, period_ms)
+            value -= sum(weights[image] * s for image, s in shares.items())
+            model.learn("shop", (job, 0, 0), shares, value, now_ms)
+
+
+@pytest.mark.parametrize("period_ms", [7_000, 10_000, 14_000, 19_000])
+def test_weights_are_told_apart_while_levels_swing(period_ms):
+    model = headroom.HeadroomModel()
+    teach(model, {"good": 0.5, "bad": 8.0}, period_ms=period_ms)
+    assert model.weight("shop", "bad").value == pytest.approx(8.0, abs=1.5)
+    assert model.weight("shop", "good").value == pytest.approx(0.5, abs=1.0)
+
+
+@pytest.mark.parametrize("period_ms", [7_000, 10_000, 14_000])
+def test_levels_are_forecast_two_seconds_ahead(period_ms):
+    model = headroom.HeadroomModel()
+    teach(model, {"good": 0.5, "bad": 8.0}, period_ms=period_ms)
+    for job in PHASES_MS:
+        expected = level_at(job, 32_000, period_ms)
+        mean, _ = model.level((job, 0, 0), 32_000)
+        assert mean == pytest.approx(expected, abs=0.35)
+
+
+def test_a_well_known_image_is_not_blamed_for_a_new_one():
+    model = headroom.HeadroomModel()
+    step = ("00000000000000a1", 0, 0)
+    for now_ms in range(0, 15_000, STEP_MS):
+        model.learn("shop", step, {"good": 0.1}, 2.4, now_ms)
+    for now_ms in range(15_000, 16_000, STEP_MS):
+        model.learn("shop", step, {"good": 0.1, "new": 0.1}, 1.4, now_ms)
+    assert model.weight("shop", "new").value > 5.0
+    assert model.weight("shop", "good").value < 2.0
+
+
+def test_a_weight_that_shifted_is_learned_again():
+    model = headroom.HeadroomModel()
+    teach(model, {"good": 0.5, "bad": 8.0})
+    teach(model, {"good": 8.0, "bad": 0.5}, from_ms=30_000, for_ms=40_000)
+    good = model.weight("shop", "good").value
+    assert good > model.weight("shop", "bad").value + 3.0
+
+
+def test_wrong_blame_of_a_pair_that_is_not_seen_does_not_last():
+    model = headroom.HeadroomModel()
+    model.weights[("shop", "good")] = headroom.Weight(13.6, 0.1, 0)
+    for now_ms in range(0, 60_001, 500):
+        model.age(now_ms)
+    weight = model.weight("shop", "good")
+    assert weight.value < 5.0
+    assert weight.variance > headroom.PRIOR_WEIGHT_VARIANCE / 2
+
+
+def test_a_pair_that_is_seen_is_not_forgotten():
+    model = headroom.HeadroomModel()
+    teach(model, {"good": 0.5, "bad": 8.0})
+    model.age(30_000)
+    assert model.weight("shop", "bad").value > 6.0
+
+
+def test_a_headroom_near_nothing_says_only_that_it_is_low():
+    model = headroom.HeadroomModel()
+    step = ("00000000000000a1", 0, 0)
+    for now_ms in range(0, 5_000, STEP_MS):
+        model.learn("shop", step, {"bad": 0.5}, 0.01, now_ms)
+    assert model.weight("shop", "bad").value < 20.0
+
+
+def test_a_later_leader_goes_on_from_what_was_learned():
+    model = headroom.HeadroomModel()
+    teach(model, {"good": 0.5, "bad": 8.0})
+    learned = model.export(30_000, wall_ms=1_000_000)
+    later = headroom.HeadroomModel()
+    shift_ms = 777_777
+    later.take(learned, 30_000 + shift_ms)
+    for job in PHASES_MS:
+        step = (job, 0, 0)
+        for ahead_ms in (0, 1_000, 3_000):
+            at_ms = 30_000 + ahead_ms
+            expected, _ = model.level(step, at_ms)
+            taken, _ = later.level(step, at_ms + shift_ms)
+            assert taken == pytest.approx(expected, abs=1e-6)
+    assert later.weight("shop", "bad").value == pytest.approx(
+        model.weight("shop", "bad").value
+    )
+
+
+def test_what_is_learned_is_in_snapshots():
+    model = headroom.HeadroomModel()
+    teach(model, {"good": 0.5, "bad": 8.0}, for_ms=5_000)
+    learned = model.export(5_000, wall_ms=1_000_000)
+    state = state_lib.State()
+    command = commands.decode_command(commands.encode_command(learned))
+    assert state.apply(command) == commands.Done()
+    restored = state_lib.State()
+    restored.restore(
+        state_lib.decode_record(state_lib.encode_record(record))
+        for record in state.snapshot_records()
+    )
+    assert restored.learned == learned
+
+
+def test_steps_that_no_longer_serve_are_forgotten():
+    model = headroom.HeadroomModel()
+    teach(model, {"good": 0.5, "bad": 8.0}, for_ms=1_000)
+    model.forget([("00000000000000a1", 0, 0)])
+    assert list(model.levels) == [("00000000000000a2", 0, 0)]
--- /dev/null
+++ b/tests/test_jobs_ordering.py
@@ -0,0 +1,114 @@
+"""Which job is considered first, and what is learned of run times."""
+
+import pytest
+
+from galenahook.jobs import ordering
+from galenahook.jobs import run_times as run_times_lib
+from galenahook.jobs import table as table_lib
+import job_builders as build
+
+NOW_MS = build.WALL_MS
+
+
+def job(name, *steps, age_ms=0, **changes):
+    """Returns a stored job of that age, with a table to end its tasks."""
+    table = table_lib.JobTable()
+    command = build.submit(*steps, job=f"00000000000000{name}", **changes)
+    table.submit(command)
+    stored = table.jobs[command.description.job]
+    stored.record = type(stored.record)(
+        description=stored.description, submitted_ms=NOW_MS - age_ms
+    )
+    return stored, table
+
+
+def finish(stored, table, *tasks):
+    for task in tasks:
+        name = f"{stored.description.job}.0.{task}"
+        table.record(build.starts(build.start(name)))
+        table.record(build.ends(build.end(name)))
+
+
+def order(*jobs):
+    times = run_times_lib.RunTimes()
+    ranked = sorted(jobs, key=lambda j: ordering.rank(j, times, NOW_MS))
+    return [j.description.job[-2:] for j in ranked]
+
+
+def test_what_serves_goes_first_then_priority():
+    serving, _ = job("a1", build.serving_step(), priority=5)
+    urgent, _ = job("a2", priority=0)
+    other, _ = job("a3", priority=2)
+    assert order(other, urgent, serving) == ["a1", "a2", "a3"]
+
+
+def test_a_job_that_can_end_in_time_goes_before_one_that_cannot():
+    late, _ = job("a1", age_ms=1_000)
+    fresh, _ = job("a2")
+    assert order(late, fresh) == ["a2", "a1"]
+
+
+def test_a_late_job_that_is_nearly_done_goes_before_a_fresh_one():
+    late, table = job("a1", build.step(tasks=20), age_ms=1_000)
+    finish(late, table, *(f"0.{index}" for index in range(19)))
+    fresh, _ = job("a2", build.step(tasks=20))
+    assert order(fresh, late) == ["a1", "a2"]
+
+
+def test_a_job_past_all_use_goes_last_even_if_nearly_done():
+    gone, table = job("a1", build.step(tasks=20), age_ms=60_000)
+    finish(gone, table, *(f"0.{index}" for index in range(19)))
+    late, _ = job("a2", build.step(tasks=20), age_ms=1_000)
+    assert order(gone, late) == ["a2", "a1"]
+
+
+def test_a_half_done_job_goes_before_one_that_is_due_earlier():
+    half, table = job("a1", build.step(tasks=4))
+    finish(half, table, "0.0", "0.1", "0.2")
+    fresh, _ = job("a2", build.step(tasks=4), age_ms=100)
+    assert order(fresh, half) == ["a1", "a2"]
+
+
+def test_a_declared_time_counts_until_a_queue_is_known():
+    times = run_times_lib.RunTimes()
+    stored, _ = job("a1")
+    assert times.expect_ms(stored, 500) == 500.0
+
+
+def test_learned_times_of_a_queue_outweigh_declared_ones():
+    times = run_times_lib.RunTimes()
+    for number in range(10):
+        other, _ = job(f"b{number}")
+        times.learn(other, 2_000)
+    stored, _ = job("a1")
+    assert 1_200 < times.expect_ms(stored, 500) < 2_000
+    assert times.expect_ms(stored, 2_000) == pytest.approx(2_000)
+
+
+def test_times_of_the_job_itself_count_alone():
+    times = run_times_lib.RunTimes()
+    stored, _ = job("a1")
+    times.learn(stored, 4_000)
+    assert times.expect_ms(stored, 500) == pytest.approx(4_000)
+
+
+def test_jobs_whose_times_are_kept_are_bounded():
+    times = run_times_lib.RunTimes()
+    for number in range(run_times_lib.MAX_JOBS + 10):
+        stored, _ = job(f"{number % 256:02x}", queue=f"q{number}")
+        stored.record = build.job(job=f"{number:016x}").record
+        times.learn(stored, 1_000)
+    assert len(times._by_job) == run_times_lib.MAX_JOBS
+
+
+def test_the_longest_chain_counts_steps_that_wait_for_each_other():
+    times = run_times_lib.RunTimes()
+    steps = (
+        build.step(estimate_ms=100),
+        build.step(estimate_ms=900),
+        build.step(estimate_ms=300, after=(0,)),
+    )
+    stored, table = job("a1", *steps)
+    assert times.chain_ms(stored) == 900.0
+    finish(stored, table, "1.0")
+    assert times.chain_ms(stored, left=True) == 400.0
