Serve counters and latency histograms as text on the metrics address

Change: job_metrics.py with the Prometheus client library; requests by method and status, commits, rounds, first starts, runs, refusals, throttles, and gauges of what a replica holds.

--- a/src/galenahook/job_entry.py
+++ b/src/galenahook/job_entry.py
@@ -3,6 +3,7 @@
 import curio
 
 from galenahook import clock as clock_lib
+from galenahook import job_metrics
 from galenahook import logs
 from galenahook import process
 from galenahook import settings as settings_lib
@@ -42,13 +43,17 @@
         self._read = read
         self.draining = False
         self.client = web.ControlClient(clock, [])
+        self.metrics = job_metrics.JobMetrics()
         self.gateway = gateway_lib.Gateway(
             settings.name,
             settings_lib.peer_addresses(settings.seeds, settings.peer_port),
             self.client,
             clock,
+            self.metrics,
+        )
+        self.callers = callers_lib.CallerListener(
+            self.gateway, clock, self.metrics
         )
-        self.callers = callers_lib.CallerListener(self.gateway, clock)
         self.health = health_lib.Health(self._is_ready)
         self.callers_server = web.Server(
             web.listen(settings.callers.listen),
@@ -60,6 +65,16 @@
             self.health.handle,
             web.CONTROL_LIMITS,
         )
+        self.metrics_server = web.Server(
+            web.listen(settings.metrics.listen),
+            self.metrics.handle,
+            web.CONTROL_LIMITS,
+        )
+        self.metrics.watch(
+            "caller_connections",
+            "Open connections of callers.",
+            lambda: self.callers_server.connections,
+        )
 
     def _is_ready(self) -> bool:
         polled_ms = self.gateway.polled_ms
@@ -77,6 +92,7 @@
         await parts.start(
             self.callers_server.run,
             self.platform_server.run,
+            self.metrics_server.run,
             self.gateway.follow,
         )
         logs.info("entry:started", name=self.settings.name)
--- a/src/galenahook/job_replica.py
+++ b/src/galenahook/job_replica.py
@@ -4,6 +4,7 @@
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import job_metrics
 from galenahook import leader_client
 from galenahook import logs
 from galenahook import messages
@@ -40,10 +41,15 @@
         self.clock = clock
         self._read = read
         self.client = web.ControlClient(clock, [])
+        self.metrics = job_metrics.JobMetrics()
         consensus = settings.replica()
         self.node = node_lib.Node(consensus, self.client, clock)
         self.gateway = gateway_lib.Gateway(
-            settings.name, dict(consensus.replicas), self.client, clock
+            settings.name,
+            dict(consensus.replicas),
+            self.client,
+            clock,
+            self.metrics,
         )
         self.leader: leader_lib.JobLeader | None = None
         self.control = control_lib.ControlListener(self._call, clock)
@@ -55,6 +61,32 @@
             self.control.handle,
             web.CONTROL_LIMITS,
         )
+        self.metrics_server = web.Server(
+            web.listen(settings.metrics.listen),
+            self.metrics.handle,
+            web.CONTROL_LIMITS,
+        )
+        self._watch()
+
+    def _watch(self) -> None:
+        """Adds gauges of what this replica holds."""
+        node = self.node
+        table = node.state.jobs
+        watch = self.metrics.watch
+        watch("term", "Term of the group.", lambda: float(node.term()))
+        watch("leads", "Whether it leads.", lambda: float(node.is_leader()))
+        watch(
+            "applied_index",
+            "Last command applied.",
+            lambda: float(node.core.applied_index),
+        )
+        watch("jobs", "Jobs stored.", lambda: len(table.jobs))
+        watch("jobs_open", "Jobs that have not ended.", lambda: len(table.open))
+        watch(
+            "tasks_waiting",
+            "Tasks whose turn has come and that do not run.",
+            lambda: sum(len(job.waiting) for job in table.open.values()),
+        )
 
     def reload(self) -> None:
         """Reads the settings again; only the seeds may change."""
@@ -74,6 +106,7 @@
             self.gateway.follow,
             self.peers_server.run,
             self.control_server.run,
+            self.metrics_server.run,
         )
         logs.info(
             "replica:started",
@@ -99,6 +132,7 @@
                 self.clock,
                 self._worker,
                 self.settings.worker_lease_ms,
+                self.metrics,
             )
             self.leader = leader_lib.JobLeader(
                 self.node, self.clock, dispatcher
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -12,6 +12,7 @@
 from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import errors
+from galenahook import job_metrics
 from galenahook import logs
 from galenahook.jobs import calls
 from galenahook.jobs import departures
@@ -38,6 +39,9 @@
 # Starts committed in one command, so that a burst does not delay others.
 MAX_STARTS = 200
 
+# Its first start is the one that a job waited for.
+FIRST_TASK = (0, 0, 0)
+
 ClientFactory = Callable[[calls.WorkerHeartbeat], worker_api.WorkerClient]
 
 
@@ -61,11 +65,13 @@
         clock: clock_lib.Clock,
         make_client: ClientFactory,
         lease_ms: int,
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         self.node = node
         self.clock = clock
         self.term = node.term()
         self.lease_ms = lease_ms
+        self.metrics = metrics
         self.pool = workers_lib.WorkerPool(clock)
         self.links: dict[str, link_lib.Link] = {}
         self.health = health_lib.WorkerHealth()
@@ -108,11 +114,28 @@
                 await self._wake.wait(ROUND_PERIOD_MS)
             await curio.sleep(clock_lib.seconds(ROUND_GAP_MS))
             self._is_woken = False
+            began_ms = self.now_ms()
             try:
                 await self._round()
             except errors.GalenahookError as error:
                 logs.warning("round:failed", term=self.term, reason=str(error))
                 await curio.sleep(clock_lib.seconds(FAILED_ROUND_MS))
+            else:
+                seconds = clock_lib.seconds(self.now_ms() - began_ms)
+                self.metrics.round_seconds.observe(seconds)
+
+    async def commit(self, command: commands.Command) -> commands.Result:
+        """Commits a command and returns its result.
+
+        Raises:
+          errors.NotLeaderError: It is certainly not committed.
+          errors.NoQuorumError: It may or may not be committed.
+        """
+        began_ms = self.now_ms()
+        result = await self.node.submit(command)
+        seconds = clock_lib.seconds(self.now_ms() - began_ms)
+        self.metrics.commit_seconds.observe(seconds)
+        return result
 
     async def close(self) -> None:
         """Ends every conversation."""
@@ -152,7 +175,7 @@
             return
         learned = model.export(self.now_ms(), self.clock.wall_ms())
         try:
-            await self.node.submit(learned)
+            await self.commit(learned)
         except errors.GalenahookError as error:
             logs.warning("learned:not-kept", term=self.term, reason=str(error))
 
@@ -164,10 +187,12 @@
                 ends=tuple(ends), at_ms=self.clock.wall_ms()
             )
             try:
-                await self.node.submit(command)
+                await self.commit(command)
             except errors.GalenahookError:
                 self._ends = ends + self._ends
                 raise
+        for end in ends:
+            self.metrics.run_ends.labels(end.outcome).inc()
         for link, mark in marks:
             if link.worker.acknowledged < mark:
                 await link.note_committed(mark)
@@ -181,7 +206,7 @@
             at_ms=self.clock.wall_ms(),
         )
         try:
-            result = await self.node.submit(command)
+            result = await self.commit(command)
         except errors.GalenahookError:
             # The starts may yet be committed, but none was ordered.
             for worker, run in placed:
@@ -191,13 +216,31 @@
         for (worker, run), applied in zip(placed, result.applied, strict=True):
             link = self.links.get(worker.name)
             if applied and link is not None and link.worker is worker:
-                _log_start(worker, run)
+                self._note_start(worker, run)
                 await self.spawn(link.start, run)
             else:
                 self._withdraw(worker, run)
         if len(placed) >= MAX_STARTS:
             await self.wake()
 
+    def _note_start(
+        self, worker: workers_lib.Worker, run: workers_lib.LiveRun
+    ) -> None:
+        self.metrics.run_starts.inc()
+        waited_ms = self.clock.wall_ms() - run.job.record.submitted_ms
+        if run.key == FIRST_TASK and run.run == 1:
+            seconds = clock_lib.seconds(max(0, waited_ms))
+            self.metrics.first_start_seconds.observe(seconds)
+        logs.info(
+            "run:start",
+            job=run.job.description.job,
+            task=run.task,
+            run=run.run,
+            worker=worker.name,
+            zone=worker.heartbeat.availability_zone,
+            waited_ms=waited_ms,
+        )
+
     def _withdraw(
         self, worker: workers_lib.Worker, run: workers_lib.LiveRun
     ) -> None:
@@ -310,6 +353,7 @@
             answer=answer.value,
             reason=reason,
         )
+        self.metrics.run_refusals.labels(answer.value).inc()
         self.health.note_refusal(worker, self.now_ms())
 
 
@@ -341,14 +385,3 @@
         worker=worker.name,
         born_ms=worker.heartbeat.born_ms,
     )
-
-
-def _log_start(worker: workers_lib.Worker, run: workers_lib.LiveRun) -> None:
-    logs.info(
-        "run:start",
-        job=run.job.description.job,
-        task=run.task,
-        run=run.run,
-        worker=worker.name,
-        zone=worker.heartbeat.availability_zone,
-    )
--- a/src/galenahook/jobs/gateway.py
+++ b/src/galenahook/jobs/gateway.py
@@ -14,6 +14,7 @@
 from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import findings as findings_lib
+from galenahook import job_metrics
 from galenahook import leader_client
 from galenahook import logs
 from galenahook import messages
@@ -67,6 +68,7 @@
         replicas: dict[str, str],
         client: web.ControlClient,
         clock: clock_lib.Clock,
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         self.name = name
         self.replicas = replicas
@@ -75,6 +77,7 @@
         self.polled_ms: int | None = None
         self._client = client
         self._clock = clock
+        self._metrics = metrics
         self._found = notify.Signal()
         self._lost = notify.Signal()
 
@@ -127,6 +130,7 @@
         """Takes note that a replica does not lead or does not answer."""
         if self.leader == name:
             self.leader = ""
+            self._metrics.leader_losses.inc()
             logs.info("leader:lost", leader=name, reason=reason)
             await self._lost.notify()
 
--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -86,7 +86,7 @@
     async def _put_site(self, command: commands.PutSite) -> calls.JobReply:
         before = self.node.state.site.current.version
         if command.version > before:
-            await self.node.submit(command)
+            await self.dispatcher.commit(command)
             logs.info(
                 "site:changed",
                 version=command.version,
@@ -99,7 +99,7 @@
     async def _set_zone(self, call: calls.ZoneCall) -> calls.JobReply:
         zones_out = self.node.state.site.current.zones_out
         if (call.availability_zone in zones_out) is not call.out:
-            await self.node.submit(
+            await self.dispatcher.commit(
                 commands.SetZoneService(
                     availability_zone=call.availability_zone,
                     out=call.out,
@@ -180,7 +180,7 @@
             interval_ms=order.interval_ms,
         )
         try:
-            await self.node.submit(
+            await self.dispatcher.commit(
                 commands.SubmitJob(
                     description=description, at_ms=self.clock.wall_ms()
                 )
@@ -200,7 +200,7 @@
     async def _cancel(self, identifier: str) -> calls.JobReply:
         if identifier not in self.node.state.jobs.jobs:
             return calls.JobReply(outcome="unknown-job")
-        await self.node.submit(
+        await self.dispatcher.commit(
             commands.CancelJob(job=identifier, at_ms=self.clock.wall_ms())
         )
         logs.info("job:cancelled", job=identifier)
--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -154,6 +154,7 @@
                 if run.throttle >= MOVED_SHARE > percent:
                     run.slowed_ms = now_ms
                 run.throttle = percent
+                dispatcher.metrics.throttles.inc()
                 self._changed_ms[worker.name] = now_ms
                 await dispatcher.spawn(_throttle, link, run, percent)
             for run in self.to_move(worker, beside, now_ms):
--- a/src/galenahook/platform/callers.py
+++ b/src/galenahook/platform/callers.py
@@ -4,6 +4,7 @@
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import job_metrics
 from galenahook import logs
 from galenahook import web
 from galenahook.jobs import calls
@@ -39,14 +40,25 @@
     """
 
     def __init__(
-        self, gateway: gateway_lib.Gateway, clock: clock_lib.Clock
+        self,
+        gateway: gateway_lib.Gateway,
+        clock: clock_lib.Clock,
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         self.end_ms: int | None = None
         self._gateway = gateway
         self._clock = clock
+        self._metrics = metrics
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answers one request of a caller."""
+        began_ms = self._clock.monotonic_ms()
+        response = await self._answer(request)
+        seconds = clock_lib.seconds(self._clock.monotonic_ms() - began_ms)
+        self._metrics.count_request(request.method, response.status, seconds)
+        return response
+
+    async def _answer(self, request: web.Request) -> web.Response:
         call = self._call_of(request)
         if isinstance(call, web.Response):
             return call
--- /dev/null
+++ b/tests/test_job_metrics.py
@@ -0,0 +1,72 @@
+"""Metrics as text, and what moves them."""
+
+import curio
+import pytest
+
+from galenahook import job_metrics
+from galenahook import web
+
+
+def lines_of(metrics):
+    """Returns every sample by its name and labels."""
+
+    async def main():
+        return await metrics.handle(web.Request("GET", "/metrics"))
+
+    response = curio.run(main)
+    assert response.status == 200
+    assert response.header(b"content-type").startswith(b"text/plain")
+    samples = {}
+    for line in response.body.decode().splitlines():
+        if not line.startswith("#"):
+            name, _, value = line.rpartition(" ")
+            samples[name] = float(value)
+    return samples
+
+
+def test_requests_are_counted_with_their_time():
+    metrics = job_metrics.JobMetrics()
+    metrics.count_request("GET", 200, 0.004)
+    metrics.count_request("GET", 200, 0.4)
+    samples = lines_of(metrics)
+    name = 'galenahook_caller_requests_total{method="GET",status="200"}'
+    assert samples[name] == 2
+    bucket = 'galenahook_caller_seconds_bucket{le="0.005",method="GET"}'
+    assert samples[bucket] == 1
+    assert samples['galenahook_caller_seconds_count{method="GET"}'] == 2
+
+
+def test_methods_that_callers_make_up_share_one_label():
+    metrics = job_metrics.JobMetrics()
+    for number in range(100):
+        metrics.count_request(f"X{number}", 405, 0.001)
+    names = [n for n in lines_of(metrics) if "caller_requests_total" in n]
+    assert names == [
+        'galenahook_caller_requests_total{method="other",status="405"}'
+    ]
+
+
+def test_gauges_are_read_when_metrics_are_collected():
+    metrics = job_metrics.JobMetrics()
+    held = [1, 2]
+    metrics.watch("things", "Things.", lambda: len(held))
+    assert lines_of(metrics)["galenahook_things"] == 2
+    held.append(3)
+    assert lines_of(metrics)["galenahook_things"] == 3
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status"),
+    [
+        ("GET", "/metrics?all", 200),
+        ("GET", "/", 404),
+        ("POST", "/metrics", 405),
+    ],
+)
+def test_only_metrics_are_served(method, target, status):
+    metrics = job_metrics.JobMetrics()
+
+    async def main():
+        return await metrics.handle(web.Request(method, target))
+
+    assert curio.run(main).status == status
--- a/tests/test_jobs_dispatcher.py
+++ b/tests/test_jobs_dispatcher.py
@@ -5,6 +5,7 @@
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import job_metrics
 from galenahook import state as state_lib
 from galenahook.jobs import dispatcher as dispatcher_lib
 from galenahook.jobs import headroom
@@ -49,7 +50,11 @@
 
 def make(node):
     return dispatcher_lib.Dispatcher(
-        node, clock_lib.Clock(), lambda _heartbeat: FakeClient(), 3_000
+        node,
+        clock_lib.Clock(),
+        lambda _heartbeat: FakeClient(),
+        3_000,
+        job_metrics.JobMetrics(),
     )
 
 
--- a/tests/test_jobs_gateway.py
+++ b/tests/test_jobs_gateway.py
@@ -5,6 +5,7 @@
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import job_metrics
 from galenahook import messages
 from galenahook import web
 from galenahook.jobs import calls
@@ -49,7 +50,13 @@
 
 def gateway_of(replicas, *seeds):
     known = {name: replicas.members[name] for name in seeds}
-    return gateway_lib.Gateway("entry", known, replicas, clock_lib.Clock())
+    return gateway_lib.Gateway(
+        "entry",
+        known,
+        replicas,
+        clock_lib.Clock(),
+        job_metrics.JobMetrics(),
+    )
 
 
 def run(main):
--- a/tests/test_jobs_tails.py
+++ b/tests/test_jobs_tails.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from galenahook import job_metrics
 from galenahook.jobs import headroom
 from galenahook.jobs import tails as tails_lib
 import job_builders as build
@@ -34,6 +35,7 @@
     def __init__(self, link):
         self.links = {link.worker.name: link}
         self.time_ms = NOW_MS
+        self.metrics = job_metrics.JobMetrics()
 
     def now_ms(self):
         return self.time_ms
--- a/tests/test_jobs_whole_path.py
+++ b/tests/test_jobs_whole_path.py
@@ -297,3 +297,26 @@
         await system.until(is_state(system, "completed"))
 
     play(scenario)
+
+
+async def metrics_of(process):
+    connection = await web.connect(process.metrics_server.address)
+    try:
+        request = web.Request("GET", "/metrics")
+        return (await connection.exchange(request, 2_000)).body.decode()
+    finally:
+        await connection.close()
+
+
+def test_metrics_tell_of_requests_and_runs(play):
+    async def scenario(system):
+        assert await system.submit(50) == 200
+        await system.until(is_state(system, "completed"))
+        entry = await metrics_of(system.entry)
+        assert 'method="POST",status="200"' in entry
+        leader = await metrics_of(system.replicas[system.leader()])
+        assert "galenahook_run_starts_total 2.0" in leader
+        assert 'galenahook_run_ends_total{outcome="done"} 2.0' in leader
+        assert "galenahook_leads 1.0" in leader
+
+    play(scenario)
