--- a/src/galenahook/cli.py
+++ b/src/galenahook/cli.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import itertools
+import pathlib
 import sys
 from typing import Any
 
@@ -17,6 +20,7 @@
 from galenahook.operators import client as client_lib
 from galenahook.operators import daemons
 from galenahook.operators import exit_codes
+from galenahook.operators import log_story
 from galenahook.operators import output as output_lib
 from galenahook.operators import reports
 from galenahook.operators import session as session_lib
@@ -144,19 +148,30 @@
 
     @_TEXT
     def explain(
-        self, job: str = "", service: str = "", request: str = ""
+        self,
+        job: str = "",
+        service: str = "",
+        request: str = "",
+        log: str = "",
     ) -> cli_actions.Action:
         """Explains why a job, a service or a request is as it is.
 
         Args:
           job: Name of a job.
           service: Name of a service.
-          request: Identifier from the header x-galenahook-request.
+          request: Identifier from the header x-galenahook-request; with a log,
+            the identifier of a request or of a job of a caller.
+          log: Log files of any processes, separated by commas; the story is
+            told from them and nobody is asked.
         """
         if sum(map(bool, (job, service, request))) != 1:
             raise cli_actions.CommandError(
                 exit_codes.USAGE, "give one of --job, --service, --request"
             )
+        if log:
+            return cli_actions.Action(
+                lambda: self._tell(job or service or request, log)
+            )
 
         async def run(session: session_lib.Session) -> None:
             explanation = await session.explain(job, service, request)
@@ -170,6 +185,27 @@
 
         return self._options.action(run)
 
+    def _tell(self, identifier: str, log: str) -> None:
+        try:
+            with contextlib.ExitStack() as stack:
+                files = [
+                    stack.enter_context(
+                        pathlib.Path(name).open(errors="replace")
+                    )
+                    for name in log.split(",")
+                ]
+                lines = itertools.chain.from_iterable(files)
+                story = log_story.tell(lines, identifier)
+        except OSError as error:
+            raise cli_actions.CommandError(
+                exit_codes.USAGE, f"log can't be read: {error}"
+            ) from error
+        if not story.events:
+            raise cli_actions.CommandError(
+                exit_codes.INVALID, f"no line is about {identifier!r}"
+            )
+        self._options.output.show(story, story.lines())
+
     @fire.decorators.SetParseFns(
         first=cli_actions.parse_whole, last=cli_actions.parse_whole
     )
