--- a/src/galenahook/jobs/ordering.py
+++ b/src/galenahook/jobs/ordering.py
@@ -43,12 +43,17 @@
 ) -> tuple[float, ...]:
     """Returns the sort key of a job: what serves, priority, then its gain.
 
-    The gain is what the job earns by the work that is left of it, in powers
-    of two: a job that is nearly done goes before one that has not begun, and
-    one that can't end in time any more behind others unless little is left.
+    Among jobs that serve, those with the largest tasks go first, as small ones
+    still fit beside them. The gain is what a job earns by the work that is left
+    of it, in powers of two: a job that is nearly done goes before one that has
+    not begun, and one that can't end in time any more behind others unless
+    little is left.
     """
     description = job.description
-    serves = any(step.serves for step in description.steps)
+    serving = [step.cpu_millis for step in description.steps if step.serves]
+    if serving:
+        submitted_ms = float(job.record.submitted_ms)
+        return 0, description.priority, -max(serving), submitted_ms
     objective = objective_ms(job, run_times)
     age_ms = now_wall_ms - job.record.submitted_ms
     end_ms = age_ms + run_times.chain_ms(job, left=True)
@@ -58,7 +63,7 @@
     elif end_ms > objective:
         earns = LATE_SHARE
     return (
-        0 if serves else 1,
+        1,
         description.priority,
         -math.floor(math.log2(earns / work_left(job))),
         job.record.submitted_ms + objective,
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -18,11 +18,14 @@
 # Share of its reservation that a task which serves uses in the mean; work
 # beside it was never slowed by less on the users' bench.
 SERVING_USE = 0.42
+# Time for which tasks that serve are gathered, so that of those that come at
+# once the largest are placed first.
+GATHER_MS = 200
 # Age of a run from which its measured use of processors is that of full speed.
 SETTLED_MS = 1_200
 # Standard deviations by which a weight is taken to be higher than learned, so
 # that a pair that is new is tried where it can do no harm.
-CAUTION = 0.5
+CAUTION = 0.75
 # A fall of the headroom by one task that is always borne; harmless pairs have
 # weights up to 1 and tasks take a tenth of a worker.
 BORNE_FALL = 0.12
@@ -185,6 +188,10 @@
             continue
         step = job.step(key)
         room = _choose(dispatcher, job, key, step, rooms)
+        if room is not None and _is_gathered(job, step, now_wall_ms):
+            # Nothing else takes its place meanwhile.
+            room.take(step, (job.description.job, *step_key))
+            continue
         if room is None:
             full_steps.add(step_key)
             continue
@@ -205,6 +212,14 @@
         placed.append((room.worker, run))
 
 
+def _is_gathered(
+    job: tasks_lib.Job, step: commands.StepDescription, now_wall_ms: int
+) -> bool:
+    """Whether a new job that serves waits for others that may come with it."""
+    age_ms = now_wall_ms - job.record.submitted_ms
+    return step.serves and not job.began and 0 <= age_ms < GATHER_MS
+
+
 def _is_due(
     job: tasks_lib.Job, key: tasks_lib.TaskKey, now_wall_ms: int
 ) -> bool:
--- a/src/galenahook/jobs/tails.py
+++ b/src/galenahook/jobs/tails.py
@@ -19,9 +19,9 @@
 # Headroom to be left by the work beside when it is placed, when it is let go
 # again, and while it runs. A target missed for a moment costs less than work
 # that waits; tails scatter by a tenth around the forecast.
-PLACED_HEADROOM = 1.05
-RELEASED_HEADROOM = 1.1
-KEPT_HEADROOM = 0.95
+PLACED_HEADROOM = 1.1
+RELEASED_HEADROOM = 1.12
+KEPT_HEADROOM = 1.0
 # Time ahead for which a place must be good; most tasks take 1 to 4 s.
 PLACED_AHEAD_MS = 2_000
 # Time ahead for which work may go on: a throttle takes 100 ms to act, and tails
--- a/tests/test_jobs_ordering.py
+++ b/tests/test_jobs_ordering.py
@@ -42,6 +42,12 @@
     assert order(other, urgent, serving) == ["a1", "a2", "a3"]
 
 
+def test_of_what_serves_the_largest_tasks_go_first():
+    small, _ = job("a1", build.serving_step(), age_ms=500)
+    large, _ = job("a2", build.serving_step(cpu_millis=9_000))
+    assert order(small, large) == ["a2", "a1"]
+
+
 def test_a_job_that_can_end_in_time_goes_before_one_that_cannot():
     late, _ = job("a1", age_ms=1_000)
     fresh, _ = job("a2")
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -2,6 +2,7 @@
 
 import types
 
+import msgspec
 import pytest
 
 from galenahook.jobs import headroom
@@ -11,12 +12,15 @@
 from galenahook.jobs import tails as tails_lib
 import job_builders as build
 
+# Jobs of these tests were submitted a second ago.
+NOW_MS = build.WALL_MS + 1_000
+
 
 class FakeClock:
     """A clock that stands still."""
 
     def wall_ms(self):
-        return build.WALL_MS
+        return NOW_MS
 
 
 def dispatcher_of(workers, *submits, zones_out=()):
@@ -173,8 +177,43 @@
 def test_a_timed_occurrence_waits_until_it_is_due():
     wanted = build.submit(
         occurrences=3,
-        first_start_ms=build.WALL_MS - 10,
+        first_start_ms=NOW_MS - 10,
         interval_ms=10,
     )
     placed = places(dispatcher_of([build.worker()], wanted))
     assert [task for _, task in placed] == ["0.0.0", "1.0.0"]
+
+
+@pytest.mark.parametrize(("age_ms", "count"), [(0, 0), (500, 1)])
+def test_tasks_that_serve_are_gathered_before_they_are_placed(age_ms, count):
+    dispatcher = dispatcher_of(
+        [build.worker()], build.submit(build.serving_step())
+    )
+    job = dispatcher.table.jobs[build.JOB]
+    job.record = msgspec.structs.replace(
+        job.record, submitted_ms=NOW_MS - age_ms
+    )
+    assert len(places(dispatcher)) == count
+
+
+def test_tasks_that_serve_are_started_again_at_once():
+    dispatcher = dispatcher_of(
+        [build.worker()], build.submit(build.serving_step())
+    )
+    job = dispatcher.table.jobs[build.JOB]
+    job.record = msgspec.structs.replace(job.record, submitted_ms=NOW_MS)
+    job.began = True
+    assert len(places(dispatcher)) == 1
+
+
+def test_nothing_takes_the_place_of_a_task_that_is_gathered():
+    dispatcher = dispatcher_of(
+        [build.worker()],
+        build.submit(
+            build.serving_step(cpu_millis=7_000), job="00000000000000e1"
+        ),
+        build.submit(build.step(cpu_millis=2_000), job="00000000000000e2"),
+    )
+    job = dispatcher.table.jobs["00000000000000e1"]
+    job.record = msgspec.structs.replace(job.record, submitted_ms=NOW_MS)
+    assert places(dispatcher) == []
