--- a/tests/test_jobs_stop.py
+++ b/tests/test_jobs_stop.py
@@ -94,11 +94,12 @@
 
 
 def test_stop_answers_a_late_request_before_the_process_ends():
-    async def test(entry, stop, _task):
+    async def test(entry, stop, task):
         await stop.set()
         sock = await dial(entry)
         await sock.sendall(HEAD % 8_000 + BODY)
         assert (await answer(sock)).startswith(b"HTTP/1.1 503")
+        assert not task.terminated
 
     run_entry(test)
 
