Split waves, rooms and the platform's messages; pass over tasks like one without a place

Change: jobs/waves.py, jobs/rooms.py, platform/wire_site.py and wire_workers.py by moves alone. What is free only falls during a round, so a task that asks for no less than one of the same service, image and label that found no place is not compared again, unless that one had to keep apart.

Figures: tests of jobs, messages and deploy files pass; two new tests of what is passed over.

--- a/src/galenahook/jobs/headroom.py
+++ b/src/galenahook/jobs/headroom.py
@@ -19,17 +19,8 @@
 import math
 
 from galenahook import commands
+from galenahook.jobs import waves
 
-# Periods that a swing may have; neighbours are close enough for a filter that
-# keeps adjusting the phase.
-PERIODS_MS = tuple(round(4_000 * 1.15**power) for power in range(15))
-# Level and swing of a step of which nothing is known: tails of idle services
-# stood at a quarter to a half of their targets.
-PRIOR_LEVEL = 2.5
-PRIOR_LEVEL_VARIANCE = 0.25
-PRIOR_SWING_VARIANCE = 0.5
-# How fast a level and its swing may change, in a second.
-DRIFT_VARIANCE = 0.03
 # A weight of which nothing is known; measured ones are from 0 to 1 or 4 to 20.
 PRIOR_WEIGHT = 2.0
 PRIOR_WEIGHT_VARIANCE = 16.0
@@ -42,13 +33,8 @@
 AGE_MS = 1_000
 # How far levels are from the truth beyond their own variance.
 MODEL_VARIANCE = 0.05
-# Spread of measured tails, as a share of the headroom and in any case.
+# Spread of measured tails, as a share of the headroom.
 NOISE_SHARE = 0.08
-LEAST_NOISE = 0.05
-# Measured tails are means of the last half second.
-MEASURE_AGE_MS = 250
-# Time over which tails of one step are gathered into one correction.
-GATHER_MS = 250
 # A headroom below this says no more than that it is low.
 LEAST_HEADROOM = 0.3
 # A share below this says nothing of an image.
@@ -57,8 +43,6 @@
 LEVEL_CAUTION = 0.25
 # Time for which a forecast is used again.
 FORECAST_MS = 100
-# How uncertain a level and its swing are that an earlier leader learned.
-TAKEN_VARIANCE = 0.05
 # Lead of the period that an earlier leader found best.
 TAKEN_SCORE = 10.0
 # How much of the score of a period each correction of a step leaves.
@@ -68,122 +52,6 @@
 StepId = tuple[str, int, int]
 
 
-class Wave:
-    """A level that swings with one period, and how uncertain it is.
-
-    Attributes:
-      period_ms: Its period.
-      state: Mean, cosine part and sine part.
-      covariance: Covariance of the state, by rows.
-    """
-
-    __slots__ = ("covariance", "period_ms", "state")
-
-    def __init__(self, period_ms: int, level: float, swing: float) -> None:
-        self.period_ms = period_ms
-        self.state = [level, 0.0, 0.0]
-        self.covariance = [
-            [PRIOR_LEVEL_VARIANCE, 0.0, 0.0],
-            [0.0, swing, 0.0],
-            [0.0, 0.0, swing],
-        ]
-
-    def _factors(self, at_ms: float) -> tuple[float, float, float]:
-        phase = 2 * math.pi * at_ms / self.period_ms
-        return 1.0, math.cos(phase), math.sin(phase)
-
-    def predict(self, at_ms: float) -> tuple[float, float]:
-        """Returns the level expected at a time, and its variance."""
-        factors = self._factors(at_ms)
-        mean = sum(f * x for f, x in zip(factors, self.state, strict=True))
-        variance = sum(
-            factors[i] * factors[j] * self.covariance[i][j]
-            for i in range(3)
-            for j in range(3)
-        )
-        return mean, variance
-
-    def state_at(self, now_ms: int) -> tuple[float, float, float]:
-        """Returns the state with the swing counted from a time."""
-        _, cosine, sine = self._factors(now_ms)
-        level, a, b = self.state
-        return level, a * cosine + b * sine, b * cosine - a * sine
-
-    def set_state(self, state: tuple[float, float, float], now_ms: int) -> None:
-        """Takes a state whose swing is counted from a time."""
-        _, cosine, sine = self._factors(now_ms)
-        level, a, b = state
-        self.state = [level, a * cosine - b * sine, b * cosine + a * sine]
-        for index in range(3):
-            self.covariance[index][index] = TAKEN_VARIANCE
-
-    def correct(
-        self, at_ms: float, value: float, variance: float, passed_ms: float
-    ) -> float:
-        """Takes a measured level; returns how well it was predicted.
-
-        The result is the logarithm of its likelihood, but for a constant.
-        """
-        drift = DRIFT_VARIANCE * passed_ms / 1_000
-        for index in range(3):
-            self.covariance[index][index] += drift
-        factors = self._factors(at_ms)
-        rows = self.covariance
-        carried = [
-            row[0] * factors[0] + row[1] * factors[1] + row[2] * factors[2]
-            for row in rows
-        ]
-        spread = variance + sum(
-            f * c for f, c in zip(factors, carried, strict=True)
-        )
-        error = value - sum(
-            f * x for f, x in zip(factors, self.state, strict=True)
-        )
-        for i in range(3):
-            gain = carried[i] / spread
-            self.state[i] += gain * error
-            for j in range(3):
-                rows[i][j] -= gain * carried[j]
-        return -0.5 * (error * error / spread + math.log(spread))
-
-
-class StepLevel:
-    """The level of one step, as each period would have it.
-
-    Attributes:
-      waves: The level by period.
-      corrected_ms: When it was last corrected.
-    """
-
-    __slots__ = ("_gathered", "_weight", "corrected_ms", "waves")
-
-    def __init__(self, now_ms: int, level: float, swing: float) -> None:
-        self.waves = [Wave(period, level, swing) for period in PERIODS_MS]
-        self.corrected_ms = now_ms
-        self._gathered = 0.0
-        self._weight = 0.0
-
-    def gather(self, value: float, variance: float) -> None:
-        """Adds a measured level to the next correction."""
-        self._gathered += value / variance
-        self._weight += 1.0 / variance
-
-    def correct(self, now_ms: int) -> list[float] | None:
-        """Corrects every wave if it is time to; returns their scores."""
-        passed_ms = now_ms - self.corrected_ms
-        if passed_ms < GATHER_MS or not self._weight:
-            return None
-        value = self._gathered / self._weight
-        variance = 1.0 / self._weight + LEAST_NOISE**2
-        self._gathered = self._weight = 0.0
-        self.corrected_ms = now_ms
-        at_ms = now_ms - MEASURE_AGE_MS
-        return [
-            wave.correct(at_ms, value, variance, passed_ms)
-            for wave in self.waves
-        ]
-
-
 @dataclasses.dataclass(slots=True)
 class Weight:
     """A learned weight of a pair of images.
@@ -224,8 +92,8 @@
 
     def __init__(self) -> None:
         self.weights: dict[tuple[str, str], Weight] = {}
-        self.levels: dict[StepId, StepLevel] = {}
-        self.scores = [0.0] * len(PERIODS_MS)
+        self.levels: dict[StepId, waves.StepLevel] = {}
+        self.scores = [0.0] * len(waves.PERIODS_MS)
         self._forecasts: dict[tuple[StepId, int], tuple[int, float]] = {}
 
     def weight(self, serving: str, beside: str) -> Weight:
@@ -257,26 +125,27 @@
     def _best(self) -> int:
         return max(range(len(self.scores)), key=self.scores.__getitem__)
 
-    def _level(self, step: StepId, now_ms: int) -> StepLevel:
+    def _level(self, step: StepId, now_ms: int) -> waves.StepLevel:
         known = self.levels.get(step)
         if known is None:
             level, swing = self._typical()
-            known = self.levels[step] = StepLevel(now_ms, level, swing)
+            known = self.levels[step] = waves.StepLevel(now_ms, level, swing)
         return known
 
     def _typical(self) -> tuple[float, float]:
         """Returns the level and the variance of swings of known steps."""
         best = self._best()
-        waves = [
+        known = [
             level.waves[best]
             for level in self.levels.values()
-            if level.waves[best].covariance[1][1] < PRIOR_SWING_VARIANCE / 4
+            if level.waves[best].covariance[1][1]
+            < waves.PRIOR_SWING_VARIANCE / 4
         ]
-        if len(waves) < 3:
-            return PRIOR_LEVEL, PRIOR_SWING_VARIANCE
-        count = len(waves)
-        level = sum(wave.state[0] for wave in waves) / count
-        swing = sum(w.state[1] ** 2 + w.state[2] ** 2 for w in waves) / count
+        if len(known) < 3:
+            return waves.PRIOR_LEVEL, waves.PRIOR_SWING_VARIANCE
+        count = len(known)
+        level = sum(wave.state[0] for wave in known) / count
+        swing = sum(w.state[1] ** 2 + w.state[2] ** 2 for w in known) / count
         return level, swing / 2 + 0.02
 
     def level(self, step: StepId, at_ms: float) -> tuple[float, float]:
@@ -284,7 +153,7 @@
         known = self.levels.get(step)
         if known is None:
             level, swing = self._typical()
-            return level, PRIOR_LEVEL_VARIANCE + swing
+            return level, waves.PRIOR_LEVEL_VARIANCE + swing
         return known.waves[self._best()].predict(at_ms)
 
     def least_level(self, step: StepId, now_ms: int, ahead_ms: int) -> float:
@@ -330,7 +199,7 @@
     ) -> None:
         """Takes one measured headroom of a task of a step."""
         level = self._level(step, now_ms)
-        mean, variance = self.level(step, now_ms - MEASURE_AGE_MS)
+        mean, variance = self.level(step, now_ms - waves.MEASURE_AGE_MS)
         beside = [
             (self._seen(serving, image, now_ms), share)
             for image, share in shares.items()
@@ -341,7 +210,7 @@
         measured = max(measured, LEAST_HEADROOM)
         if measured == LEAST_HEADROOM and mean - fall < measured:
             return
-        noise = max(LEAST_NOISE, NOISE_SHARE * measured) ** 2
+        noise = max(waves.LEAST_NOISE, NOISE_SHARE * measured) ** 2
         level.gather(measured + fall, noise + unsure)
         error = measured - (mean - fall)
         spread = noise + variance + unsure + MODEL_VARIANCE
@@ -376,7 +245,7 @@
                 )
                 for step, level in self.levels.items()
             ),
-            period_ms=PERIODS_MS[best],
+            period_ms=waves.PERIODS_MS[best],
             at_ms=wall_ms,
         )
 
@@ -392,12 +261,14 @@
             self.weights[(item.serving, item.beside)] = Weight(
                 item.value, item.variance, at_ms
             )
-        if learned.period_ms not in PERIODS_MS:
+        if learned.period_ms not in waves.PERIODS_MS:
             return
-        best = PERIODS_MS.index(learned.period_ms)
+        best = waves.PERIODS_MS.index(learned.period_ms)
         self.scores[best] += TAKEN_SCORE
         for level in learned.levels:
-            taken = StepLevel(at_ms, level.state[0], PRIOR_SWING_VARIANCE)
+            taken = waves.StepLevel(
+                at_ms, level.state[0], waves.PRIOR_SWING_VARIANCE
+            )
             taken.waves[best].set_state(level.state, at_ms)
             self.levels[level.step] = taken
 
--- a/src/galenahook/platform/control.py
+++ b/src/galenahook/platform/control.py
@@ -8,7 +8,8 @@
 from galenahook import logs
 from galenahook import web
 from galenahook.jobs import calls
-from galenahook.platform import wire
+from galenahook.platform import wire_site
+from galenahook.platform import wire_workers
 
 _PREFIX = "/galenahook/"
 # A worker waits a second for its answer, an operator as long or longer.
@@ -64,11 +65,13 @@
     ) -> calls.JobCall | None:
         match request.method, parts:
             case "POST", ["instances", worker, "heartbeat"]:
-                return wire.heartbeat(worker, request.body)
+                return wire_workers.heartbeat(worker, request.body)
             case "POST", ["instances", worker, "deregister"]:
-                return wire.worker_left(worker, request.body)
+                return wire_workers.worker_left(worker, request.body)
             case "POST", ["config", "put"]:
-                command = wire.site_command(request.body, self._clock.wall_ms())
+                command = wire_site.site_command(
+                    request.body, self._clock.wall_ms()
+                )
                 return calls.PutSiteCall(command=command)
             case "GET", ["config", "get"]:
                 return calls.ReadSiteCall()
--- /dev/null
+++ b/src/galenahook/platform/wire_site.py
@@ -0,0 +1,95 @@
+"""The platform's configuration, decoded into queues and services.
+
+Field names here are the platform's. Where one misleads, a comment says what
+it holds. Unknown fields are ignored, as the platform may add some.
+"""
+
+from typing import Any
+
+import msgspec
+
+from galenahook import commands
+from galenahook import errors
+from galenahook import findings as findings_lib
+from galenahook.platform import wire
+
+
+class _Queue(msgspec.Struct):
+    """A queue of the configuration, which the platform calls a route."""
+
+    name: str
+    host: str
+    path_prefix: str
+    timeout_ms: int
+    backend: str  # Name of a service.
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    slo_ms: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    admission_check: bool = False
+
+
+class _Site(msgspec.Struct):
+    """A configuration of the site."""
+
+    version: int
+    routes: tuple[_Queue, ...]
+    services: tuple[_Service, ...]
+    limits: dict[str, Any] = {}
+
+
+def site_command(data: bytes, at_ms: int) -> commands.PutSite:
+    """Decodes and checks a configuration.
+
+    Raises:
+      errors.InvalidInputError: With every finding.
+    """
+    site = wire.decode(data, _Site)
+    findings = findings_lib.Findings()
+    services = {service.name for service in site.services}
+    places: set[tuple[str, str]] = set()
+    for index, queue in enumerate(site.routes):
+        place = f"$.routes[{index}]"
+        if queue.backend not in services:
+            findings.add(
+                f"{place}.backend",
+                f"service {queue.backend!r} does not exist in configuration"
+                f" {site.version}",
+            )
+        if queue.timeout_ms <= 0:
+            findings.add(f"{place}.timeout_ms", "must be above 0 ms")
+        if (queue.host.lower(), queue.path_prefix) in places:
+            findings.add(place, "same host and prefix as an earlier queue")
+        places.add((queue.host.lower(), queue.path_prefix))
+    if findings:
+        raise errors.InvalidInputError(findings.items)
+    return commands.PutSite(
+        version=site.version,
+        document=data.decode("utf-8"),
+        queues=tuple(_queue(queue) for queue in site.routes),
+        services=tuple(
+            commands.ServicePool(
+                name=service.name, checks_capacity=service.admission_check
+            )
+            for service in site.services
+        ),
+        at_ms=at_ms,
+    )
+
+
+def _queue(queue: _Queue) -> commands.QueueRow:
+    return commands.QueueRow(
+        name=queue.name,
+        host=queue.host,
+        path_prefix=queue.path_prefix,
+        service=queue.backend,
+        timeout_ms=queue.timeout_ms,
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        stretch=queue.stretch,
+        objective_ms=queue.slo_ms,
+    )
--- a/src/galenahook/platform/workers.py
+++ b/src/galenahook/platform/workers.py
@@ -6,6 +6,7 @@
 from galenahook.jobs import calls
 from galenahook.jobs import worker_api
 from galenahook.platform import wire
+from galenahook.platform import wire_workers
 
 _START = "/galenahook/run-start"
 _STOP = "/galenahook/run-stop"
@@ -45,7 +46,7 @@
         self, order: worker_api.StartOrder
     ) -> tuple[worker_api.StartAnswer, str]:
         """Orders a start; returns the answer and the reason for the log."""
-        body = wire.start_body(order)
+        body = wire_workers.start_body(order)
         try:
             response = await self._post(_START, body, ORDER_TIMEOUT_MS)
         except errors.ExchangeError as error:
@@ -53,7 +54,7 @@
                 return worker_api.StartAnswer.UNHEALTHY, str(error)
             return worker_api.StartAnswer.UNKNOWN, str(error)
         try:
-            return wire.start_answer(response.status, response.body)
+            return wire_workers.start_answer(response.status, response.body)
         except errors.InvalidInputError as error:
             return worker_api.StartAnswer.UNKNOWN, str(error)
 
@@ -63,7 +64,7 @@
         Raises:
           worker_api.DeposedError: A later leader gives orders there.
         """
-        body = wire.stop_body(task, run, term)
+        body = wire_workers.stop_body(task, run, term)
         try:
             response = await self._post(_STOP, body, ORDER_TIMEOUT_MS)
             self._check_fence(response)
@@ -88,7 +89,9 @@
           worker_api.DeposedError: A later leader gives orders there.
           worker_api.ReplacedError: Another incarnation answered.
         """
-        body = wire.look_body(term, acknowledged, lease_until_ms, wait_ms)
+        body = wire_workers.look_body(
+            term, acknowledged, lease_until_ms, wait_ms
+        )
         response = await self._post(_LOOK, body, wait_ms + LOOK_MARGIN_MS)
         try:
             self._check_fence(response)
@@ -98,7 +101,7 @@
                 raise errors.ExchangeError(
                     f"{self._name}: status {response.status}", sent=True
                 )
-            return wire.lists(response.body)
+            return wire_workers.lists(response.body)
         except errors.InvalidInputError as error:
             raise errors.ExchangeError(str(error), sent=True) from error
 
@@ -106,7 +109,7 @@
         self, task: str, run: int, percent: int, term: int
     ) -> bool:
         """Lets a run work at a share of its speed; False without an answer."""
-        body = wire.throttle_body(task, run, percent, term)
+        body = wire_workers.throttle_body(task, run, percent, term)
         try:
             response = await self._post(_THROTTLE, body, ORDER_TIMEOUT_MS)
         except errors.ExchangeError as error:
@@ -123,7 +126,7 @@
     def _check_fence(self, response: web.Response) -> None:
         if response.status != 409:
             return
-        if wire.decode(response.body, wire.Answer).reason == "fence":
+        if wire.decode(response.body, wire_workers.Answer).reason == "fence":
             raise worker_api.DeposedError(self._name)
 
     async def close(self) -> None:
--- a/tests/test_jobs_headroom.py
+++ b/tests/test_jobs_headroom.py
@@ -8,6 +8,7 @@
 from galenahook import commands
 from galenahook import state as state_lib
 from galenahook.jobs import headroom
+from galenahook.jobs import waves
 
 STEP_MS = 250
 BASE = 2.5
@@ -30,7 +31,7 @@
     for tick, now_ms in enumerate(range(from_ms, from_ms + for_ms, STEP_MS)):
         for job, place in itertools.product(PHASES_MS, range(4)):
             shares = MIXES[(tick // 6 + place) % len(MIXES)]
-            at_ms = now_ms - headroom.MEASURE_AGE_MS
+            at_ms = now_ms - waves.MEASURE_AGE_MS
             value = level_at(job, at_ms, period_ms)
             value -= sum(weights[image] * s for image, s in shares.items())
             model.learn("shop", (job, 0, 0), shares, value, now_ms)
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -217,3 +217,35 @@
     job = dispatcher.table.jobs["00000000000000e1"]
     job.record = msgspec.structs.replace(job.record, submitted_ms=NOW_MS)
     assert places(dispatcher) == []
+
+
+@pytest.mark.parametrize(
+    ("changes", "count"),
+    [
+        ({}, 0),
+        ({"cpu_millis": 7_000}, 1),
+        ({"cpu_millis": 7_000, "required_label": "b"}, 0),
+        ({"cpu_millis": 7_000, "memory_mb": 64_000}, 0),
+    ],
+)
+def test_a_task_without_a_place_holds_back_only_tasks_no_smaller(
+    changes, count
+):
+    large = {"cpu_millis": 9_000, "memory_mb": 2_000}
+    wanted = (
+        build.submit(build.step(**large), job="00000000000000e1"),
+        build.submit(
+            build.step(**{**large, **changes}), job="00000000000000e2"
+        ),
+    )
+    assert len(places(dispatcher_of([build.worker()], *wanted))) == count
+
+
+def test_a_step_that_keeps_apart_holds_back_no_other():
+    wanted = (
+        build.submit(
+            build.step(tasks=2, max_per_worker=1), job="00000000000000e1"
+        ),
+        build.submit(build.step(), job="00000000000000e2"),
+    )
+    assert len(places(dispatcher_of([build.worker()], *wanted))) == 2
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -9,6 +9,8 @@
 from galenahook import errors
 from galenahook.jobs import worker_api
 from galenahook.platform import wire
+from galenahook.platform import wire_site
+from galenahook.platform import wire_workers
 
 _SOURCE = pathlib.Path(wire.__file__).parents[1]
 _WIRE_NAMES = re.compile(
@@ -131,14 +133,14 @@
 
 @pytest.mark.parametrize("body", [b"", b"{", b"\xff", b"[" * 100_000])
 def test_what_is_no_json_is_refused(body):
-    for decode in (wire.job_order, lambda d: wire.site_command(d, 0)):
+    for decode in (wire.job_order, lambda d: wire_site.site_command(d, 0)):
         with pytest.raises(errors.InvalidInputError):
             decode(body)
 
 
 def test_a_configuration_keeps_the_operators_words():
     body = data(site())
-    command = wire.site_command(body, 5)
+    command = wire_site.site_command(body, 5)
     assert command.document == body.decode()
     assert command.version == 7
     queue = command.queues[0]
@@ -157,17 +159,17 @@
 )
 def test_an_invalid_configuration_is_refused(changes, place):
     with pytest.raises(errors.InvalidInputError) as caught:
-        wire.site_command(data(site(**changes)), 0)
+        wire_site.site_command(data(site(**changes)), 0)
     assert place in [finding.place for finding in caught.value.findings]
 
 
 def test_a_configuration_that_is_cut_short_is_refused():
     with pytest.raises(errors.InvalidInputError):
-        wire.site_command(data(site())[:-20], 0)
+        wire_site.site_command(data(site())[:-20], 0)
 
 
 def test_a_heartbeat_becomes_the_products_own():
-    heartbeat = wire.heartbeat("i-1", data(beat(state="draining")))
+    heartbeat = wire_workers.heartbeat("i-1", data(beat(state="draining")))
     assert heartbeat.worker == "i-1"
     assert heartbeat.draining
     assert heartbeat.born_ms == 5
@@ -186,11 +188,11 @@
 )
 def test_a_heartbeat_of_another_writer_names_no_worker(changes):
     with pytest.raises(errors.InvalidInputError):
-        wire.heartbeat("i-1", data(beat(**changes)))
+        wire_workers.heartbeat("i-1", data(beat(**changes)))
 
 
 def test_rows_of_a_look_are_named():
-    lists = wire.lists(
+    lists = wire_workers.lists(
         data(
             {
                 "clock_ms": 9,
@@ -214,7 +216,7 @@
 def test_a_full_list_of_ends_is_not_complete():
     rows = [[n, "j.0.0.2", 1, "done", ""] for n in range(1, 501)]
     body = data({"clock_ms": 9, "running": [], "finished": rows})
-    assert not wire.lists(body).complete
+    assert not wire_workers.lists(body).complete
 
 
 @pytest.mark.parametrize(
@@ -222,7 +224,7 @@
 )
 def test_rows_that_cannot_be_read_are_refused(rows):
     with pytest.raises(errors.InvalidInputError):
-        wire.lists(data({"clock_ms": 9, "running": rows}))
+        wire_workers.lists(data({"clock_ms": 9, "running": rows}))
 
 
 @pytest.mark.parametrize(
@@ -241,4 +243,4 @@
 )
 def test_answers_to_a_start(status, reason, answer):
     body = data({"clock_ms": 1, "reason": reason})
-    assert wire.start_answer(status, body)[0] is answer
+    assert wire_workers.start_answer(status, body)[0] is answer
