Compute the mean weight of a serving image once per change

Cause: the cost of each candidate for a batch task took the mean weight of each of its serving images, and each time scanned the weights of all pairs: work grew as workers x serving steps x pairs of images. The mean is now kept until a weight of the image changes.

test_the_mean_weight_is_not_computed_again_for_each_candidate failed before (1,000 scans instead of 1).

--- a/src/galenahook/jobs/headroom.py
+++ b/src/galenahook/jobs/headroom.py
@@ -90,13 +90,20 @@
       scores: Log-likelihood of each period, decayed over time.
     """
 
-    __slots__ = ("_forecasts", "baselines", "scores", "weights")
+    __slots__ = (
+        "_forecasts",
+        "_mean_weights",
+        "baselines",
+        "scores",
+        "weights",
+    )
 
     def __init__(self) -> None:
         self.weights: dict[tuple[str, str], Weight] = {}
         self.baselines: dict[StepId, periodic_filters.StepBaseline] = {}
         self.scores = [0.0] * len(periodic_filters.PERIODS_MS)
         self._forecasts: dict[tuple[StepId, int], tuple[int, float]] = {}
+        self._mean_weights: dict[str, float] = {}
 
     def weight(self, serving_image: str, batch_image: str) -> Weight:
         """Returns the weight of a pair."""
@@ -119,15 +126,21 @@
         for weight in self.weights.values():
             if now_ms - weight.updated_ms >= DECAY_AFTER_MS:
                 weight.decay(now_ms)
+        self._mean_weights.clear()
 
     def mean_weight(self, serving_image: str) -> float:
         """Returns the mean weight of the known pairs of a serving image."""
+        known = self._mean_weights.get(serving_image)
+        if known is not None:
+            return known
         values = [
             weight.value
             for (image, _), weight in self.weights.items()
             if image == serving_image
         ]
-        return sum(values) / len(values) if values else PRIOR_WEIGHT
+        mean = sum(values) / len(values) if values else PRIOR_WEIGHT
+        self._mean_weights[serving_image] = mean
+        return mean
 
     def _best_period(self) -> int:
         """Returns the index of the period with the highest score."""
@@ -234,6 +247,7 @@
             for image, share in shares.items()
             if share >= MIN_SHARE
         ]
+        self._mean_weights.pop(serving_image, None)
         reduction = sum(weight.value * share for weight, share in colocated)
         weight_variance = sum(
             weight.variance * s * s for weight, s in colocated
@@ -293,6 +307,7 @@
             self.weights[(item.serving, item.beside)] = Weight(
                 item.value, item.variance, at_ms
             )
+        self._mean_weights.clear()
         if learned.period_ms not in periodic_filters.PERIODS_MS:
             return
         best = periodic_filters.PERIODS_MS.index(learned.period_ms)
--- a/tests/test_jobs_headroom.py
+++ b/tests/test_jobs_headroom.py
@@ -138,3 +138,44 @@
     train(model, {"good": 0.5, "bad": 8.0}, for_ms=1_000)
     model.discard([("00000000000000a1", 0, 0)])
     assert list(model.baselines) == [("00000000000000a2", 0, 0)]
+
+
+class CountingWeights(dict):
+    """Weights that count how often all of them are read."""
+
+    scans = 0
+
+    def items(self):
+        self.scans += 1
+        return super().items()
+
+
+def test_the_mean_weight_is_not_computed_again_for_each_candidate():
+    model = headroom.HeadroomModel()
+    train(model, {"good": 0.5, "bad": 12.0}, for_ms=2_000)
+    model.weights = CountingWeights(model.weights)
+    for _ in range(1_000):
+        model.mean_weight("shop")
+    assert model.weights.scans == 1
+
+
+def test_the_mean_weight_follows_every_change_of_a_weight():
+    model = headroom.HeadroomModel()
+
+    def assert_is_mean():
+        values = [weight.value for weight in model.weights.values()]
+        assert model.mean_weight("shop") == pytest.approx(
+            sum(values) / len(values)
+        )
+
+    assert model.mean_weight("shop") == headroom.PRIOR_WEIGHT
+    model.learn("shop", ("a", 0, 0), {"good": 0.2}, 2.0, 0)
+    assert_is_mean()
+    model.learn("shop", ("a", 0, 0), {"bad": 0.2}, 0.0, 100)
+    assert_is_mean()
+    model.decay_unobserved(30_000)
+    assert_is_mean()
+    model.restore(model.export(30_000, 0), 40_000)
+    model.weights[("shop", "good")].value = 1.0
+    model.decay_unobserved(60_000)
+    assert_is_mean()
