Compare all workers once for each waiting step, not for each task

The candidates of a step are now ranked once in a heap; after a task is placed only its worker is compared again. The choice is the same: equal costs still rank in the order of the workers, and a failed task still avoids its last worker.

test_tasks_of_a_step_do_not_compare_all_workers_each failed before for every kind of step.

--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -1,5 +1,7 @@
 """Chooses workers for waiting tasks."""
 
+import heapq
+import itertools
 from typing import TYPE_CHECKING
 
 from galenahook import commands
@@ -85,35 +87,21 @@
 
     def place_job(self, job: tasks_lib.Job) -> None:
         """Places the waiting tasks of a job that are due and fit."""
-        now_wall_ms = self._now_wall_ms
-        unplaceable_steps: set[tuple[int, int]] = set()
-        for key in sorted(job.waiting):
-            step_key = key[:2]
-            if step_key in unplaceable_steps or not _is_due(
-                job, key, now_wall_ms
-            ):
-                continue
-            step = job.step(key)
-            candidate = self._find_candidate(job, key, step)
-            if candidate is None:
-                unplaceable_steps.add(step_key)
-            elif _is_delayed(job, step, now_wall_ms):
-                # Reserve the capacity so that no other task uses it meanwhile.
-                candidate.reserve(step, (job.description.job, *step_key))
-            else:
-                self._assign(job, key, step, candidate)
+        for _, group in itertools.groupby(sorted(job.waiting), _step_key):
+            keys = list(group)
+            if _is_due(job, keys[0], self._now_wall_ms):
+                self._place_step(job, keys)
 
-    def _find_candidate(
-        self,
-        job: tasks_lib.Job,
-        key: tasks_lib.TaskKey,
-        step: commands.StepDescription,
-    ) -> free_capacity_lib.FreeCapacity | None:
-        """Returns the cheapest candidate, or None.
+    def _place_step(
+        self, job: tasks_lib.Job, keys: list[tasks_lib.TaskKey]
+    ) -> None:
+        """Places waiting tasks of one step until one does not fit.
 
         Skips the search if it failed in this round for a task of the same class
         that requires no more.
         """
+        step = job.step(keys[0])
+        step_id = (job.description.job, *_step_key(keys[0]))
         placement_class = (
             job.description.service,
             step.image,
@@ -121,13 +109,24 @@
         )
         failed = self._failed.setdefault(placement_class, [])
         if any(_requires_at_least(step, other) for other in failed):
-            return None
-        candidate = _cheapest_candidate(
-            self._dispatcher, job, key, step, self.candidates
-        )
-        if candidate is None and not step.max_per_worker:
-            failed.append(step)
-        return candidate
+            return
+        is_delayed = _is_delayed(job, step, self._now_wall_ms)
+        ranking = _Ranking(self._dispatcher, job, step, step_id)
+        for candidate in self.candidates:
+            ranking.add(candidate)
+        for key in keys:
+            before = job.runs.get(key)
+            chosen = ranking.pop(before.last_worker if before else "")
+            if chosen is None:
+                if not step.max_per_worker:
+                    failed.append(step)
+                return
+            if is_delayed:
+                # Reserve the capacity so that no other task uses it meanwhile.
+                chosen.reserve(step, step_id)
+            else:
+                self._assign(job, key, step, chosen)
+            ranking.add(chosen)
 
     def _assign(
         self,
@@ -166,6 +165,11 @@
     )
 
 
+def _step_key(key: tasks_lib.TaskKey) -> tasks_lib.StepKey:
+    """Returns the occurrence and step of a task."""
+    return key[:2]
+
+
 def _is_delayed(
     job: tasks_lib.Job, step: commands.StepDescription, now_wall_ms: int
 ) -> bool:
@@ -184,48 +188,64 @@
     return now_wall_ms >= due_ms
 
 
-def _cheapest_candidate(
-    dispatcher: "dispatcher_lib.Dispatcher",
-    job: tasks_lib.Job,
-    key: tasks_lib.TaskKey,
-    step: commands.StepDescription,
-    candidates: list[free_capacity_lib.FreeCapacity],
-) -> free_capacity_lib.FreeCapacity | None:
-    before = job.runs.get(key)
-    avoided_worker = before.last_worker if before else ""
-    best: free_capacity_lib.FreeCapacity | None = None
-    best_cost: tuple[float, ...] = (float("inf"),)
-    for candidate in candidates:
-        if not candidate.fits(step) or not _is_allowed(
-            job, key, step, candidate
-        ):
-            continue
+class _Ranking:
+    """Candidates for the tasks of one step, by cost.
+
+    Candidates of equal cost rank in the order in which they were first added.
+    """
+
+    def __init__(
+        self,
+        dispatcher: "dispatcher_lib.Dispatcher",
+        job: tasks_lib.Job,
+        step: commands.StepDescription,
+        step_id: workers_lib.StepId,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._service = job.description.service
+        self._step = step
+        self._step_id = step_id
+        self._numbers: dict[str, int] = {}
+        self._heap: list[
+            tuple[tuple[float, ...], int, free_capacity_lib.FreeCapacity]
+        ] = []
+
+    def add(self, candidate: free_capacity_lib.FreeCapacity) -> None:
+        """Adds a candidate at its current cost if it may run one more task."""
+        name = candidate.worker.name
+        number = self._numbers.setdefault(name, len(self._numbers))
+        if not candidate.fits(self._step) or not self._is_allowed(candidate):
+            return
+        cost = _cost(self._dispatcher, self._step, candidate)
+        if cost is not None:
+            heapq.heappush(self._heap, (cost, number, candidate))
+
+    def _is_allowed(self, candidate: free_capacity_lib.FreeCapacity) -> bool:
+        step = self._step
+        heartbeat = candidate.worker.heartbeat
+        if heartbeat.service != self._service:
+            return False
+        if step.required_label and step.required_label not in heartbeat.labels:
+            return False
         if step.uses_idle_cpu and candidate.idle_cpu_millis < step.cpu_millis:
-            continue
-        cost = _cost(dispatcher, step, candidate)
-        if cost is None:
-            continue
-        candidate_cost = (float(candidate.worker.name == avoided_worker), *cost)
-        if candidate_cost < best_cost:
-            best, best_cost = candidate, candidate_cost
-    return best
-
-
-def _is_allowed(
-    job: tasks_lib.Job,
-    key: tasks_lib.TaskKey,
-    step: commands.StepDescription,
-    candidate: free_capacity_lib.FreeCapacity,
-) -> bool:
-    heartbeat = candidate.worker.heartbeat
-    if heartbeat.service != job.description.service:
-        return False
-    if step.required_label and step.required_label not in heartbeat.labels:
-        return False
-    if not step.max_per_worker:
-        return True
-    step_id = (job.description.job, key[0], key[1])
-    return candidate.task_counts.get(step_id, 0) < step.max_per_worker
+            return False
+        if not step.max_per_worker:
+            return True
+        count = candidate.task_counts.get(self._step_id, 0)
+        return count < step.max_per_worker
+
+    def pop(self, avoided_worker: str) -> free_capacity_lib.FreeCapacity | None:
+        """Removes and returns the cheapest candidate, or None.
+
+        Args:
+          avoided_worker: Worker that is returned only if there is no other.
+        """
+        if not self._heap:
+            return None
+        first = heapq.heappop(self._heap)
+        if first[2].worker.name == avoided_worker and self._heap:
+            first = heapq.heapreplace(self._heap, first)
+        return first[2]
 
 
 def _cost(
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from galenahook.jobs import free_capacity
 from galenahook.jobs import headroom
 from galenahook.jobs import placement
 from galenahook.jobs import run_times
@@ -250,3 +251,41 @@
         build.submit(build.step(), job="00000000000000e2"),
     )
     assert len(placements_of(dispatcher_of([build.worker()], *submitted))) == 2
+
+
+def count_checks(monkeypatch):
+    """Returns a list that grows with each check of a candidate's capacity."""
+    checks = []
+    fits = free_capacity.FreeCapacity.fits
+
+    def counted(candidate, step):
+        checks.append(candidate.worker.name)
+        return fits(candidate, step)
+
+    monkeypatch.setattr(free_capacity.FreeCapacity, "fits", counted)
+    return checks
+
+
+@pytest.mark.parametrize(
+    "step", [build.step, build.serving_step, build.batch_step]
+)
+def test_tasks_of_a_step_do_not_compare_all_workers_each(monkeypatch, step):
+    checks = count_checks(monkeypatch)
+    workers = [build.worker(f"w{index}") for index in range(50)]
+    submitted = build.submit(step(tasks=40, cpu_millis=100))
+    assert len(placements_of(dispatcher_of(workers, submitted))) == 40
+    assert len(checks) <= 50 + 40
+
+
+def test_a_failed_task_avoids_its_last_worker_unless_it_is_the_only_one():
+    for names, expected in ((["w1", "w2"], "w2"), (["w1"], "w1")):
+        dispatcher = dispatcher_of(
+            [build.worker(name) for name in names],
+            build.submit(build.step(tasks=1)),
+        )
+        table = dispatcher.table
+        table.record(build.starts(build.start(f"{build.JOB}.0.0.0")))
+        table.record(
+            build.ends(build.end(f"{build.JOB}.0.0.0", outcome="failed"))
+        )
+        assert placements_of(dispatcher) == [(expected, "0.0.0")]
