Retain the cancellation of a job that is not stored yet

What callers see: a DELETE is answered with 410 while a POST of the same job is still under way: its commit is open, an entry sends it again after a lost reply, or it waits in the queue of a slow leader. The job is then stored after its acknowledged cancellation and its tasks run to the end.

Cause: the leader answered a DELETE of an unknown job from its table without committing anything, so nothing ordered the cancellation before the submission. Any delay of the commit is enough; no other fault is needed.

Fix: the cancellation is always committed. The table retains it for ten minutes if the job is unknown, and a submission that comes later is stored as cancelled. Both orders of the two commands in the log now end with a cancelled job. The answer remains 410, and a job that is only cancelled is not shown. The reply to a DELETE now also requires a commit, so a replica that wrongly believes that it leads can't acknowledge one.

Logs: `job:cancelled` tells whether the job was stored, `job:stored` whether it was cancelled before.

Evidence: both tests of tests/test_jobs_leader.py failed on: the job was `queued` after the cancellation ('queued' == 'cancelled').

--- a/src/galenahook/commands/jobs.py
+++ b/src/galenahook/commands/jobs.py
@@ -97,7 +97,7 @@
 
 
 class CancelJob(messages.Message, frozen=True, kw_only=True, tag="cancel-job"):
-    """Cancels a job that has not ended."""
+    """Cancels a job that has not ended, also before it is stored."""
 
     job: str
     at_ms: int
--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -194,17 +194,20 @@
             queue=queue.name,
             version=self.node.state.site.current.version,
             steps=len(order.steps),
+            state=self.node.state.jobs.jobs[identifier].state(),
         )
         await self.dispatcher.wake()
         return calls.JobReply(outcome="stored")
 
     async def _cancel(self, identifier: str) -> calls.JobReply:
-        if identifier not in self.node.state.jobs.jobs:
-            return calls.JobReply(outcome="unknown-job")
-        await self.dispatcher.commit(
+        # Also committed for an unknown job: its submission may be under way.
+        result = await self.dispatcher.commit(
             commands.CancelJob(job=identifier, at_ms=self.clock.wall_ms())
         )
-        logs.info("job:cancelled", job=identifier)
+        is_stored = not isinstance(result, commands.JobUnknown)
+        logs.info("job:cancelled", job=identifier, stored=is_stored)
+        if not is_stored:
+            return calls.JobReply(outcome="unknown-job")
         await self.dispatcher.wake()
         return calls.JobReply(outcome="cancelled")
 
--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -7,6 +7,10 @@
 from galenahook import commands
 from galenahook.jobs import tasks as tasks_lib
 
+# Time for which the cancellation of an unknown job is retained. A submission
+# that is delayed or sent again arrives within seconds.
+CANCELLATION_RETENTION_MS = 600_000
+
 
 class JobTable:
     """Every stored job.
@@ -15,23 +19,36 @@
       jobs: Jobs by identifier.
       open: Jobs by identifier that have not ended, or still have runs that may
         be active.
+      cancelled_early: Jobs that were cancelled before they were stored, with
+        the wall time of the cancellation, oldest first.
     """
 
-    __slots__ = ("jobs", "open")
+    __slots__ = ("cancelled_early", "jobs", "open")
 
     def __init__(self) -> None:
         self.jobs: dict[str, tasks_lib.Job] = {}
         self.open: dict[str, tasks_lib.Job] = {}
+        self.cancelled_early: dict[str, int] = {}
 
     def submit(self, command: commands.SubmitJob) -> commands.Result:
-        """Stores a job unless its identifier is known."""
+        """Stores a job unless its identifier is known.
+
+        A job that was cancelled before is stored as cancelled.
+        """
         identifier = command.description.job
-        if identifier not in self.jobs:
-            self._add(
-                tasks_lib.JobRecord(
-                    description=command.description, submitted_ms=command.at_ms
-                )
+        if identifier in self.jobs:
+            return commands.JobStored()
+        record = tasks_lib.JobRecord(
+            description=command.description, submitted_ms=command.at_ms
+        )
+        cancelled_ms = self.cancelled_early.pop(identifier, None)
+        if cancelled_ms is not None:
+            record = msgspec.structs.replace(
+                record,
+                outcome=tasks_lib.Outcome.CANCELLED,
+                ended_ms=cancelled_ms,
             )
+        self._add(record)
         return commands.JobStored()
 
     def _add(self, record: tasks_lib.JobRecord) -> None:
@@ -41,14 +58,28 @@
             self.open[record.description.job] = job
 
     def cancel(self, command: commands.CancelJob) -> commands.Result:
-        """Cancels a job unless it has ended."""
+        """Cancels a job unless it has ended.
+
+        The cancellation of an unknown job is retained, as its submission may
+        still be under way.
+        """
         job = self.jobs.get(command.job)
         if job is None:
+            self._cancel_early(command)
             return commands.JobUnknown()
         if not job.ended:
             self._end(job, tasks_lib.Outcome.CANCELLED, command.at_ms)
         return commands.Done()
 
+    def _cancel_early(self, command: commands.CancelJob) -> None:
+        early = self.cancelled_early
+        while early:
+            oldest, cancelled_ms = next(iter(early.items()))
+            if command.at_ms - cancelled_ms < CANCELLATION_RETENTION_MS:
+                break
+            del early[oldest]
+        early.setdefault(command.job, command.at_ms)
+
     def record(self, command: commands.RecordRuns) -> commands.Result:
         """Records ends, then starts; ignores those that are out of date."""
         for end in command.ends:
@@ -157,19 +188,21 @@
         if not job.active:
             self.open.pop(job.description.job, None)
 
-    def snapshot_records(
-        self,
-    ) -> Iterator[tasks_lib.JobRecord | tasks_lib.RunRecord]:
+    def snapshot_records(self) -> Iterator[tasks_lib.SnapshotRecord]:
         """Returns the records of a consistent snapshot."""
         jobs = [job.record for job in self.jobs.values()]
         runs = [run for job in self.jobs.values() for run in job.runs.values()]
-        return iter([*jobs, *runs])
+        cancellations = [
+            tasks_lib.CancellationRecord(job=identifier, at_ms=at_ms)
+            for identifier, at_ms in self.cancelled_early.items()
+        ]
+        return iter([*jobs, *runs, *cancellations])
 
-    def restore_record(
-        self, record: tasks_lib.JobRecord | tasks_lib.RunRecord
-    ) -> None:
+    def restore_record(self, record: tasks_lib.SnapshotRecord) -> None:
         """Adds one record of a snapshot; a job comes before its runs."""
         match record:
+            case tasks_lib.CancellationRecord():
+                self.cancelled_early[record.job] = record.at_ms
             case tasks_lib.JobRecord():
                 self._add(record)
             case tasks_lib.RunRecord():
--- a/src/galenahook/jobs/tasks.py
+++ b/src/galenahook/jobs/tasks.py
@@ -60,6 +60,23 @@
     last_worker: str = ""
 
 
+class CancellationRecord(
+    messages.Message, frozen=True, kw_only=True, tag="cancellation"
+):
+    """The cancellation of a job that is not stored.
+
+    Attributes:
+      job: Identifier of the job.
+      at_ms: Wall time of the cancellation.
+    """
+
+    job: str
+    at_ms: int
+
+
+SnapshotRecord = JobRecord | RunRecord | CancellationRecord
+
+
 def task_name(job: str, key: TaskKey) -> str:
     """Returns the identifier of a task: job, occurrence, step and index."""
     return f"{job}.{key[0]}.{key[1]}.{key[2]}"
--- a/src/galenahook/state.py
+++ b/src/galenahook/state.py
@@ -26,8 +26,7 @@
     | tasks_lib.RunTimeRecord
     | claims_lib.ClaimRecord
     | claims_lib.ClaimTimesRecord
-    | job_tasks.JobRecord
-    | job_tasks.RunRecord
+    | job_tasks.SnapshotRecord
     | site_lib.SiteRecord
     | commands.StoreHeadroomModel
 )
@@ -156,7 +155,11 @@
                 self.tasks.restore_record(record)
             case claims_lib.ClaimRecord() | claims_lib.ClaimTimesRecord():
                 self.claims.restore_record(record)
-            case job_tasks.JobRecord() | job_tasks.RunRecord():
+            case (
+                job_tasks.JobRecord()
+                | job_tasks.RunRecord()
+                | job_tasks.CancellationRecord()
+            ):
                 self.jobs.restore_record(record)
             case site_lib.SiteRecord():
                 self.site.restore_record(record)
--- /dev/null
+++ b/tests/test_jobs_leader.py
@@ -0,0 +1,87 @@
+"""Calls of callers, answered by the leader."""
+
+import curio
+
+from galenahook import clock as clock_lib
+from galenahook import job_metrics
+from galenahook import state as state_lib
+from galenahook.jobs import calls
+from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import leader as leader_lib
+import job_builders as build
+
+PATH = f"/quotes/{build.JOB}"
+ORDER = calls.JobOrder(spec="spec", steps=(build.step(),))
+
+
+class SlowNode:
+    """A replica that leads and commits commands in order after a delay."""
+
+    def __init__(self):
+        self.state = state_lib.State()
+        self.state.apply(build.put_site())
+
+    def term(self):
+        return 7
+
+    def has_valid_lease(self):
+        return True
+
+    def is_leader(self):
+        return True
+
+    async def submit(self, command):
+        await curio.sleep(0.05)
+        return self.state.apply(command)
+
+
+def make_leader():
+    node = SlowNode()
+    clock = clock_lib.Clock()
+    dispatcher = dispatcher_lib.Dispatcher(
+        node, clock, None, 3_000, job_metrics.JobMetrics()
+    )
+    return leader_lib.JobLeader(node, clock, dispatcher)
+
+
+def submit_call():
+    return calls.SubmitJobCall(host="desk.example", path=PATH, order=ORDER)
+
+
+def cancel_call():
+    return calls.CancelJobCall(host="desk.example", path=PATH)
+
+
+def state_call():
+    return calls.JobStateCall(host="desk.example", path=PATH)
+
+
+def test_a_job_cancelled_during_its_submission_is_cancelled():
+    async def main():
+        leader = make_leader()
+        submission = await curio.spawn(leader.handle_call, submit_call())
+        await curio.sleep(0.01)
+        cancelled = await leader.handle_call(cancel_call())
+        assert cancelled.outcome == "cancelled"
+        assert (await submission.join()).outcome == "stored"
+        reply = await leader.handle_call(state_call())
+        assert reply.state == "cancelled"
+
+    curio.run(main)
+
+
+def test_a_submission_that_arrives_after_the_cancellation_starts_nothing():
+    async def main():
+        leader = make_leader()
+        for call, outcome in (
+            (cancel_call(), "unknown-job"),
+            (state_call(), "unknown-job"),
+            (submit_call(), "stored"),
+            (submit_call(), "stored"),
+        ):
+            assert (await leader.handle_call(call)).outcome == outcome
+        reply = await leader.handle_call(state_call())
+        assert reply.state == "cancelled"
+        assert leader.node.state.jobs.open == {}
+
+    curio.run(main)
--- a/tests/test_jobs_table.py
+++ b/tests/test_jobs_table.py
@@ -104,6 +104,40 @@
     assert table.open == {}
 
 
+def cancel(at_ms=1, job=build.JOB):
+    return build.commands.CancelJob(job=job, at_ms=at_ms)
+
+
+def test_a_job_that_arrives_after_its_cancellation_never_runs(table):
+    assert isinstance(table.cancel(cancel()), build.commands.JobUnknown)
+    assert table.jobs == {}
+    table.submit(build.submit())
+    assert the_job(table).state() == "cancelled"
+    assert the_job(table).waiting == set()
+    assert table.open == {}
+    assert table.record(build.starts(build.start(FIRST))).applied == (False,)
+
+
+def test_cancellations_of_unknown_jobs_expire(table):
+    retention_ms = table_lib.CANCELLATION_RETENTION_MS
+    table.cancel(cancel(at_ms=1_000, job="0" * 16))
+    table.cancel(cancel(at_ms=2_000, job="1" * 16))
+    table.cancel(cancel(at_ms=1_000 + retention_ms))
+    assert list(table.cancelled_early) == ["1" * 16, build.JOB]
+
+
+def test_a_snapshot_restores_cancellations_of_unknown_jobs():
+    state = state_lib.State()
+    state.apply(cancel(at_ms=7))
+    restored = state_lib.State()
+    restored.restore(
+        state_lib.decode_record(state_lib.encode_record(record))
+        for record in state.snapshot_records()
+    )
+    restored.apply(build.submit())
+    assert restored.jobs.jobs[build.JOB].state() == "cancelled"
+
+
 def test_a_checkpoint_is_retained_until_a_newer_one(table):
     table.submit(build.submit())
     for run, checkpoint in enumerate(("c1", "", "c3"), 1):
