Report dropped log lines in the log

Cause: drops were only counted in memory, in a counter that two threads changed. Change: each thread has its own counter, and the next write appends a line log:dropped with the number of lines lost since the last report.

test_dropped_lines_are_reported_once_the_log_is_written_again failed before (no such line). The test of a blocked disk now expects this one line more than the queue holds; it still counts every line.

--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -2,7 +2,8 @@
 
 Messages carry `request`, `job` or `task` where one applies, so that it can be
 traced through all processes. The event loop never blocks on the file: messages
-that don't fit into the bounded queue are dropped and counted.
+that don't fit into the bounded queue are dropped, counted and reported by the
+next line that is written.
 """
 
 import atexit
@@ -12,6 +13,7 @@
 import pathlib
 import sys
 import threading
+import time
 from typing import Any
 
 import eliot
@@ -30,12 +32,13 @@
 
     Attributes:
       process: Name of the process, written into each line.
-      dropped: Lines dropped because the queue was full or a write failed.
     """
 
     def __init__(self, stream: Any, process: str) -> None:
         self.process = process
-        self.dropped = 0
+        self._overflowed = 0
+        self._unwritten = 0
+        self._reported = 0
         self._stream = stream
         self._queue: collections.deque[bytes] = collections.deque()
         self._wakeup = threading.Event()
@@ -45,10 +48,15 @@
         )
         self._thread.start()
 
+    @property
+    def dropped(self) -> int:
+        """Lines dropped because the queue was full or a write failed."""
+        return self._overflowed + self._unwritten
+
     def __call__(self, message: dict[str, Any]) -> None:
         """Queues a message; called by eliot."""
         if len(self._queue) >= MAX_QUEUED_LINES:
-            self.dropped += 1
+            self._overflowed += 1
             return
         line = _ENCODER.encode({"process": self.process, **message})
         self._queue.append(line + b"\n")
@@ -74,11 +82,26 @@
         lines = [self._queue.popleft() for _ in range(len(self._queue))]
         if not lines:
             return
+        count = len(lines)
+        dropped = self.dropped
+        if dropped > self._reported:
+            lines.append(self._encode_drop_report(dropped - self._reported))
         try:
             self._stream.write(b"".join(lines))
             self._stream.flush()
+            self._reported = dropped
         except (OSError, ValueError):
-            self.dropped += len(lines)
+            self._unwritten += count
+
+    def _encode_drop_report(self, count: int) -> bytes:
+        report = {
+            "process": self.process,
+            "timestamp": time.time(),
+            "message_type": "log:dropped",
+            "level": "warning",
+            "lines": count,
+        }
+        return _ENCODER.encode(report) + b"\n"
 
 
 class _CurioLogHandler(logging.Handler):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -110,7 +110,32 @@
         logs.stop(writer)
     assert elapsed_ms / logs.MAX_QUEUED_LINES < MAX_US_PER_MESSAGE / 1_000
     assert writer.dropped == 50
-    assert stream.lines == logs.MAX_QUEUED_LINES + 1
+    report_lines = 1
+    assert stream.lines == logs.MAX_QUEUED_LINES + 1 + report_lines
+
+
+def test_dropped_lines_are_reported_once_the_log_is_written_again():
+    stream = _BlockingStream()
+    writer = logs.LogWriter(stream, "entry-1")
+    eliot.add_destinations(writer)
+    written = []
+    try:
+        logs.info("first")
+        assert stream.entered.wait(5)
+        stream.write = written.append
+        for index in range(logs.MAX_QUEUED_LINES + 50):
+            logs.info("many", index=index)
+    finally:
+        stream.released.set()
+        logs.stop(writer)
+    reports = [
+        json.loads(line)
+        for line in b"".join(written).splitlines()
+        if b"log:dropped" in line
+    ]
+    assert [(item["process"], item["lines"]) for item in reports] == [
+        ("entry-1", 50)
+    ]
 
 
 def test_requests_over_the_log_budget_are_counted_and_retention_is_bounded():
