Open connections to IP addresses without a thread

What operators see: on a large site, starts are refused with a connect time-out (`run:refused`, answer `unhealthy`, reason `TaskTimeout`) though every worker is reachable, above all just after a leader was elected. Polls, stops and messages between replicas need new connections too and fail in the same way.

Cause: `curio.open_connection` resolves the host in a thread of a pool of 64, even if it is an IP address. The log's writes and syncs use the same pool, and each thread waits for the interpreter lock, which a busy event loop releases only every 5 ms. A burst of connections exceeds the connect time-out of 500 ms.

The new test occupies all 64 threads; it failed before with `ExchangeError: 127.0.0.1:44501: TaskTimeout`.

Fix: an IP address is connected directly. Host names are still resolved by curio, in a thread.

--- a/src/galenahook/web/client.py
+++ b/src/galenahook/web/client.py
@@ -7,6 +7,7 @@
 from typing import NoReturn
 
 import curio
+import curio.socket
 import curio.traps
 import h11
 
@@ -196,6 +197,31 @@
             await self._sock.close()
 
 
+async def _open_socket(host: str, port: int) -> Any:
+    """Opens a TCP connection.
+
+    Only a host name is resolved. `curio` does that in a thread, which may have
+    to wait for other threads, even if the host is an IP address.
+    """
+    if not _is_ip_address(host):
+        return await curio.open_connection(host, port)
+    sock = curio.socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    try:
+        await sock.connect((host, port))
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
+def _is_ip_address(host: str) -> bool:
+    try:
+        std_socket.inet_pton(std_socket.AF_INET, host)
+    except OSError:
+        return False
+    return True
+
+
 async def connect(
     address: str,
     timeout_ms: int = defaults.CONNECT_TIMEOUT_MS,
@@ -209,7 +235,7 @@
     clock = clock or clock_lib.Clock()
     try:
         async with curio.timeout_after(clock_lib.seconds(timeout_ms)):
-            sock = await curio.open_connection(*http.parse_address(address))
+            sock = await _open_socket(*http.parse_address(address))
     except (OSError, ValueError, curio.TaskTimeout) as error:
         raise errors.ExchangeError(f"{address}: {error!r}", False) from error
     http.set_connection_options(sock)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -8,6 +8,7 @@
 
 import curio
 import curio.io
+import curio.workers
 import pytest
 
 from galenahook import errors
@@ -352,3 +353,18 @@
 def test_response_delimited_by_connection_close_is_rejected() -> None:
     result, _ = exchange_with(RESPONSE_WITHOUT_LENGTH, "GET")
     assert isinstance(result, errors.ExchangeError)
+
+
+def test_connection_does_not_wait_for_a_thread() -> None:
+    async def test(server: web.Server) -> None:
+        busy = [
+            await curio.spawn(curio.run_in_thread, time.sleep, 1.0)
+            for _ in range(curio.workers.MAX_WORKER_THREADS)
+        ]
+        await curio.sleep(0.05)
+        connection = await web.connect(server.address, timeout_ms=500)
+        await connection.close()
+        for task in busy:
+            await task.join()
+
+    run_with_server(test)
