Track a leaving worker until it stops replying to polls

One second after the announcement the leader recorded its runs as gone and closed the link: tasks of a job cancelled afterwards were not stopped, and other tasks were started elsewhere while they still ran.

Cause: the announcement counted as a proof of the end, also while the worker replied to polls.

Fix: the grace time alone no longer ends the runs; the worker must also have failed to reply to the last poll, or another incarnation must have replied. Until then the link remains, and the runs on the worker are stopped like those on a draining worker. A process that has ended refuses the connection, so an ordinary end is recorded as early as before.

Evidence: the first test of tests/test_jobs_lost_runs.py failed before with KeyError: 'w1', as the link was gone while the worker listed the run. The second one, an ordinary end, passed before and passes now.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -41,6 +41,7 @@
         or the term is over.
       lease_ms: Duration of the leases to send.
       queued_end: Number of the last end queued for its commit.
+      is_unresponsive: Whether the incarnation did not reply to the last poll.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
         self.lease_ms = lease_ms
         self.queued_end = 0
         self._owner = owner
-        self._is_unresponsive = False
+        self.is_unresponsive = False
         self._stray_stops: set[tuple[str, int]] = set()
         self._committed = notify.Signal()
 
@@ -90,13 +91,17 @@
             await self._owner.note_deposed_by(worker)
             return False
         except worker_api.ReplacedError:
+            self.is_unresponsive = True
             return False
         except errors.ExchangeError as error:
-            self._is_unresponsive = True
+            self.is_unresponsive = True
             self._log_unresponsive(str(error))
             return False
-        self._is_unresponsive = False
-        if reply.born_ms not in (0, worker.heartbeat.born_ms):
+        self.is_unresponsive = reply.born_ms not in (
+            0,
+            worker.heartbeat.born_ms,
+        )
+        if self.is_unresponsive:
             return False
         await self._apply_reply(reply, sent_ms)
         return True
@@ -108,7 +113,7 @@
         unresponsive the lease is not extended, so that it expires.
         """
         worker = self.worker
-        if self._is_unresponsive and worker.lease_until_ms:
+        if self.is_unresponsive and worker.lease_until_ms:
             return worker.lease_until_ms
         return worker.extend_lease(now_ms, self.lease_ms)
 
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -13,7 +13,8 @@
 # Added to the longest lease before the runs of a worker that sent no heartbeat
 # in this term are ended.
 LEASE_MARGIN_MS = 500
-# Time that a worker has to end after it announced that it ends.
+# Time that a worker has to end after it announced that it ends. It may run on
+# for longer, for example if the reply to its announcement was lost.
 LEAVE_GRACE_MS = 1_000
 # Unresponsive workers are removed after this time. The next heartbeat adds them
 # again.
@@ -37,6 +38,7 @@
         if (
             worker.leaving_since_ms
             and now_ms - worker.leaving_since_ms > LEAVE_GRACE_MS
+            and link.is_unresponsive
         ):
             reason = "worker left"
             ends += await link.end_incarnation(None, reason)
@@ -95,12 +97,13 @@
 async def stop_ended_and_draining(
     dispatcher: "dispatcher_lib.Dispatcher",
 ) -> None:
-    """Stops runs of ended jobs, and runs on draining workers.
+    """Stops runs of ended jobs, and runs on draining or leaving workers.
 
     On a draining worker, a run that is expected to be done in time goes on.
     """
     now_ms = dispatcher.now_ms()
     for link in list(dispatcher.links.values()):
+        is_leaving = link.worker.leaving_since_ms > 0
         is_draining = link.worker.heartbeat.draining
         for run in list(link.worker.runs.values()):
             if run.stopping:
@@ -108,6 +111,8 @@
             if run.job.ended:
                 outcome = run.job.record.outcome.value
                 await dispatcher.spawn(link.stop, run, f"job {outcome}")
+            elif is_leaving:
+                await dispatcher.spawn(link.stop, run, "worker leaving")
             elif is_draining and not _ends_in_time(link.worker, run, now_ms):
                 await dispatcher.spawn(link.stop, run, "worker draining")
 
--- /dev/null
+++ b/tests/test_jobs_lost_runs.py
@@ -0,0 +1,126 @@
+"""Runs of workers that leave, and of jobs that have ended."""
+
+import curio
+import pytest
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import job_metrics
+from galenahook import state as state_lib
+from galenahook.jobs import calls
+from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import lost_runs
+from galenahook.jobs import worker_api
+import job_builders as build
+
+TASK = f"{build.JOB}.0.0.0"
+GRACE_MS = 60
+
+
+@pytest.fixture(autouse=True)
+def short_grace(monkeypatch):
+    monkeypatch.setattr(lost_runs, "LEAVE_GRACE_MS", GRACE_MS)
+
+
+class FakeNode:
+    """A replica that leads and commits at once if there is a quorum."""
+
+    def __init__(self):
+        self.state = state_lib.State()
+        self.has_quorum = True
+
+    def term(self):
+        return 7
+
+    def has_valid_lease(self):
+        return True
+
+    def is_leader(self):
+        return True
+
+    async def submit(self, command):
+        if not self.has_quorum:
+            raise errors.NoQuorumError("no majority")
+        return self.state.apply(command)
+
+
+class FakeClient(worker_api.WorkerClient):
+    """A worker that runs one task and ignores stops.
+
+    Attributes:
+      replies: Whether it replies to polls.
+    """
+
+    def __init__(self):
+        self.replies = True
+        self.stopped = []
+
+    async def poll(self, *_arguments):
+        await curio.sleep(0.005)
+        if not self.replies:
+            raise errors.ExchangeError("connection refused", sent=False)
+        row = worker_api.RunningRow(TASK, 1, "", 10.0, None)
+        return worker_api.PollReply(1, 10_000, [row], [], complete=True)
+
+    async def stop(self, task, run, _term):
+        self.stopped.append((task, run))
+        return True
+
+    async def close(self):
+        pass
+
+
+def run_with_worker(scenario):
+    """Runs a scenario with a leader that has attached the only run."""
+
+    async def main():
+        node = FakeNode()
+        node.state.apply(build.submit())
+        node.state.apply(build.starts(build.start(TASK)))
+        client = FakeClient()
+        dispatcher = dispatcher_lib.Dispatcher(
+            node,
+            clock_lib.Clock(),
+            lambda _heartbeat: client,
+            3_000,
+            job_metrics.JobMetrics(),
+        )
+        await dispatcher.handle_heartbeat(build.heartbeat())
+        await curio.sleep(0.02)
+        await scenario(node, dispatcher, client)
+        await dispatcher.close()
+
+    curio.run(main)
+
+
+def leave():
+    return calls.WorkerLeft(worker="w1", born_ms=1)
+
+
+def test_a_leaving_worker_that_goes_on_is_still_stopped():
+    async def scenario(node, dispatcher, client):
+        await dispatcher.leave(leave())
+        await curio.sleep(GRACE_MS * 2 / 1000)
+        node.state.apply(build.commands.CancelJob(job=build.JOB, at_ms=1))
+        await dispatcher._round()
+        await curio.sleep(0.02)
+        assert client.stopped == [(TASK, 1)]
+        assert TASK in dispatcher.links["w1"].worker.runs
+        assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
+
+    run_with_worker(scenario)
+
+
+def test_runs_of_a_worker_that_left_end_after_the_grace_time():
+    async def scenario(node, dispatcher, client):
+        await dispatcher.leave(leave())
+        client.replies = False
+        await curio.sleep(0.02)
+        await dispatcher._round()
+        assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
+        await curio.sleep(GRACE_MS * 2 / 1000)
+        await dispatcher._round()
+        assert node.state.jobs.jobs[build.JOB].active == set()
+        assert dispatcher.links == {}
+
+    run_with_worker(scenario)
