Stop runs of ended jobs also when ends can't be committed

What callers see: while commits of the leader fail, tasks of a job whose cancellation was acknowledged run on; each attempt takes up to 2.5 s.

Cause: a round ordered stops only after it had committed the ends of other runs, and a failed commit ended the round.

Fix: the stops are ordered also after a failed commit. They need none: the outcome of the job is committed already, and each stop checks the leader lease.

Evidence: the new test cancels a job and lets the commit of another run's end fail; it failed before with assert [] == [(task, 1)], no stop ordered.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -148,8 +148,11 @@
         if not self.node.is_leader():
             return
         self._ends += await lost_runs.end_lost_runs(self)
-        await self._commit_ends()
-        await lost_runs.stop_ended_and_draining(self)
+        try:
+            await self._commit_ends()
+        finally:
+            # Stops need no commit.
+            await lost_runs.stop_ended_and_draining(self)
         await self.tails.control(self)
         await self._start_waiting()
         if self.now_ms() - self._model_stored_ms >= MODEL_STORE_PERIOD_MS:
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -124,3 +124,16 @@
         assert dispatcher.links == {}
 
     run_with_worker(scenario)
+
+
+def test_ended_jobs_are_stopped_while_ends_can_not_be_committed():
+    async def scenario(node, dispatcher, client):
+        node.state.apply(build.commands.CancelJob(job=build.JOB, at_ms=1))
+        await dispatcher.queue_ends([build.end("00000000000000b2.0.0.0")])
+        node.has_quorum = False
+        with pytest.raises(errors.NoQuorumError):
+            await dispatcher._round()
+        await curio.sleep(0.02)
+        assert client.stopped == [(TASK, 1)]
+
+    run_with_worker(scenario)
