Compute the throttles of a worker once where its headroom is enough

A review of the workers calculated the allowed speeds twice for each, for the headroom that a release needs and for the lower one that a throttle needs. If the first slows no image, the second doesn't either. The measured shares are summed only if a run misses its target, and the step of a run is kept instead of being built at each use.

test_throttles_are_not_computed_twice_where_the_headroom_is_enough failed before.

--- a/src/galenahook/jobs/tail_latency.py
+++ b/src/galenahook/jobs/tail_latency.py
@@ -204,11 +204,16 @@
             and now_ms - run.target_missed_since_ms >= LONG_MISS_MS
             for run in worker.runs.values()
         )
-        required = RELEASE_HEADROOM if is_long_miss else THROTTLE_HEADROOM
-        throttled = self.allowed_percents(worker, serving_steps, required)
         released = self.allowed_percents(
             worker, serving_steps, RELEASE_HEADROOM
         )
+        throttled = released
+        # Images that may run at full speed beside a larger headroom may do so
+        # beside a smaller one.
+        if not is_long_miss and min(released.values(), default=100) < 100:
+            throttled = self.allowed_percents(
+                worker, serving_steps, THROTTLE_HEADROOM
+            )
         changes = []
         for run in colocated:
             image = run.step.image
@@ -227,9 +232,14 @@
     ) -> list[ServingStep]:
         """Returns forecasts, and measured baselines for missed targets."""
         serving_steps = self.serving_steps(worker, now_ms, THROTTLE_HORIZON_MS)
-        shares = measured_shares(worker, now_ms)
-        for run in worker.runs.values():
-            if _has_measured_tail(run) and _headroom(run) < 1.0:
+        missing = [
+            run
+            for run in worker.runs.values()
+            if _has_measured_tail(run) and _headroom(run) < 1.0
+        ]
+        if missing:
+            shares = measured_shares(worker, now_ms)
+            for run in missing:
                 reduction = self.model.reduction(run.step.image, shares)
                 serving_steps.append(
                     ServingStep(run.step.image, _headroom(run) + reduction)
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -43,6 +43,7 @@
       slowed_ms: When it was last throttled below half its speed.
       target_missed_since_ms: Since when its tail latency has exceeded the
         target; 0 if it does not.
+      step_id: Job, occurrence and number of its step.
     """
 
     task: str
@@ -62,11 +63,10 @@
     throttle_percent: int = 100
     slowed_ms: int = 0
     target_missed_since_ms: int = 0
+    step_id: StepId = dataclasses.field(init=False)
 
-    @property
-    def step_id(self) -> StepId:
-        """Job, occurrence and number of its step."""
-        return self.job.description.job, self.key[0], self.key[1]
+    def __post_init__(self) -> None:
+        self.step_id = (self.job.description.job, self.key[0], self.key[1])
 
 
 class Worker:
--- a/tests/test_jobs_tail_latency.py
+++ b/tests/test_jobs_tail_latency.py
@@ -191,3 +191,35 @@
     worker = colocated_worker(150, "bad")
     link = run_control(control, worker, (NOW_MS, NOW_MS + 60, NOW_MS + 120))
     assert len(link.throttled) == 1
+
+
+def test_throttles_are_not_computed_twice_where_the_headroom_is_enough(
+    monkeypatch,
+):
+    control = control_of(baseline=4.0, bad=4.0)
+    required = []
+    allowed = control.allowed_percents
+
+    def counted(worker, serving_steps, headroom_left):
+        required.append(headroom_left)
+        return allowed(worker, serving_steps, headroom_left)
+
+    monkeypatch.setattr(control, "allowed_percents", counted)
+    assert changes_of(control, colocated_worker(30.0, "bad")) == {}
+    assert required == [tail_latency_lib.RELEASE_HEADROOM]
+
+
+@pytest.mark.parametrize("baseline", [0.6, 1.3, 1.6, 1.65, 1.8, 4.0])
+def test_a_run_at_full_speed_is_throttled_by_the_lower_required_headroom(
+    baseline,
+):
+    control = control_of(baseline, bad=4.0)
+    worker = colocated_worker(30.0, "bad")
+    serving_steps = control.serving_steps(
+        worker, NOW_MS, tail_latency_lib.THROTTLE_HORIZON_MS
+    )
+    allowed = control.allowed_percents(
+        worker, serving_steps, tail_latency_lib.THROTTLE_HEADROOM
+    )
+    expected = {} if allowed["bad"] == 100 else allowed
+    assert changes_of(control, worker) == expected
