Write log lines in pieces that a pipe takes as a whole

What was seen: logs of busy replicas had holes.

Cause: the writer joins every queued line into one write. What one process wrote at one moment ended at about 8 KiB (at most 8,542 bytes); the rest of a longer write is missing.

Fix: a write contains complete lines and at most 4,096 bytes, up to which a write to a pipe is atomic. A longer line has a write of its own.

The test failed before: the five lines came in a single write.

--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -18,6 +18,9 @@
 import msgspec
 
 MAX_QUEUED_LINES = 10_000
+# Size of one write of several lines. A write to a pipe is atomic up to this
+# size; readers may truncate a longer one.
+MAX_WRITE_BYTES = 4_096
 # Value of `log_file` that selects standard output.
 STANDARD_OUTPUT = "-"
 
@@ -72,13 +75,25 @@
 
     def _write_queued(self) -> None:
         lines = [self._queue.popleft() for _ in range(len(self._queue))]
-        if not lines:
-            return
-        try:
-            self._stream.write(b"".join(lines))
-            self._stream.flush()
-        except (OSError, ValueError):
-            self.dropped += len(lines)
+        for group in _group_lines(lines):
+            try:
+                self._stream.write(b"".join(group))
+                self._stream.flush()
+            except (OSError, ValueError):
+                self.dropped += len(group)
+
+
+def _group_lines(lines: list[bytes]) -> list[list[bytes]]:
+    """Groups lines that one write may contain; a longer line is alone."""
+    groups: list[list[bytes]] = []
+    size = 0
+    for line in lines:
+        if not groups or size + len(line) > MAX_WRITE_BYTES:
+            groups.append([])
+            size = 0
+        groups[-1].append(line)
+        size += len(line)
+    return groups
 
 
 class _CurioLogHandler(logging.Handler):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -150,3 +150,14 @@
     logs.info("lost")
     logs.stop(writer)
     assert writer.dropped == 1
+
+
+def test_writes_of_many_lines_contain_complete_lines_up_to_the_pipe_size():
+    stream = _BlockingStream()
+    writes = []
+    stream.write = writes.append
+    writer = logs.LogWriter(stream, "entry-1")
+    lines = [b"x" * length + b"\n" for length in (1_500, 2_000, 900, 9_000, 5)]
+    writer._queue.extend(lines)
+    writer.close()
+    assert writes == [lines[0] + lines[1], lines[2], lines[3], lines[4]]
