--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -20,6 +20,9 @@
 import msgspec
 
 MAX_QUEUED_LINES = 10_000
+# Size of one write of several lines. A write to a pipe is atomic up to this
+# size; readers may truncate a longer one.
+MAX_WRITE_BYTES = 4_096
 # Value of `log_file` that selects standard output.
 STANDARD_OUTPUT = "-"
 
@@ -80,18 +83,16 @@
 
     def _write_queued(self) -> None:
         lines = [self._queue.popleft() for _ in range(len(self._queue))]
-        if not lines:
-            return
-        count = len(lines)
         dropped = self.dropped
-        if dropped > self._reported:
+        if lines and dropped > self._reported:
             lines.append(self._encode_drop_report(dropped - self._reported))
-        try:
-            self._stream.write(b"".join(lines))
-            self._stream.flush()
             self._reported = dropped
-        except (OSError, ValueError):
-            self._unwritten += count
+        for group in _group_lines(lines):
+            try:
+                self._stream.write(b"".join(group))
+                self._stream.flush()
+            except (OSError, ValueError):
+                self._unwritten += len(group)
 
     def _encode_drop_report(self, count: int) -> bytes:
         report = {
@@ -104,6 +105,19 @@
         return _ENCODER.encode(report) + b"\n"
 
 
+def _group_lines(lines: list[bytes]) -> list[list[bytes]]:
+    """Groups lines that one write may contain; a longer line is alone."""
+    groups: list[list[bytes]] = []
+    size = 0
+    for line in lines:
+        if not groups or size + len(line) > MAX_WRITE_BYTES:
+            groups.append([])
+            size = 0
+        groups[-1].append(line)
+        size += len(line)
+    return groups
+
+
 class _CurioLogHandler(logging.Handler):
     """Logs records of curio's kernel, such as crashed tasks, as messages."""
 
