Report why tasks wait for a worker

The log showed that a task started late, not whether processors, memory, the limit per worker or tail latency held it back. Once a second the leader now logs, for each of at most 8 queues with tasks that have waited over 300 ms, the number of usable workers by obstacle, and the unreserved processors in all and on the worker with the most.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -22,6 +22,7 @@
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.jobs import tasks as tasks_lib
+from galenahook.jobs import waiting
 from galenahook.jobs import worker_api
 from galenahook.jobs import workers as workers_lib
 from galenahook.replicas import node as node_lib
@@ -87,6 +88,7 @@
         self._wake = notify.Signal()
         self._is_woken = False
         self._model_stored_ms = self.started_ms
+        self._waiting_report = waiting.WaitingReport(self.started_ms)
         self._restore_model()
 
     @property
@@ -152,6 +154,7 @@
         await lost_runs.stop_ended_and_draining(self)
         await self.tails.control(self)
         await self._start_waiting()
+        self._waiting_report.log(self)
         if self.now_ms() - self._model_stored_ms >= MODEL_STORE_PERIOD_MS:
             self._model_stored_ms = self.now_ms()
             await self.spawn(self._store_model)
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -43,16 +43,7 @@
     waiting = [job for job in dispatcher.table.open.values() if job.waiting]
     if not waiting:
         return []
-    zones_out = dispatcher.node.state.site.current.zones_out
-    now_ms = dispatcher.now_ms()
-    candidates = [
-        free_capacity_lib.free_capacity_of(
-            link.worker, dispatcher.tails, now_ms
-        )
-        for link in dispatcher.links.values()
-        if link.worker.is_usable(now_ms)
-        and link.worker.heartbeat.availability_zone not in zones_out
-    ]
+    candidates = usable_capacity(dispatcher)
     waiting.sort(
         key=lambda job: ordering.rank(job, dispatcher.run_times, now_wall_ms)
     )
@@ -64,6 +55,22 @@
     return search.placed
 
 
+def usable_capacity(
+    dispatcher: "dispatcher_lib.Dispatcher",
+) -> list[free_capacity_lib.FreeCapacity]:
+    """Returns the free capacity of each worker on which runs may start."""
+    zones_out = dispatcher.node.state.site.current.zones_out
+    now_ms = dispatcher.now_ms()
+    return [
+        free_capacity_lib.free_capacity_of(
+            link.worker, dispatcher.tails, now_ms
+        )
+        for link in dispatcher.links.values()
+        if link.worker.is_usable(now_ms)
+        and link.worker.heartbeat.availability_zone not in zones_out
+    ]
+
+
 class _PlacementRound:
     """Places tasks during one round.
 
--- /dev/null
+++ b/src/galenahook/jobs/waiting.py
@@ -0,0 +1,111 @@
+"""Reports why tasks wait for a worker."""
+
+import collections
+from typing import TYPE_CHECKING
+
+from galenahook import commands
+from galenahook import logs
+from galenahook.jobs import free_capacity as free_capacity_lib
+from galenahook.jobs import placement
+from galenahook.jobs import tasks as tasks_lib
+
+if TYPE_CHECKING:
+    from galenahook.jobs import dispatcher as dispatcher_lib
+
+REPORT_PERIOD_MS = 1_000
+# Tasks that have waited less are not reported.
+MIN_WAIT_MS = 300
+# Queues with most waiting tasks that one report includes.
+MAX_QUEUES = 8
+
+
+class WaitingReport:
+    """Logs the obstacles of waiting tasks by queue once in a period."""
+
+    __slots__ = ("_reported_ms",)
+
+    def __init__(self, now_ms: int) -> None:
+        self._reported_ms = now_ms
+
+    def log(self, dispatcher: "dispatcher_lib.Dispatcher") -> None:
+        """Logs a line for each queue with tasks that have waited for long."""
+        now_ms = dispatcher.now_ms()
+        if now_ms - self._reported_ms < REPORT_PERIOD_MS:
+            return
+        self._reported_ms = now_ms
+        submitted_by_ms = dispatcher.clock.wall_ms() - MIN_WAIT_MS
+        queues: dict[str, list[tasks_lib.Job]] = collections.defaultdict(list)
+        for job in dispatcher.table.open.values():
+            if job.waiting and job.record.submitted_ms <= submitted_by_ms:
+                queues[job.description.queue].append(job)
+        if not queues:
+            return
+        candidates = placement.usable_capacity(dispatcher)
+        free = [candidate.cpu_millis for candidate in candidates]
+        logs.info(
+            "workers:free",
+            workers=len(free),
+            cpu_millis=sum(free),
+            largest_cpu_millis=max(free, default=0),
+        )
+        for queue, jobs in sorted(
+            queues.items(), key=lambda item: -_task_count(item[1])
+        )[:MAX_QUEUES]:
+            job = min(jobs, key=lambda item: item.record.submitted_ms)
+            key = min(job.waiting)
+            step = job.step(key)
+            logs.info(
+                "queue:waiting",
+                queue=queue,
+                jobs=len(jobs),
+                tasks=_task_count(jobs),
+                job=job.description.job,
+                step=key[1],
+                waited_ms=dispatcher.clock.wall_ms() - job.record.submitted_ms,
+                cpu_millis=step.cpu_millis,
+                memory_mb=step.memory_mb,
+                max_per_worker=step.max_per_worker,
+                obstacles=collections.Counter(
+                    obstacle(dispatcher, job, key, candidate)
+                    for candidate in candidates
+                ),
+            )
+
+
+def obstacle(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    job: tasks_lib.Job,
+    key: tasks_lib.TaskKey,
+    candidate: free_capacity_lib.FreeCapacity,
+) -> str:
+    """Returns what prevents the placement of a task on a worker, or "none"."""
+    step = job.step(key)
+    heartbeat = candidate.worker.heartbeat
+    if heartbeat.service != job.description.service:
+        return "service"
+    if step.required_label and step.required_label not in heartbeat.labels:
+        return "label"
+    if not candidate.fits(step):
+        return _missing_capacity(step, candidate)
+    if step.uses_idle_cpu and candidate.idle_cpu_millis < step.cpu_millis:
+        return "idle-cpu"
+    count = candidate.task_counts.get((job.description.job, *key[:2]), 0)
+    if step.max_per_worker and count >= step.max_per_worker:
+        return "max-per-worker"
+    if step.uses_idle_cpu and not candidate.tolerates(
+        dispatcher.tails.model, step
+    ):
+        return "tail-latency"
+    return "none"
+
+
+def _missing_capacity(
+    step: commands.StepDescription, candidate: free_capacity_lib.FreeCapacity
+) -> str:
+    if step.gpus > candidate.gpus:
+        return "gpus"
+    return "memory" if step.memory_mb > candidate.memory_mb else "cpu"
+
+
+def _task_count(jobs: list[tasks_lib.Job]) -> int:
+    return sum(len(job.waiting) for job in jobs)
--- /dev/null
+++ b/tests/test_jobs_waiting.py
@@ -0,0 +1,59 @@
+"""Reports of waiting tasks."""
+
+import eliot
+import pytest
+
+from galenahook.jobs import placement
+from galenahook.jobs import waiting
+import job_builders as build
+from test_jobs_placement import dispatcher_of
+
+
+def obstacles_of(step, *workers):
+    dispatcher = dispatcher_of(workers, build.submit(step))
+    (job,) = dispatcher.table.open.values()
+    return [
+        waiting.obstacle(dispatcher, job, min(job.waiting), candidate)
+        for candidate in placement.usable_capacity(dispatcher)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("step", "worker", "obstacle"),
+    [
+        ({}, {}, "none"),
+        ({}, {"service": "else"}, "service"),
+        ({"required_label": "b"}, {}, "label"),
+        ({"cpu_millis": 9_000}, {}, "cpu"),
+        ({"memory_mb": 40_000}, {}, "memory"),
+        ({"gpus": 1}, {}, "gpus"),
+        ({"cpu_millis": 9_000, "uses_idle_cpu": True}, {}, "idle-cpu"),
+    ],
+)
+def test_the_obstacle_of_a_waiting_task_is_named(step, worker, obstacle):
+    assert obstacles_of(build.step(**step), build.worker(**worker)) == [
+        obstacle
+    ]
+
+
+@pytest.fixture
+def lines():
+    """Returns the list to which messages are appended."""
+    messages = []
+    eliot.add_destinations(messages.append)
+    messages.clear()
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def test_scattered_free_processors_are_reported_once_in_a_period(lines):
+    workers = [build.worker("w1"), build.worker("w2")]
+    dispatcher = dispatcher_of(
+        workers, build.submit(build.step(cpu_millis=12_000))
+    )
+    report = waiting.WaitingReport(-waiting.REPORT_PERIOD_MS)
+    report.log(dispatcher)
+    report.log(dispatcher)
+    free, queue = lines
+    assert (free["cpu_millis"], free["largest_cpu_millis"]) == (16_000, 8_000)
+    assert (queue["tasks"], queue["obstacles"]) == (1, {"cpu": 2})
