Repeat a throttle order that got no reply

The leader recorded a new throttle when it ordered it and never sent the order again if no reply came. If the order was lost, a batch task went on at full speed beside a serving task over its target, or stayed throttled after its release, until another throttle was due.

An order is now repeated until it is answered, superseded, or the run or the link has ended. The test failed before: one order instead of three.

--- a/src/galenahook/jobs/tail_latency.py
+++ b/src/galenahook/jobs/tail_latency.py
@@ -9,6 +9,9 @@
 import math
 from typing import TYPE_CHECKING
 
+import curio
+
+from galenahook import clock as clock_lib
 from galenahook import logs
 from galenahook.jobs import headroom as headroom_lib
 from galenahook.jobs import workers as workers_lib
@@ -37,6 +40,8 @@
 # throttles on one worker.
 REVIEW_PERIOD_MS = 50
 THROTTLE_SETTLE_MS = 300
+# Pause before a throttle order without a reply is sent again.
+THROTTLE_RETRY_MS = 100
 # Smallest increase of the allowed speed that is ordered, in percent of full
 # speed; an increase to full speed is always ordered.
 MIN_THROTTLE_RAISE_PERCENT = 20
@@ -358,13 +363,22 @@
 async def _throttle(
     link: "link_lib.Link", run: workers_lib.LiveRun, percent: int
 ) -> None:
-    answered = await link.throttle(run, percent)
-    logs.info(
-        "run:throttle",
-        job=run.job.description.job,
-        task=run.task,
-        run=run.run,
-        worker=link.worker.name,
-        percent=percent,
-        answered=answered,
-    )
+    """Orders a throttle until it is answered, superseded or pointless."""
+    while (
+        run.throttle_percent == percent
+        and link.worker.runs.get(run.task) is run
+        and not link.ended
+    ):
+        answered = await link.throttle(run, percent)
+        logs.info(
+            "run:throttle",
+            job=run.job.description.job,
+            task=run.task,
+            run=run.run,
+            worker=link.worker.name,
+            percent=percent,
+            answered=answered,
+        )
+        if answered:
+            return
+        await curio.sleep(clock_lib.seconds(THROTTLE_RETRY_MS))
--- a/tests/test_jobs_tail_latency.py
+++ b/tests/test_jobs_tail_latency.py
@@ -18,11 +18,16 @@
 
     def __init__(self, worker):
         self.worker = worker
+        self.ended = False
         self.throttled = []
         self.stopped = []
+        self.lost_orders = 0
 
     async def throttle(self, run, percent):
         self.throttled.append((run.step.image, percent))
+        if self.lost_orders:
+            self.lost_orders -= 1
+            return False
         return True
 
     async def stop(self, run, _reason):
@@ -191,3 +196,13 @@
     worker = colocated_worker(150, "bad")
     link = run_control(control, worker, (NOW_MS, NOW_MS + 60, NOW_MS + 120))
     assert len(link.throttled) == 1
+
+
+def test_a_throttle_order_without_a_reply_is_repeated():
+    worker = colocated_worker(150, "bad")
+    link = FakeLink(worker)
+    link.lost_orders = 2
+    dispatcher = FakeDispatcher(link)
+    curio.run(control_of(1.3, bad=8.0).control, dispatcher)
+    assert len(link.throttled) == 3
+    assert len(set(link.throttled)) == 1
