--- a/tests/test_jobs_tail_latency.py
+++ b/tests/test_jobs_tail_latency.py
@@ -18,11 +18,16 @@
 
     def __init__(self, worker):
         self.worker = worker
+        self.ended = False
         self.throttled = []
         self.stopped = []
+        self.lost_orders = 0
 
     async def throttle(self, run, percent):
         self.throttled.append((run.step.image, percent))
+        if self.lost_orders:
+            self.lost_orders -= 1
+            return False
         return True
 
     async def stop(self, run, _reason):
@@ -223,3 +228,13 @@
     )
     expected = {} if allowed["bad"] == 100 else allowed
     assert changes_of(control, worker) == expected
+
+
+def test_a_throttle_order_without_a_reply_is_repeated():
+    worker = colocated_worker(150, "bad")
+    link = FakeLink(worker)
+    link.lost_orders = 2
+    dispatcher = FakeDispatcher(link)
+    curio.run(control_of(1.3, bad=8.0).control, dispatcher)
+    assert len(link.throttled) == 3
+    assert len(set(link.throttled)) == 1
