Commit every order to take an availability zone out or back in

What operators see: an evacuation is acknowledged and then not in force, as an earlier order to take the zone back was still being committed; in reverse, a zone stays out though its return was acknowledged. Found by reading, after the same cause in the cancellation of jobs.

Cause: an order that changed nothing in the table was acknowledged without a commit, so nothing ordered it after the one under way.

Fix: each order is committed; applying one twice changes nothing.

test_an_acknowledged_zone_order_outlasts_one_that_was_under_way failed before in both directions ('zone-a' in () is not ...).

--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -98,21 +98,21 @@
         return self._done()
 
     async def _set_zone(self, call: calls.ZoneCall) -> calls.JobReply:
-        zones_out = self.node.state.site.current.zones_out
-        if (call.availability_zone in zones_out) is not call.out:
-            await self.dispatcher.commit(
-                commands.SetZoneService(
-                    availability_zone=call.availability_zone,
-                    out=call.out,
-                    at_ms=self.clock.wall_ms(),
-                )
-            )
-            logs.info(
-                "zone:changed",
+        # Also committed if it seems to change nothing: the opposite order may
+        # be under way.
+        await self.dispatcher.commit(
+            commands.SetZoneService(
                 availability_zone=call.availability_zone,
                 out=call.out,
+                at_ms=self.clock.wall_ms(),
             )
-            await self.dispatcher.wake()
+        )
+        logs.info(
+            "zone:changed",
+            availability_zone=call.availability_zone,
+            out=call.out,
+        )
+        await self.dispatcher.wake()
         return self._done()
 
     # --- Callers --------------------------------------------------------------
--- a/tests/test_jobs_leader.py
+++ b/tests/test_jobs_leader.py
@@ -1,6 +1,7 @@
 """Calls of callers, answered by the leader."""
 
 import curio
+import pytest
 
 from galenahook import clock as clock_lib
 from galenahook import job_metrics
@@ -85,3 +86,20 @@
         assert leader.node.state.jobs.open == {}
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("out", [True, False])
+def test_an_acknowledged_zone_order_outlasts_one_that_was_under_way(out):
+    async def main():
+        leader = make_leader()
+        before = calls.ZoneCall(availability_zone="zone-a", out=out)
+        after = calls.ZoneCall(availability_zone="zone-a", out=not out)
+        await leader.handle_call(after)
+        under_way = await curio.spawn(leader.handle_call, before)
+        await curio.sleep(0.01)
+        assert (await leader.handle_call(after)).outcome == "done"
+        await under_way.join()
+        zones_out = leader.node.state.site.current.zones_out
+        assert ("zone-a" in zones_out) is not out
+
+    curio.run(main)
