End the runs of a leaving worker only on a proof of its end

What callers see: a worker announces that it ends and runs on for seconds; one poll to it times out, and its tasks are started elsewhere while they still run, and stops of cancelled jobs are given up.

Cause: any poll without a reply counted as the proof, also a connect time-out caused by the leader's own load. Lost replies to the announcement and to a poll have common causes.

Fix: the proof is a refused connection or another incarnation that replies; otherwise the lease, which is not extended meanwhile, has to expire.

test_runs_of_a_leaving_worker_go_on_while_a_poll_only_times_out failed before (the task had no active run). The test of an ordinary end raised an error without a cause; it now raises the refused connection that it stands for.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -41,7 +41,8 @@
         or the term is over.
       lease_ms: Duration of the leases to send.
       queued_end: Number of the last end queued for its commit.
-      is_unresponsive: Whether the incarnation did not reply to the last poll.
+      is_gone: Whether the last poll showed that the incarnation has ended: its
+        address refused the connection, or another incarnation replied.
     """
 
     def __init__(
@@ -57,7 +58,8 @@
         self.lease_ms = lease_ms
         self.queued_end = 0
         self._owner = owner
-        self.is_unresponsive = False
+        self.is_gone = False
+        self._is_unresponsive = False
         self._stray_stops: set[tuple[str, int]] = set()
         self._committed = notify.Signal()
 
@@ -91,17 +93,16 @@
             await self._owner.note_deposed_by(worker)
             return False
         except worker_api.ReplacedError:
-            self.is_unresponsive = True
+            self.is_gone = self._is_unresponsive = True
             return False
         except errors.ExchangeError as error:
-            self.is_unresponsive = True
+            self.is_gone = isinstance(error.__cause__, ConnectionRefusedError)
+            self._is_unresponsive = True
             self._log_unresponsive(str(error))
             return False
-        self.is_unresponsive = reply.born_ms not in (
-            0,
-            worker.heartbeat.born_ms,
-        )
-        if self.is_unresponsive:
+        self.is_gone = reply.born_ms not in (0, worker.heartbeat.born_ms)
+        self._is_unresponsive = self.is_gone
+        if self.is_gone:
             return False
         await self._apply_reply(reply, sent_ms)
         return True
@@ -113,7 +114,7 @@
         unresponsive the lease is not extended, so that it expires.
         """
         worker = self.worker
-        if self.is_unresponsive and worker.lease_until_ms:
+        if self._is_unresponsive and worker.lease_until_ms:
             return worker.lease_until_ms
         return worker.extend_lease(now_ms, self.lease_ms)
 
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -13,8 +13,8 @@
 # Added to the longest lease before the runs of a worker that sent no heartbeat
 # in this term are ended.
 LEASE_MARGIN_MS = 500
-# Time that a worker has to end after it announced that it ends. It may run on
-# for longer, for example if the reply to its announcement was lost.
+# Least time between the announcement of a worker that it ends and the end of its
+# runs. It may run on for longer, for example if the reply to it was lost.
 LEAVE_GRACE_MS = 1_000
 # Unresponsive workers are removed after this time. The next heartbeat adds them
 # again.
@@ -38,7 +38,7 @@
         if (
             worker.leaving_since_ms
             and now_ms - worker.leaving_since_ms > LEAVE_GRACE_MS
-            and link.is_unresponsive
+            and link.is_gone
         ):
             reason = "worker left"
             ends += await link.end_incarnation(None, reason)
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -48,17 +48,17 @@
     """A worker that runs one task and ignores stops.
 
     Attributes:
-      replies: Whether it replies to polls.
+      failure: Why polls get no reply, or None if they do.
     """
 
     def __init__(self):
-        self.replies = True
+        self.failure = None
         self.stopped = []
 
     async def poll(self, *_arguments):
         await curio.sleep(0.005)
-        if not self.replies:
-            raise errors.ExchangeError("connection refused", sent=False)
+        if self.failure is not None:
+            raise errors.ExchangeError("no reply", False) from self.failure
         row = worker_api.RunningRow(TASK, 1, "", 10.0, None)
         return worker_api.PollReply(1, 10_000, [row], [], complete=True)
 
@@ -114,7 +114,7 @@
 def test_runs_of_a_worker_that_left_end_after_the_grace_time():
     async def scenario(node, dispatcher, client):
         await dispatcher.leave(leave())
-        client.replies = False
+        client.failure = ConnectionRefusedError()
         await curio.sleep(0.02)
         await dispatcher._round()
         assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
@@ -126,6 +126,17 @@
     run_with_worker(scenario)
 
 
+def test_runs_of_a_leaving_worker_go_on_while_a_poll_only_times_out():
+    async def scenario(node, dispatcher, client):
+        await dispatcher.leave(leave())
+        client.failure = curio.TaskTimeout()
+        await curio.sleep(GRACE_MS * 2 / 1000)
+        await dispatcher._round()
+        assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
+
+    run_with_worker(scenario)
+
+
 def test_ended_jobs_are_stopped_while_ends_can_not_be_committed():
     async def scenario(node, dispatcher, client):
         node.state.apply(build.commands.CancelJob(job=build.JOB, at_ms=1))
