Reject a port above 65535 where an address is parsed

Cause: a direct connection raises OverflowError for such a port, which nothing catches; name resolution raised OSError. The address of a heartbeat could so end the task that polls its worker. Found by review of the direct connections, which brought it. Change: parse_address rejects it with a ValueError, as other malformed addresses. test_connection_to_an_invalid_port_fails_as_any_other failed before.

--- a/src/galenahook/web/http.py
+++ b/src/galenahook/web/http.py
@@ -18,6 +18,7 @@
     (b"content-length", b"transfer-encoding", b"connection", b"keep-alive")
 )
 
+MAX_PORT = 65_535
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 3
 KEEPALIVE_PROBES = 3
@@ -99,7 +100,10 @@
     host, separator, port = address.rpartition(":")
     if not separator or not host:
         raise ValueError(f"expected host:port, got {address!r}")
-    return host, int(port)
+    number = int(port)
+    if not 0 <= number <= MAX_PORT:
+        raise ValueError(f"port {number} of {address!r} is not in 0 to {MAX_PORT}")
+    return host, number
 
 
 def listen(address: str) -> std_socket.socket:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -368,3 +368,12 @@
             await task.join()
 
     run_with_server(test)
+
+
+@pytest.mark.parametrize("port", ["65536", "-1"])
+def test_connection_to_an_invalid_port_fails_as_any_other(port: str) -> None:
+    async def test(_server: web.Server) -> None:
+        with pytest.raises(errors.ExchangeError):
+            await web.connect(f"127.0.0.1:{port}")
+
+    run_with_server(test)
