Bound retained cancellations by number instead of by wall clock

Cause: found by review. A clock that steps forward by ten minutes discarded fresh cancellations, so that a submission under way ran again; a leader whose clock is ahead blocked the expiry of all; and their number had no limit. Change: at most 10,000 are retained, the oldest in the order of the log is discarded first.

--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -13,7 +13,7 @@
 # Added to the longest lease before the runs of a worker that sent no heartbeat
 # in this term are ended.
 LEASE_MARGIN_MS = 500
-# Least time between the announcement of a worker that it ends and the end of its
+# Least time from the announcement of a worker that it ends to the end of its
 # runs. It may run on for longer, for example if the reply to it was lost.
 LEAVE_GRACE_MS = 1_000
 # Unresponsive workers are removed after this time. The next heartbeat adds them
--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -7,9 +7,9 @@
 from galenahook import commands
 from galenahook.jobs import tasks as tasks_lib
 
-# Time for which the cancellation of an unknown job is retained. A submission
-# that is delayed or sent again arrives within seconds.
-CANCELLATION_RETENTION_MS = 600_000
+# Limit of retained cancellations of unknown jobs; the oldest is discarded
+# first. A submission that is delayed or sent again arrives within seconds.
+MAX_EARLY_CANCELLATIONS = 10_000
 
 
 class JobTable:
@@ -73,12 +73,9 @@
 
     def _cancel_early(self, command: commands.CancelJob) -> None:
         early = self.cancelled_early
-        while early:
-            oldest, cancelled_ms = next(iter(early.items()))
-            if command.at_ms - cancelled_ms < CANCELLATION_RETENTION_MS:
-                break
-            del early[oldest]
         early.setdefault(command.job, command.at_ms)
+        if len(early) > MAX_EARLY_CANCELLATIONS:
+            del early[next(iter(early))]
 
     def record(self, command: commands.RecordRuns) -> commands.Result:
         """Records ends, then starts; ignores those that are out of date."""
--- a/src/galenahook/web/http.py
+++ b/src/galenahook/web/http.py
@@ -102,7 +102,9 @@
         raise ValueError(f"expected host:port, got {address!r}")
     number = int(port)
     if not 0 <= number <= MAX_PORT:
-        raise ValueError(f"port {number} of {address!r} is not in 0 to {MAX_PORT}")
+        raise ValueError(
+            f"port {number} of {address!r} is not in 0 to {MAX_PORT}"
+        )
     return host, number
 
 
