Keep polling, stopping and resolving starts after an unexpected exception

What callers would see: an exception that nothing expects ended the curio task of a link for good. Its worker got no polls until its lease expired; a run whose stop had failed was marked as stopping, so that nothing stopped it again; a run that the state does not contain was stopped once and never again; a start that had failed was neither confirmed nor stopped, so that its task stayed assigned for as long as the worker lived. Found by reading; not seen on a site.

Cause: only the expected exceptions were caught. curio's log of the crashed task was the only trace.

Ruled out: a stop of a stray run whose reply is lost. It is repeated by the next poll (test_a_stray_run_is_stopped_again_after_a_lost_reply passed before).

Change: the exception is logged with its traceback and the loop goes on after its pause. A poll that raises does not extend the lease again, as with any other poll without a reply. A start that raises counts as one without a reply. Cancellation is a BaseException in curio and still ends the tasks.

Evidence: six of the seven tests in test_jobs_unexpected_errors.py failed before.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -67,7 +67,7 @@
         """Polls the worker until `ended` is set."""
         try:
             while not self.ended:
-                if not self._owner.may_lead() or not await self._poll():
+                if not self._owner.may_lead() or not await self._try_poll():
                     await curio.sleep(clock_lib.seconds(POLL_RETRY_MS))
         finally:
             await self.client.close()
@@ -77,6 +77,14 @@
         self.worker.acknowledged = max(self.worker.acknowledged, number)
         await self._committed.notify()
 
+    async def _try_poll(self) -> bool:
+        """Polls once; an unexpected exception counts as a failed poll."""
+        try:
+            return await self._poll()
+        except Exception as error:
+            logs.failure("worker:poll-failed", error, worker=self.worker.name)
+            return False
+
     async def _poll(self) -> bool:
         worker = self.worker
         if worker.acknowledged < worker.last_processed_end:
@@ -100,6 +108,9 @@
             self._is_unresponsive = True
             self._log_unresponsive(str(error))
             return False
+        except Exception:
+            self._is_unresponsive = True
+            raise
         self.is_gone = reply.born_ms not in (0, worker.heartbeat.born_ms)
         self._is_unresponsive = self.is_gone
         if self.is_gone:
@@ -222,7 +233,17 @@
             await self.client.stop(task, run, self._owner.term)
         except worker_api.DeposedError:
             await self._owner.note_deposed_by(self.worker)
-        self._stray_stops.discard((task, run))
+        except Exception as error:
+            self._log_failure("run:stop-failed", error, task, run)
+        finally:
+            self._stray_stops.discard((task, run))
+
+    def _log_failure(
+        self, message_type: str, error: Exception, task: str, run: int
+    ) -> None:
+        logs.failure(
+            message_type, error, task=task, run=run, worker=self.worker.name
+        )
 
     def _end_absent(
         self, listed: dict[str, worker_api.RunningRow], sent_ms: int
@@ -237,24 +258,31 @@
 
     async def start(self, run: workers_lib.LiveRun) -> None:
         """Orders a start whose run is committed."""
-        worker = self.worker
+        try:
+            answer, reason = await self._order_start(run)
+        except Exception as error:
+            self._log_failure("run:start-failed", error, run.task, run.run)
+            answer, reason = worker_api.StartAnswer.UNKNOWN, repr(error)
+        await self._handle_start_answer(run, answer, reason)
+
+    async def _order_start(
+        self, run: workers_lib.LiveRun
+    ) -> tuple[worker_api.StartAnswer, str]:
+        if not self._owner.may_lead():
+            return worker_api.StartAnswer.REFUSED, "not the leader"
+        if run.job.ended:
+            return worker_api.StartAnswer.REFUSED, "job has ended"
         now_ms = self._owner.now_ms()
-        record = run.job.runs[run.key]
-        answer, reason = worker_api.StartAnswer.REFUSED, "not the leader"
-        if self._owner.may_lead() and run.job.ended:
-            reason = "job has ended"
-        elif self._owner.may_lead():
-            answer, reason = await self.client.start(
-                worker_api.StartOrder(
-                    task=run.task,
-                    run=run.run,
-                    spec=run.job.description.spec,
-                    checkpoint=record.checkpoint,
-                    lease_until_ms=worker.extend_lease(now_ms, self.lease_ms),
-                    term=self._owner.term,
-                )
+        return await self.client.start(
+            worker_api.StartOrder(
+                task=run.task,
+                run=run.run,
+                spec=run.job.description.spec,
+                checkpoint=run.job.runs[run.key].checkpoint,
+                lease_until_ms=self.worker.extend_lease(now_ms, self.lease_ms),
+                term=self._owner.term,
             )
-        await self._handle_start_answer(run, answer, reason)
+        )
 
     async def _handle_start_answer(
         self,
@@ -310,6 +338,9 @@
         except worker_api.DeposedError:
             await self._owner.note_deposed_by(self.worker)
             return
+        except Exception as error:
+            self._log_failure("run:stop-failed", error, run.task, run.run)
+            return
         if is_confirmed and not run.stop_confirmed_ms:
             run.stop_confirmed_ms = self._owner.now_ms()
 
--- a/src/galenahook/logs.py
+++ b/src/galenahook/logs.py
@@ -14,6 +14,7 @@
 import sys
 import threading
 import time
+import traceback
 from typing import Any
 
 import eliot
@@ -182,3 +183,13 @@
 def error(message_type: str, **fields: Any) -> None:
     """Logs a failure that the process can't recover from on its own."""
     eliot.log_message(message_type, level="error", **fields)
+
+
+def failure(message_type: str, failed_by: Exception, **fields: Any) -> None:
+    """Logs an unexpected exception with its traceback."""
+    error(
+        message_type,
+        reason=repr(failed_by),
+        traceback="".join(traceback.format_exception(failed_by)),
+        **fields,
+    )
--- /dev/null
+++ b/tests/test_jobs_unexpected_errors.py
@@ -0,0 +1,134 @@
+"""An unexpected exception ends no loop and leaves no run behind."""
+
+import curio
+import eliot
+import pytest
+
+from galenahook import errors
+from galenahook.jobs import link as link_lib
+from galenahook.jobs import worker_api
+import job_builders as build
+import test_jobs_link as links
+
+TASK = f"{build.JOB}.0.0.0"
+STRAY = ("ff.0.0.0", 3)
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    for name in ("POLL_RETRY_MS", "STOP_RETRY_MS", "UNANSWERED_START_WAIT_MS"):
+        monkeypatch.setattr(link_lib, name, 10)
+
+
+@pytest.fixture
+def failures():
+    """Returns the list of logged failures: type and reason."""
+    messages = []
+
+    def record(message):
+        if "traceback" in message:
+            assert "Traceback" in message["traceback"]
+            messages.append((message["message_type"], message["reason"]))
+
+    eliot.add_destinations(record)
+    yield messages
+    eliot.remove_destination(record)
+
+
+def run_with_link(scenario, *polls, **run_changes):
+    """Runs a scenario with a link whose worker may run the only run."""
+
+    async def main():
+        link, client, owner, run = links.link_to(*polls, **run_changes)
+        await scenario(link, client, owner, run)
+
+    curio.run(main)
+
+
+def raise_first(function, error):
+    """Returns a function whose first call raises."""
+    pending = [error]
+
+    async def call(*arguments):
+        if pending:
+            raise pending.pop()
+        return await function(*arguments)
+
+    return call
+
+
+def test_a_link_polls_on_after_an_unexpected_exception(failures):
+    async def scenario(link, client, _owner, _run):
+        task = await curio.spawn(link.run)
+        await curio.sleep(0.1)
+        assert len(client.leases) > 1
+        assert client.leases[1] == client.leases[0]
+        assert failures == [("worker:poll-failed", "KeyError('row')")]
+        await task.cancel()
+        assert task.cancelled
+
+    run_with_link(scenario, KeyError("row"), links.lists((TASK, 1)))
+
+
+def test_a_stop_is_repeated_after_an_unexpected_exception(failures):
+    async def scenario(link, client, _owner, run):
+        client.stop = raise_first(client.stop, KeyError("reply"))
+        task = await curio.spawn(link.stop, run, "job cancelled")
+        await curio.sleep(0.05)
+        assert (run.task, run.run) in client.stopped
+        assert failures == [("run:stop-failed", "KeyError('reply')")]
+        await task.cancel()
+        assert task.cancelled
+
+    run_with_link(scenario, links.lists())
+
+
+def test_a_start_that_fails_unexpectedly_is_stopped(failures):
+    async def scenario(link, client, _owner, run):
+        client.start = raise_first(client.start, KeyError("reply"))
+        task = await curio.spawn(link.start, run)
+        await curio.sleep(0.05)
+        assert (run.task, run.run) in client.stopped
+        assert run.task in link.worker.runs
+        assert failures == [("run:start-failed", "KeyError('reply')")]
+        await task.cancel()
+
+    run_with_link(scenario, links.lists(), confirmed_ms=0, seen=False)
+
+
+@pytest.mark.parametrize(
+    "error", [KeyError("reply"), errors.ExchangeError("lost", sent=True)]
+)
+def test_a_stray_run_is_stopped_again_after_a_failed_stop(error):
+    async def scenario(link, client, _owner, _run):
+        client.stop = raise_first(client.stop, error)
+        for _ in range(3):
+            await link._poll()
+            await curio.sleep(0.02)
+        assert STRAY in client.stopped
+
+    run_with_link(scenario, links.lists((TASK, 1), STRAY))
+
+
+def test_a_stray_run_is_stopped_again_after_a_lost_reply():
+    async def scenario(link, client, _owner, _run):
+        client.stop_answer = False
+        for _ in range(3):
+            await link._poll()
+            await curio.sleep(0.02)
+        assert client.stopped == [STRAY] * 3
+
+    run_with_link(scenario, links.lists((TASK, 1), STRAY))
+
+
+def test_an_unconfirmed_start_is_kept_after_an_unexpected_exception():
+    async def scenario(link, client, owner, run):
+        client.start_answer = (worker_api.StartAnswer.UNKNOWN, "no reply")
+        client.stop = raise_first(client.stop, KeyError("reply"))
+        await curio.spawn(link.start, run, daemon=True)
+        await curio.sleep(0.05)
+        assert run.task in link.worker.runs
+        await link._poll()
+        assert [end.outcome for end in owner.ends] == ["gone"]
+
+    run_with_link(scenario, links.lists(), confirmed_ms=0, seen=False)
