Queue the ends of a poll even if its processing fails midway

What callers would see: a task that was done ran again, or never ended. A poll removes ended runs from their worker and counts their numbers as processed. If an exception followed, the ends were dropped: they were never committed, the next commit acknowledged them, and the task stayed assigned, or its absence from the next list ended it as gone, although it was done. Found by reading.

Cause: the ends were queued last, and an end counted as processed before it was.

Change: the ends collected so far are queued in any case, and a number counts as processed only once its end is collected. Metrics and health of the worker, which can't undo an end, come after it.

Evidence: test_an_end_is_queued_although_its_poll_fails_later failed before: "gone" instead of "done" if note_end raises, no end at all if observe raises.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -152,34 +152,38 @@
         worker.last_reply_ms = now_ms
         is_first = not worker.has_polled
         worker.has_polled = True
-        ends = self._process_finished(reply.finished)
-        listed = {row.task: row for row in reply.running}
-        await self._process_running(reply.running)
-        if reply.complete:
-            ends += self._end_absent(listed, sent_ms)
-        self._owner.observe(worker)
-        has_new_ends = self.queued_end < worker.last_processed_end
-        self.queued_end = worker.last_processed_end
-        if ends or is_first or has_new_ends:
-            await self._owner.queue_ends(ends)
+        ends: list[commands.RunEnd] = []
+        try:
+            self._process_finished(reply.finished, ends)
+            listed = {row.task: row for row in reply.running}
+            await self._process_running(reply.running)
+            if reply.complete:
+                ends += self._end_absent(listed, sent_ms)
+            self._owner.observe(worker)
+        finally:
+            # Also after an exception: these runs are removed already.
+            has_new_ends = self.queued_end < worker.last_processed_end
+            self.queued_end = worker.last_processed_end
+            if ends or is_first or has_new_ends:
+                await self._owner.queue_ends(ends)
 
     def _process_finished(
-        self, rows: list[worker_api.FinishedRow]
-    ) -> list[commands.RunEnd]:
-        ends = []
+        self, rows: list[worker_api.FinishedRow], ends: list[commands.RunEnd]
+    ) -> None:
+        """Removes runs that have ended; adds their ends to a list."""
         worker = self.worker
         for row in rows:
             if row.number <= worker.last_processed_end:
                 continue
-            worker.last_processed_end = row.number
             run = worker.runs.get(row.task)
             if run is None or run.run != row.run:
+                worker.last_processed_end = row.number
                 continue
-            self._owner.note_end(worker, run, row.outcome)
             ends.append(
                 self.end_run(run, row.outcome, row.checkpoint, row.detail)
             )
-        return ends
+            worker.last_processed_end = row.number
+            self._owner.note_end(worker, run, row.outcome)
 
     def end_run(
         self,
--- a/tests/test_jobs_unexpected_errors.py
+++ b/tests/test_jobs_unexpected_errors.py
@@ -16,7 +16,12 @@
 
 @pytest.fixture(autouse=True)
 def short_times(monkeypatch):
-    for name in ("POLL_RETRY_MS", "STOP_RETRY_MS", "UNANSWERED_START_WAIT_MS"):
+    for name in (
+        "COMMIT_WAIT_MS",
+        "POLL_RETRY_MS",
+        "STOP_RETRY_MS",
+        "UNANSWERED_START_WAIT_MS",
+    ):
         monkeypatch.setattr(link_lib, name, 10)
 
 
@@ -70,6 +75,24 @@
     run_with_link(scenario, KeyError("row"), links.lists((TASK, 1)))
 
 
+@pytest.mark.parametrize("method", ["note_end", "observe"])
+def test_an_end_is_queued_although_its_poll_fails_later(method, failures):
+    def fail(*_):
+        raise ZeroDivisionError
+
+    async def scenario(link, client, owner, _run):
+        setattr(owner, method, fail)
+        task = await curio.spawn(link.run)
+        await curio.sleep(0.05)
+        await task.cancel()
+        assert len(client.leases) > 1
+        assert [end.outcome for end in owner.ends] == ["done"]
+        assert link.queued_end == 1
+        assert failures[0] == ("worker:poll-failed", "ZeroDivisionError()")
+
+    run_with_link(scenario, links.lists(finished=[(TASK, 1, "done")]))
+
+
 def test_a_stop_is_repeated_after_an_unexpected_exception(failures):
     async def scenario(link, client, _owner, run):
         client.stop = raise_first(client.stop, KeyError("reply"))
