Send no start whose run was given up before it was sent

What callers could see: a task that ran twice. A start is ordered in a task of its own. If the end of its worker was found before that task ran, the run was ended as gone, the task became free for another worker, and the start was sent nevertheless: to the same address, where a new incarnation may listen.

Cause: the start checked the lease of the leader and the end of the job, but not whether its run is still the worker's.

Change: it does; a start that was given up is logged and not sent. A run that the next incarnation has adopted is stopped there, as before.

Not covered: a start that already waits for its connection (up to 500 ms).

Evidence: test_a_start_that_the_records_gave_up_is_not_sent failed before (one start was sent). Found by reading; not seen on a site.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -261,7 +261,15 @@
         return [self.end_run(run, "gone", "", "not listed") for run in absent]
 
     async def start(self, run: workers_lib.LiveRun) -> None:
-        """Orders a start whose run is committed."""
+        """Orders a start whose run is committed, unless it was given up."""
+        if self.worker.runs.get(run.task) is not run:
+            logs.info(
+                "run:given-up",
+                task=run.task,
+                run=run.run,
+                worker=self.worker.name,
+            )
+            return
         try:
             answer, reason = await self._order_start(run)
         except Exception as error:
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -285,3 +285,19 @@
         poll_once(link)
     first, second, third, fourth, fifth = client.leases
     assert first == second == third == fourth < fifth
+
+
+def test_a_start_that_the_records_gave_up_is_not_sent():
+    async def main():
+        link, client, owner, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5
+        )
+        start = await curio.spawn(link.start, live)
+        ends = await link.end_incarnation(None, "worker restarted")
+        await start.join()
+        assert [end.outcome for end in ends] == ["gone"]
+        assert client.started == []
+        assert owner.ends == []
+        assert owner.refusals == []
+
+    curio.run(main)
