Acknowledge no ends to a worker that may have restarted

What callers could see: a task that was done is run again. A worker may restart under its identifier and address, and then numbers its ends from 1. The link to the earlier incarnation went on polling it with its own acknowledgement until the next heartbeat arrived, and once more after that if it waited for a commit. Such a poll discards ends of the new incarnation that were never committed.

Cause: the acknowledgement did not depend on which incarnation would reply. The protocol has no field for it in a poll: the header names the identifier only.

Change: after a poll that failed or that another incarnation answered, polls acknowledge nothing until this incarnation replies again. A link that ended while it waited for a commit polls no more.

Not covered: a restart between two successful polls, in which nothing failed.

Evidence: all three new tests in test_jobs_link.py failed before; the worker of two of them discards ends up to the number, as the protocol says. Found by reading; not seen on a site.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -89,11 +89,13 @@
         worker = self.worker
         if worker.acknowledged < worker.last_processed_end:
             await self._committed.wait(COMMIT_WAIT_MS)
+            if self.ended:
+                return False
         sent_ms = self._owner.now_ms()
         try:
             reply = await self.client.poll(
                 self._owner.term,
-                worker.acknowledged,
+                self._end_to_acknowledge(),
                 self._lease_end_to_send_ms(sent_ms),
                 POLL_WAIT_MS,
             )
@@ -118,6 +120,15 @@
         await self._apply_reply(reply, sent_ms)
         return True
 
+    def _end_to_acknowledge(self) -> int:
+        """Returns the number of the end to acknowledge with a poll.
+
+        An unresponsive worker may have restarted under its identifier. Nothing
+        is acknowledged until this incarnation replies again, as the number
+        would also discard ends of the next incarnation.
+        """
+        return 0 if self._is_unresponsive else self.worker.acknowledged
+
     def _lease_end_to_send_ms(self, now_ms: int) -> int:
         """Returns the end of the lease to send with a poll.
 
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -301,3 +301,59 @@
         assert owner.refusals == []
 
     curio.run(main)
+
+
+class RestartedWorker(FakeWorker):
+    """A worker whose new incarnation has one end, which polls acknowledge."""
+
+    def __init__(self):
+        super().__init__(lists())
+        self.ends = [(f"{build.JOB}.0.0.0", 1, "done")]
+        self.failures = []
+
+    async def poll(self, _term, acknowledged, lease_until_ms, wait_ms):
+        if self.failures:
+            raise self.failures.pop()
+        self.ends = self.ends[acknowledged:]
+        self.polls = [lists(finished=self.ends, born_ms=2)]
+        return await super().poll(_term, acknowledged, lease_until_ms, wait_ms)
+
+
+def link_to_restarted():
+    """Returns a link to an incarnation that has ended after 57 ends."""
+    link, _, _, _ = link_to(lists())
+    link.client = RestartedWorker()
+    link.worker.acknowledged = link.worker.last_processed_end = 57
+    return link, link.client
+
+
+def test_a_poll_after_a_failed_one_acknowledges_no_end_of_a_new_incarnation():
+    link, client = link_to_restarted()
+    client.failures = [errors.ExchangeError("closed", sent=True)]
+    for _ in range(3):
+        poll_once(link)
+    assert client.ends == [(f"{build.JOB}.0.0.0", 1, "done")]
+
+
+def test_a_link_whose_incarnation_ended_during_a_commit_polls_no_more():
+    async def main():
+        link, client = link_to_restarted()
+        link.worker.last_processed_end = 58
+        task = await curio.spawn(link.run)
+        await curio.sleep(0.02)
+        await link.end_incarnation(None, "worker restarted")
+        await link.note_committed(58)
+        await task.join()
+        assert client.acknowledged == []
+        assert client.ends
+
+    curio.run(main)
+
+
+def test_acknowledgements_resume_once_the_worker_replies():
+    failure = errors.ExchangeError("no reply", sent=True)
+    link, client, _, _ = link_to(failure, lists(), lists())
+    link.worker.acknowledged = link.worker.last_processed_end = 57
+    for _ in range(3):
+        poll_once(link)
+    assert client.acknowledged == [57, 0, 57]
