Go on with rounds after an unexpected exception, without loss of ends

What callers would see: an exception in a round that nothing expects ended the leader's task, and with it the process. Ends that the round was about to commit and starts that it had placed were dropped; a placed start that is neither ordered nor withdrawn keeps its task assigned.

Cause: rounds, commits of ends and commits of starts handled only the exceptions of the project. Found by reading; not seen on a site.

Change: the exception is logged with its traceback and the next round follows after the usual pause; ends are queued again and starts withdrawn, as after a failed commit. Cancellation is a BaseException in curio and still ends the task.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -124,6 +124,9 @@
             except errors.GalenahookError as error:
                 logs.warning("round:failed", term=self.term, reason=str(error))
                 await curio.sleep(clock_lib.seconds(ROUND_RETRY_MS))
+            except Exception as error:
+                logs.failure("round:failed", error, term=self.term)
+                await curio.sleep(clock_lib.seconds(ROUND_RETRY_MS))
             else:
                 seconds = clock_lib.seconds(self.now_ms() - began_ms)
                 self.metrics.round_seconds.observe(seconds)
@@ -194,7 +197,7 @@
             )
             try:
                 await self.commit(command)
-            except errors.GalenahookError:
+            except Exception:
                 self._ends = ends + self._ends
                 raise
         for end in ends:
@@ -213,7 +216,7 @@
         )
         try:
             result = await self.commit(command)
-        except errors.GalenahookError:
+        except Exception:
             # The starts may yet be committed, but none was ordered.
             for worker, run in placed:
                 self._withdraw(worker, run)
