Ignore a leave notice that is not from the current incarnation

What callers could see: a worker that had restarted was never used again, and every round stopped what ran on it. The platform's example of the notice that a worker ends has no body, so it may name no incarnation; a notice that arrives after the worker started again under its identifier then counted for the new incarnation, and nothing ever withdraws it.

Cause: incarnation 0 was taken for any.

Ruled out: a notice that names an earlier incarnation; it was ignored before.

Change: without an incarnation the notice counts only for a worker that drains, as the protocol demands of one that announces its end; otherwise it is logged and ignored. Runs of a worker that ends without having drained end with its lease, as after a crash.

Found by reading; not seen on a site.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -311,14 +311,29 @@
                 worker.runs[task] = run
 
     async def leave(self, message: calls.WorkerLeft) -> None:
-        """Records that a worker announced its end."""
+        """Records that a worker announced its end.
+
+        The notice may arrive after the next incarnation of the worker. Without
+        an incarnation it counts only if the worker drains, as every worker does
+        before it announces its end.
+        """
         worker = self.pool.workers.get(message.worker)
         if worker is None or worker.leaving_since_ms:
             return
-        if message.born_ms in (0, worker.heartbeat.born_ms):
-            worker.leaving_since_ms = self.now_ms()
-            logs.info("worker:left", worker=worker.name)
-            await self.wake()
+        if message.born_ms:
+            is_current = message.born_ms == worker.heartbeat.born_ms
+        else:
+            is_current = worker.heartbeat.draining
+        if not is_current:
+            logs.warning(
+                "worker:left-ignored",
+                worker=worker.name,
+                born_ms=message.born_ms,
+            )
+            return
+        worker.leaving_since_ms = self.now_ms()
+        logs.info("worker:left", worker=worker.name)
+        await self.wake()
 
     # --- Reports of links -----------------------------------------------------
 
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -150,3 +150,31 @@
         await round_task.cancel()
 
     run_with_worker(scenario)
+
+
+@pytest.mark.parametrize("born_ms", [0, 1])
+def test_a_late_leave_notice_does_not_end_the_next_incarnation(born_ms):
+    async def scenario(_node, dispatcher, _client):
+        restarted = build.heartbeat(born_ms=2)
+        await dispatcher.handle_heartbeat(restarted)
+        await dispatcher.leave(calls.WorkerLeft(worker="w1", born_ms=born_ms))
+        await dispatcher._round()
+        await curio.sleep(0.02)
+        assert not dispatcher.links["w1"].worker.leaving_since_ms
+
+    run_with_worker(scenario)
+
+
+def test_a_leave_notice_without_incarnation_ends_a_draining_worker():
+    async def scenario(_node, dispatcher, client):
+        draining = build.heartbeat(
+            sequence=2, draining=True, drain_remaining_ms=60_000
+        )
+        await dispatcher.handle_heartbeat(draining)
+        await dispatcher.leave(calls.WorkerLeft(worker="w1"))
+        await dispatcher._round()
+        await curio.sleep(0.02)
+        assert client.stopped == [(TASK, 1)]
+        assert dispatcher.links["w1"].worker.leaving_since_ms
+
+    run_with_worker(scenario)
