--- a/src/galenahook/platform/callers.py
+++ b/src/galenahook/platform/callers.py
@@ -15,8 +15,6 @@
 DEFAULT_TIMEOUT_MS = 3_000
 # Part of the timeout reserved for sending the response to the caller.
 RESPONSE_MARGIN_MS = 60
-# In seconds.
-RETRY_AFTER = (b"retry-after", b"1")
 
 _STATUS_BY_OUTCOME = {
     "stored": 200,
@@ -120,5 +118,5 @@
         body["reason"] = reply.reason
     headers = [(b"content-type", b"application/json")]
     if status in (429, 503):
-        headers.append(RETRY_AFTER)
+        headers.append(wire.RETRY_AFTER)
     return web.Response(status, headers, msgspec.json.encode(body))
--- a/src/galenahook/platform/control.py
+++ b/src/galenahook/platform/control.py
@@ -8,6 +8,7 @@
 from galenahook import logs
 from galenahook import web
 from galenahook.jobs import calls
+from galenahook.platform import wire
 from galenahook.platform import wire_site
 from galenahook.platform import wire_workers
 
@@ -56,7 +57,10 @@
             logs.warning(
                 "control:unanswered", target=path, reason=str(error)[:500]
             )
-            return web.refusal(503, str(error))
+            response = web.refusal(503, str(error))
+            if isinstance(error, errors.OverloadedError):
+                response.headers.append(wire.RETRY_AFTER)
+            return response
         if isinstance(call, calls.ReadSiteCall):
             return _site_response(reply)
         return web.Response(
--- a/src/galenahook/platform/wire.py
+++ b/src/galenahook/platform/wire.py
@@ -15,6 +15,9 @@
 
 _WireT = TypeVar("_WireT")
 
+# Header of a refusal that may be sent again, in seconds.
+RETRY_AFTER = (b"retry-after", b"1")
+
 # Limits of a job, far above the values in the platform's sheets.
 MAX_SPEC_BYTES = 4_000
 MAX_STEPS = 100
--- a/tests/test_jobs_leader.py
+++ b/tests/test_jobs_leader.py
@@ -4,11 +4,16 @@
 import pytest
 
 from galenahook import clock as clock_lib
+from galenahook import errors
 from galenahook import job_metrics
 from galenahook import state as state_lib
+from galenahook import web
 from galenahook.jobs import calls
 from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import gateway as gateway_lib
 from galenahook.jobs import leader as leader_lib
+from galenahook.platform import callers
+from galenahook.platform import control
 import job_builders as build
 
 PATH = f"/quotes/{build.JOB}"
@@ -36,8 +41,15 @@
         return self.state.apply(command)
 
 
-def make_leader():
-    node = SlowNode()
+class OverloadedNode(SlowNode):
+    """A replica that rejects every command."""
+
+    async def submit(self, _command):
+        raise errors.OverloadedError("too many commands wait")
+
+
+def make_leader(node=None):
+    node = node or SlowNode()
     clock = clock_lib.Clock()
     dispatcher = dispatcher_lib.Dispatcher(
         node, clock, None, 3_000, job_metrics.JobMetrics()
@@ -103,3 +115,49 @@
         assert ("zone-a" in zones_out) is not out
 
     curio.run(main)
+
+
+class LocalGateway:
+    """Passes calls to a leader and retries as the gateway of an entry does."""
+
+    def __init__(self, leader):
+        self.leader = leader
+
+    async def call(self, call, timeout_ms):
+        try:
+            return await self.leader.handle_call(call)
+        except errors.NoQuorumError as error:
+            await curio.sleep(clock_lib.seconds(timeout_ms))
+            raise gateway_lib.UnansweredError(str(error), True) from error
+
+
+@pytest.mark.parametrize("method", ["POST", "DELETE"])
+def test_an_overloaded_leader_refuses_a_caller_at_once(method):
+    listener = callers.CallerListener(
+        LocalGateway(make_leader(OverloadedNode())),
+        clock_lib.Clock(),
+        job_metrics.JobMetrics(),
+    )
+    request = web.Request(
+        method,
+        PATH,
+        [(b"host", b"desk.example"), (b"x-deadline-ms", b"200")],
+        b'{"spec": "s", "steps": [{"count": 1}]}',
+    )
+    response = curio.run(listener.handle, request)
+    assert response.status == 429
+    assert (b"retry-after", b"1") in response.headers
+
+
+@pytest.mark.parametrize("action", ["start", "finish"])
+def test_an_overloaded_leader_does_not_acknowledge_a_zone_order(action):
+    leader = make_leader(OverloadedNode())
+
+    async def call_leader(call, _timeout_ms):
+        return await leader.handle_call(call)
+
+    listener = control.ControlListener(call_leader, clock_lib.Clock())
+    request = web.Request("POST", f"/galenahook/evacuate/zone-a/{action}", [])
+    response = curio.run(listener.handle, request)
+    assert response.status == 503
+    assert (b"retry-after", b"1") in response.headers
