Do not refuse a change whose earlier attempt got no reply

What callers saw: 429 or 404, which say that the job was not accepted and never runs, although an earlier attempt of the same request may be committed. The job could then run although every reply of the system had refused it.

Cause: the gateway sends a call again after an attempt without a reply or with an unknown outcome, and returned the refusal of the last attempt as the reply to all. Refusals for overload and of a queue that is not configured depend on the time of the attempt; those of an invalid job do not.

Ruled out: the same in orders to workers, which are never sent again.

Change: after such an attempt the two refusals of a submission or cancellation count as no reply: the caller gets 504 at once and asks again.

Evidence: four cases of test_a_refusal_after_a_lost_reply_does_not_say_it_was_not_run failed before (no exception). Found by reading; not seen on a site.

--- a/src/galenahook/jobs/gateway.py
+++ b/src/galenahook/jobs/gateway.py
@@ -38,9 +38,13 @@
 # Pause before a retry of a call that the leader may or may not have committed.
 UNCERTAIN_PAUSE_MS = 100
 
+# Refusals of one attempt that say nothing about an earlier one, whose change
+# may be committed. Others don't depend on the time of the attempt.
+_UNCERTAIN_REFUSALS = frozenset(("overloaded", "no-queue"))
+
 
 class UnansweredError(errors.NoQuorumError):
-    """No leader replied to a call in time.
+    """No leader replied to a call in time, or not to every attempt.
 
     Attributes:
       may_have_run: Whether a leader may have received the call.
@@ -111,7 +115,17 @@
                 await self._drop_leader(name, reason)
                 continue
             if response.status == 200:
-                return messages.decode(response.body, calls.JobReply)
+                reply = messages.decode(response.body, calls.JobReply)
+                if (
+                    may_have_run
+                    and reply.outcome in _UNCERTAIN_REFUSALS
+                    and not isinstance(call, calls.JobStateCall)
+                ):
+                    raise UnansweredError(
+                        f"{reply.outcome} after an attempt without a reply",
+                        may_have_run,
+                    )
+                return reply
             reason = f"{name}: status {response.status}"
             if response.status == leader_client.STATUS_NOT_LEADER:
                 await self._drop_leader(name, "it does not lead")
--- a/tests/test_jobs_gateway.py
+++ b/tests/test_jobs_gateway.py
@@ -125,3 +125,72 @@
         assert caught.value.may_have_run
 
     run(main)
+
+
+class ScriptedReplicas(FakeReplicas):
+    """Replies to calls in order; an exception is raised."""
+
+    def __init__(self, *replies):
+        super().__init__("a")
+        self.leader = "a"
+        self.replies = list(replies)
+
+    async def send(self, address, request, timeout_ms):
+        call = messages.decode(request.body, calls.JobCall)
+        if isinstance(call, calls.EntryPoll):
+            return await super().send(address, request, timeout_ms)
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+SUBMISSION = calls.SubmitJobCall(
+    host="h", path="/p/1", order=calls.JobOrder(spec="s", steps=())
+)
+
+
+def call_scripted(*replies, call=SUBMISSION):
+    """Returns the reply to a call whose attempts get these replies."""
+
+    async def main():
+        replicas = ScriptedReplicas(*replies)
+        gateway = gateway_of(replicas, "a")
+        await curio.spawn(gateway.track_leader, daemon=True)
+        return await gateway.call(call, 2_000)
+
+    return curio.run(main)
+
+
+def reply_with(outcome):
+    return web.json_response(calls.JobReply(outcome=outcome))
+
+
+LOST = errors.ExchangeError("no reply", sent=True)
+UNCERTAIN = web.refusal(503, "not known to be committed")
+REFUSALS = ("overloaded", "no-queue")
+
+
+@pytest.mark.parametrize("first", [LOST, UNCERTAIN])
+@pytest.mark.parametrize("outcome", REFUSALS)
+def test_a_refusal_after_a_lost_reply_does_not_say_it_was_not_run(
+    first, outcome
+):
+    with pytest.raises(gateway_lib.UnansweredError) as caught:
+        call_scripted(first, reply_with(outcome))
+    assert caught.value.may_have_run
+
+
+@pytest.mark.parametrize("outcome", REFUSALS)
+def test_a_refusal_of_every_attempt_is_returned(outcome):
+    first = errors.ExchangeError("refused", sent=False)
+    assert call_scripted(first, reply_with(outcome)).outcome == outcome
+
+
+def test_a_read_is_refused_after_a_lost_reply():
+    reply = call_scripted(LOST, reply_with("no-queue"), call=STATE)
+    assert reply.outcome == "no-queue"
+
+
+def test_a_stored_job_is_acknowledged_after_a_lost_reply():
+    assert call_scripted(LOST, reply_with("stored")).outcome == "stored"
