Repeat a throttle that failed unexpectedly

What callers would see: a batch task that slows a serving task is not throttled again. Cause: as in stops and starts of the link, an exception that nothing expects ended the task that repeats the order. Found by reading.

Change: it is logged and counts as no answer.

Evidence: test_a_throttle_that_fails_unexpectedly_is_not_answered failed before (KeyError).

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -375,9 +375,13 @@
         """
         if not self._owner.may_lead():
             return False
-        return await self.client.throttle(
-            run.task, run.run, percent, self._owner.term
-        )
+        try:
+            return await self.client.throttle(
+                run.task, run.run, percent, self._owner.term
+            )
+        except Exception as error:
+            self._log_failure("run:throttle-failed", error, run.task, run.run)
+            return False
 
     async def end_incarnation(
         self, successor: "Link | None", reason: str
--- a/tests/test_jobs_unexpected_errors.py
+++ b/tests/test_jobs_unexpected_errors.py
@@ -106,6 +106,16 @@
     run_with_link(scenario, links.lists())
 
 
+def test_a_throttle_that_fails_unexpectedly_is_not_answered(failures):
+    async def scenario(link, client, _owner, run):
+        client.throttle = raise_first(client.throttle, KeyError("reply"))
+        assert not await link.throttle(run, 20)
+        assert await link.throttle(run, 20)
+        assert failures == [("run:throttle-failed", "KeyError('reply')")]
+
+    run_with_link(scenario, links.lists())
+
+
 def test_a_start_that_fails_unexpectedly_is_stopped(failures):
     async def scenario(link, client, _owner, run):
         client.start = raise_first(client.start, KeyError("reply"))
