--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -124,6 +124,9 @@
             except errors.GalenahookError as error:
                 logs.warning("round:failed", term=self.term, reason=str(error))
                 await curio.sleep(clock_lib.seconds(ROUND_RETRY_MS))
+            except Exception as error:
+                logs.failure("round:failed", error, term=self.term)
+                await curio.sleep(clock_lib.seconds(ROUND_RETRY_MS))
             else:
                 seconds = clock_lib.seconds(self.now_ms() - began_ms)
                 self.metrics.round_seconds.observe(seconds)
@@ -194,7 +197,7 @@
             )
             try:
                 await self.commit(command)
-            except errors.GalenahookError:
+            except Exception:
                 self._ends = ends + self._ends
                 raise
         for end in ends:
@@ -213,7 +216,7 @@
         )
         try:
             result = await self.commit(command)
-        except errors.GalenahookError:
+        except Exception:
             # The starts may yet be committed, but none was ordered.
             for worker, run in placed:
                 self._withdraw(worker, run)
@@ -308,14 +311,29 @@
                 worker.runs[task] = run
 
     async def leave(self, message: calls.WorkerLeft) -> None:
-        """Records that a worker announced its end."""
+        """Records that a worker announced its end.
+
+        The notice may arrive after the next incarnation of the worker. Without
+        an incarnation it counts only if the worker drains, as every worker does
+        before it announces its end.
+        """
         worker = self.pool.workers.get(message.worker)
         if worker is None or worker.leaving_since_ms:
             return
-        if message.born_ms in (0, worker.heartbeat.born_ms):
-            worker.leaving_since_ms = self.now_ms()
-            logs.info("worker:left", worker=worker.name)
-            await self.wake()
+        if message.born_ms:
+            is_current = message.born_ms == worker.heartbeat.born_ms
+        else:
+            is_current = worker.heartbeat.draining
+        if not is_current:
+            logs.warning(
+                "worker:left-ignored",
+                worker=worker.name,
+                born_ms=message.born_ms,
+            )
+            return
+        worker.leaving_since_ms = self.now_ms()
+        logs.info("worker:left", worker=worker.name)
+        await self.wake()
 
     # --- Reports of links -----------------------------------------------------
 
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -67,7 +67,7 @@
         """Polls the worker until `ended` is set."""
         try:
             while not self.ended:
-                if not self._owner.may_lead() or not await self._poll():
+                if not self._owner.may_lead() or not await self._try_poll():
                     await curio.sleep(clock_lib.seconds(POLL_RETRY_MS))
         finally:
             await self.client.close()
@@ -77,15 +77,25 @@
         self.worker.acknowledged = max(self.worker.acknowledged, number)
         await self._committed.notify()
 
+    async def _try_poll(self) -> bool:
+        """Polls once; an unexpected exception counts as a failed poll."""
+        try:
+            return await self._poll()
+        except Exception as error:
+            logs.failure("worker:poll-failed", error, worker=self.worker.name)
+            return False
+
     async def _poll(self) -> bool:
         worker = self.worker
         if worker.acknowledged < worker.last_processed_end:
             await self._committed.wait(COMMIT_WAIT_MS)
+            if self.ended:
+                return False
         sent_ms = self._owner.now_ms()
         try:
             reply = await self.client.poll(
                 self._owner.term,
-                worker.acknowledged,
+                self._end_to_acknowledge(),
                 self._lease_end_to_send_ms(sent_ms),
                 POLL_WAIT_MS,
             )
@@ -100,6 +110,9 @@
             self._is_unresponsive = True
             self._log_unresponsive(str(error))
             return False
+        except Exception:
+            self._is_unresponsive = True
+            raise
         self.is_gone = reply.born_ms not in (0, worker.heartbeat.born_ms)
         self._is_unresponsive = self.is_gone
         if self.is_gone:
@@ -107,6 +120,15 @@
         await self._apply_reply(reply, sent_ms)
         return True
 
+    def _end_to_acknowledge(self) -> int:
+        """Returns the number of the end to acknowledge with a poll.
+
+        An unresponsive worker may have restarted under its identifier. Nothing
+        is acknowledged until this incarnation replies again, as the number
+        would also discard ends of the next incarnation.
+        """
+        return 0 if self._is_unresponsive else self.worker.acknowledged
+
     def _lease_end_to_send_ms(self, now_ms: int) -> int:
         """Returns the end of the lease to send with a poll.
 
@@ -141,34 +163,38 @@
         worker.last_reply_ms = now_ms
         is_first = not worker.has_polled
         worker.has_polled = True
-        ends = self._process_finished(reply.finished)
-        listed = {row.task: row for row in reply.running}
-        await self._process_running(reply.running)
-        if reply.complete:
-            ends += self._end_absent(listed, sent_ms)
-        self._owner.observe(worker)
-        has_new_ends = self.queued_end < worker.last_processed_end
-        self.queued_end = worker.last_processed_end
-        if ends or is_first or has_new_ends:
-            await self._owner.queue_ends(ends)
+        ends: list[commands.RunEnd] = []
+        try:
+            self._process_finished(reply.finished, ends)
+            listed = {row.task: row for row in reply.running}
+            await self._process_running(reply.running)
+            if reply.complete:
+                ends += self._end_absent(listed, sent_ms)
+            self._owner.observe(worker)
+        finally:
+            # Also after an exception: these runs are removed already.
+            has_new_ends = self.queued_end < worker.last_processed_end
+            self.queued_end = worker.last_processed_end
+            if ends or is_first or has_new_ends:
+                await self._owner.queue_ends(ends)
 
     def _process_finished(
-        self, rows: list[worker_api.FinishedRow]
-    ) -> list[commands.RunEnd]:
-        ends = []
+        self, rows: list[worker_api.FinishedRow], ends: list[commands.RunEnd]
+    ) -> None:
+        """Removes runs that have ended; adds their ends to a list."""
         worker = self.worker
         for row in rows:
             if row.number <= worker.last_processed_end:
                 continue
-            worker.last_processed_end = row.number
             run = worker.runs.get(row.task)
             if run is None or run.run != row.run:
+                worker.last_processed_end = row.number
                 continue
-            self._owner.note_end(worker, run, row.outcome)
             ends.append(
                 self.end_run(run, row.outcome, row.checkpoint, row.detail)
             )
-        return ends
+            worker.last_processed_end = row.number
+            self._owner.note_end(worker, run, row.outcome)
 
     def end_run(
         self,
@@ -222,7 +248,17 @@
             await self.client.stop(task, run, self._owner.term)
         except worker_api.DeposedError:
             await self._owner.note_deposed_by(self.worker)
-        self._stray_stops.discard((task, run))
+        except Exception as error:
+            self._log_failure("run:stop-failed", error, task, run)
+        finally:
+            self._stray_stops.discard((task, run))
+
+    def _log_failure(
+        self, message_type: str, error: Exception, task: str, run: int
+    ) -> None:
+        logs.failure(
+            message_type, error, task=task, run=run, worker=self.worker.name
+        )
 
     def _end_absent(
         self, listed: dict[str, worker_api.RunningRow], sent_ms: int
@@ -236,26 +272,41 @@
         return [self.end_run(run, "gone", "", "not listed") for run in absent]
 
     async def start(self, run: workers_lib.LiveRun) -> None:
-        """Orders a start whose run is committed."""
-        worker = self.worker
-        now_ms = self._owner.now_ms()
-        record = run.job.runs[run.key]
-        answer, reason = worker_api.StartAnswer.REFUSED, "not the leader"
-        if self._owner.may_lead() and run.job.ended:
-            reason = "job has ended"
-        elif self._owner.may_lead():
-            answer, reason = await self.client.start(
-                worker_api.StartOrder(
-                    task=run.task,
-                    run=run.run,
-                    spec=run.job.description.spec,
-                    checkpoint=record.checkpoint,
-                    lease_until_ms=worker.extend_lease(now_ms, self.lease_ms),
-                    term=self._owner.term,
-                )
+        """Orders a start whose run is committed, unless it was given up."""
+        if self.worker.runs.get(run.task) is not run:
+            logs.info(
+                "run:given-up",
+                task=run.task,
+                run=run.run,
+                worker=self.worker.name,
             )
+            return
+        try:
+            answer, reason = await self._order_start(run)
+        except Exception as error:
+            self._log_failure("run:start-failed", error, run.task, run.run)
+            answer, reason = worker_api.StartAnswer.UNKNOWN, repr(error)
         await self._handle_start_answer(run, answer, reason)
 
+    async def _order_start(
+        self, run: workers_lib.LiveRun
+    ) -> tuple[worker_api.StartAnswer, str]:
+        if not self._owner.may_lead():
+            return worker_api.StartAnswer.REFUSED, "not the leader"
+        if run.job.ended:
+            return worker_api.StartAnswer.REFUSED, "job has ended"
+        now_ms = self._owner.now_ms()
+        return await self.client.start(
+            worker_api.StartOrder(
+                task=run.task,
+                run=run.run,
+                spec=run.job.description.spec,
+                checkpoint=run.job.runs[run.key].checkpoint,
+                lease_until_ms=self.worker.extend_lease(now_ms, self.lease_ms),
+                term=self._owner.term,
+            )
+        )
+
     async def _handle_start_answer(
         self,
         run: workers_lib.LiveRun,
@@ -310,6 +361,9 @@
         except worker_api.DeposedError:
             await self._owner.note_deposed_by(self.worker)
             return
+        except Exception as error:
+            self._log_failure("run:stop-failed", error, run.task, run.run)
+            return
         if is_confirmed and not run.stop_confirmed_ms:
             run.stop_confirmed_ms = self._owner.now_ms()
 
@@ -321,9 +375,13 @@
         """
         if not self._owner.may_lead():
             return False
-        return await self.client.throttle(
-            run.task, run.run, percent, self._owner.term
-        )
+        try:
+            return await self.client.throttle(
+                run.task, run.run, percent, self._owner.term
+            )
+        except Exception as error:
+            self._log_failure("run:throttle-failed", error, run.task, run.run)
+            return False
 
     async def end_incarnation(
         self, successor: "Link | None", reason: str
