Keep an adopted start until its lease can have expired

Seen by callers: a task could run on two workers at once, after a worker restarted under its identifier while a start was ordered.

Cause: a start that was never listed is adopted by the next incarnation, as that one may have received it. The record of a new incarnation begins without a lease, so until its first poll was sent the next round took its lease for expired, ended the adopted run and started the task elsewhere.

The new test of lost runs failed with the same end.

The new incarnation now counts as holding a lease of full length from the adoption on. It is kept in the leader's time: the clock of the worker has started anew, and a later reading of it would shorten a bound in the worker's time.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -347,6 +347,7 @@
         """Stops a start that may have reached this incarnation instead."""
         run.confirmed_ms = 0
         run.stopping = False
+        self.worker.note_inherited_lease(self._owner.now_ms(), self.lease_ms)
         self.worker.runs[run.task] = run
         await self._owner.spawn(self.stop, run, "worker restarted")
 
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -79,6 +79,9 @@
       clock_ms: Lower bound of its clock at `clock_at_ms`.
       clock_at_ms: When that clock reading was received.
       lease_until_ms: Latest end of a lease sent to it, on its own clock.
+      inherited_lease_until_ms: When a lease that was sent to an earlier
+        incarnation and received by this one has expired, on the leader's clock;
+        0 for none.
       acknowledged: Number of the last end that is committed.
       last_processed_end: Number of the last end processed from its list.
       leaving_since_ms: When it announced that it ends; 0 before.
@@ -98,6 +101,7 @@
         "failures",
         "last_reply_ms",
         "heartbeat",
+        "inherited_lease_until_ms",
         "lease_until_ms",
         "leaving_since_ms",
         "has_polled",
@@ -112,6 +116,7 @@
         self.clock_ms = heartbeat.clock_ms
         self.clock_at_ms = now_ms
         self.lease_until_ms = 0
+        self.inherited_lease_until_ms = 0.0
         self.acknowledged = 0
         self.last_processed_end = 0
         self.leaving_since_ms = 0
@@ -146,9 +151,19 @@
         self.lease_until_ms = max(self.lease_until_ms, end_ms)
         return end_ms
 
+    def note_inherited_lease(self, now_ms: int, length_ms: int) -> None:
+        """Records that it may hold a lease that was not sent by its link."""
+        # Its clock has started anew, so only the length of the lease is known.
+        self.inherited_lease_until_ms = max(
+            self.inherited_lease_until_ms, now_ms + length_ms / MIN_CLOCK_RATE
+        )
+
     def is_lease_expired(self, now_ms: int) -> bool:
-        """Returns whether every lease sent to it has expired on its clock."""
-        return self.min_clock_ms(now_ms) > self.lease_until_ms
+        """Returns whether every lease that it may hold has expired."""
+        return (
+            now_ms > self.inherited_lease_until_ms
+            and self.min_clock_ms(now_ms) > self.lease_until_ms
+        )
 
     def remove_run(self, run: LiveRun, now_ms: int) -> None:
         """Removes a run that has ended."""
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -150,3 +150,20 @@
         await round_task.cancel()
 
     run_with_worker(scenario)
+
+
+def test_an_adopted_start_goes_on_before_the_first_poll_of_its_worker():
+    """Its worker was sent no lease yet, but may hold that of the start."""
+
+    async def scenario(node, dispatcher, _client):
+        run = dispatcher.links["w1"].worker.runs[TASK]
+        run.ordered_ms, run.seen = dispatcher.now_ms(), False
+        # The leases of earlier leaders have expired.
+        dispatcher.started_ms -= 60_000
+        restarted = build.heartbeat(born_ms=2, clock_ms=20)
+        await dispatcher.handle_heartbeat(restarted)
+        assert await lost_runs.end_lost_runs(dispatcher) == []
+        assert dispatcher.links["w1"].worker.runs == {TASK: run}
+        assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
+
+    run_with_worker(scenario)
