Adopt unseen starts of earlier terms in a new incarnation

Seen by callers: a task could run on two workers at once, after a change of leader and a restart of a worker under its identifier.

Cause: a new leader that first heard of a worker's earlier incarnation attaches the runs of earlier terms to it. With the heartbeat of the next incarnation it ended those that no poll had listed. But the earlier leader may have ordered the start when the new incarnation already ran, which has seen no term yet and carries it out, also late. Only starts of this term were adopted.

Evidence: by reading and the new test, which failed with the run ended at the replacement.

Unseen starts of every term are adopted now. The first complete poll of this term fences the orders of earlier ones in the new incarnation, so that absence from it proves the end, as for runs attached to it directly.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -336,7 +336,7 @@
         self.ended = True
         ends = []
         for run in list(self.worker.runs.values()):
-            if successor is not None and not run.seen and run.ordered_ms:
+            if successor is not None and not run.seen:
                 self.worker.runs.pop(run.task)
                 await successor.adopt(run)
             else:
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -271,6 +271,33 @@
     curio.run(main)
 
 
+async def adopted(link):
+    """Replaces the incarnation; returns the next link and the ends."""
+    successor, client, owner, other = link_to(lists())
+    successor.worker.runs.clear()
+    # Stops are not answered, so that only polls can prove an end.
+    client.stop_answer = False
+    ends = await link.end_incarnation(successor, "worker restarted")
+    return successor, owner, ends
+
+
+def test_an_unseen_start_of_an_earlier_term_is_adopted_until_a_poll():
+    """Only a poll of this term fences it in the new incarnation."""
+
+    async def main():
+        link, _, _, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=0
+        )
+        successor, owner, ends = await adopted(link)
+        assert ends == []
+        assert successor.worker.runs == {live.task: live}
+        await successor._poll()
+        assert successor.worker.runs == {}
+        assert [end.outcome for end in owner.ends] == ["gone"]
+
+    curio.run(main)
+
+
 def test_a_failed_poll_ends_nothing():
     link, _, owner, live = link_to(errors.ExchangeError("no reply", sent=True))
     poll_once(link)
