Ask a new incarnation to confirm the stop of an adopted start

Seen by callers: a task could run on two workers at once, after a worker restarted while a start was on its way and its stop was already confirmed.

Cause: a worker that confirmed a stop refuses the run from then on. The next incarnation knows nothing of that. An adopted start kept the confirmation of the earlier incarnation, so the first complete list of the new one ended the run, though its start could still be carried out there.

Evidence: by reading and the new test, which failed with the run ended by the first poll.

The adoption resets the confirmation, so that the stop which it orders has to be confirmed by the new incarnation.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -345,7 +345,7 @@
 
     async def adopt(self, run: workers_lib.LiveRun) -> None:
         """Stops a start that may have reached this incarnation instead."""
-        run.confirmed_ms = 0
+        run.confirmed_ms = run.stop_confirmed_ms = 0
         run.stopping = False
         self.worker.note_inherited_lease(self._owner.now_ms(), self.lease_ms)
         self.worker.runs[run.task] = run
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -298,6 +298,23 @@
     curio.run(main)
 
 
+def test_a_stop_that_the_earlier_incarnation_confirmed_proves_nothing():
+    async def main():
+        link, _, _, live = link_to(
+            lists(),
+            confirmed_ms=0,
+            seen=False,
+            ordered_ms=5,
+            stop_confirmed_ms=6,
+        )
+        successor, owner, _ = await adopted(link)
+        await successor._poll()
+        assert successor.worker.runs == {live.task: live}
+        assert owner.ends == []
+
+    curio.run(main)
+
+
 def test_a_failed_poll_ends_nothing():
     link, _, owner, live = link_to(errors.ExchangeError("no reply", sent=True))
     poll_once(link)
