Order the stop of an adopted start in every case

Seen by callers: a task of a job could stay unstarted until its worker was replaced or unreachable for the time of a lease.

Cause: the task of the replaced link that waits for a start without a reply may wake between the adoption and the stop that the next link orders. It marked the run as being stopped, although its own link has it no more, and the next link then ordered no stop. Without a confirmed stop the absence of the run proves nothing, so the run stayed on its worker.

Evidence: by reading and the new test, which failed with no stop ordered.

A link now stops only runs of its own worker.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -292,8 +292,8 @@
             await self.stop(run, "no reply to the start order")
 
     async def stop(self, run: workers_lib.LiveRun, reason: str) -> None:
-        """Orders a stop repeatedly until the run has ended."""
-        if run.stopping:
+        """Orders a stop repeatedly until the run has ended or is adopted."""
+        if run.stopping or self.worker.runs.get(run.task) is not run:
             return
         run.stopping = True
         run.stop_reason = reason
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -315,6 +315,19 @@
     curio.run(main)
 
 
+def test_a_stop_of_the_replaced_link_does_not_replace_that_of_the_next_one():
+    async def main():
+        link, _, _, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5
+        )
+        successor, _, _ = await adopted(link)
+        await link.stop(live, "no reply to the start order")
+        await curio.sleep(0.02)
+        assert successor.client.stopped == [(live.task, 1)]
+
+    curio.run(main)
+
+
 def test_a_failed_poll_ends_nothing():
     link, _, owner, live = link_to(errors.ExchangeError("no reply", sent=True))
     poll_once(link)
