Keep unseen starts of a worker that left until its next incarnation

Seen by callers: a task could run on two workers at once, after a worker that announced its end had started again under its identifier.

Cause: a second after the announcement, and with another incarnation replying at the address, every run of the worker was ended. A start that no poll had listed may have been received by that incarnation instead, whose heartbeat then found nothing to adopt.

The new test failed with the run ended.

Only runs that the incarnation has listed end with it now.

--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -35,22 +35,20 @@
         ends += _end_unattached(dispatcher)
     for name, link in list(dispatcher.links.items()):
         worker = link.worker
-        if (
-            worker.leaving_since_ms
+        is_over = (
+            worker.leaving_since_ms > 0
             and now_ms - worker.leaving_since_ms > LEAVE_GRACE_MS
             and link.is_gone
-        ):
-            reason = "worker left"
-            ends += await link.end_incarnation(None, reason)
-            _remove_worker(dispatcher, name, link)
-        elif is_settled and worker.is_lease_expired(now_ms):
+        )
+        if is_over:
+            ends += _end_seen(link)
+        if is_settled and worker.is_lease_expired(now_ms):
             ends += _end_expired(link)
-            if (
-                now_ms - max(worker.last_reply_ms, worker.clock_at_ms)
-                > WORKER_RETENTION_MS
-            ):
-                await link.end_incarnation(None, "worker unresponsive")
-                _remove_worker(dispatcher, name, link)
+            silent_ms = now_ms - max(worker.last_reply_ms, worker.clock_at_ms)
+            is_over = is_over or silent_ms > WORKER_RETENTION_MS
+        if is_over and not worker.runs:
+            await link.end_incarnation(None, "worker removed")
+            _remove_worker(dispatcher, name, link)
     return ends
 
 
@@ -80,6 +78,19 @@
     return ends
 
 
+def _end_seen(link: "link_lib.Link") -> list[commands.RunEnd]:
+    """Ends the runs of an incarnation that left.
+
+    A start that it never listed may have reached the next one under the same
+    identifier, which adopts it.
+    """
+    return [
+        link.end_run(run, "gone", "", "worker left")
+        for run in list(link.worker.runs.values())
+        if run.seen
+    ]
+
+
 def _end_expired(link: "link_lib.Link") -> list[commands.RunEnd]:
     return [
         link.end_run(run, "gone", "", "worker lease expired")
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -51,10 +51,12 @@
 
     Attributes:
       failure: Why polls get no reply, or None if they do.
+      born_ms: Incarnation that replies.
     """
 
     def __init__(self):
         self.failure = None
+        self.born_ms = 1
         self.stopped = []
 
     async def poll(self, *_arguments):
@@ -62,7 +64,9 @@
         if self.failure is not None:
             raise errors.ExchangeError("no reply", False) from self.failure
         row = worker_api.RunningRow(TASK, 1, "", 10.0, None)
-        return worker_api.PollReply(1, 10_000, [row], [], complete=True)
+        return worker_api.PollReply(
+            self.born_ms, 10_000, [row], [], complete=True
+        )
 
     async def stop(self, task, run, _term):
         self.stopped.append((task, run))
@@ -139,6 +143,42 @@
     run_with_worker(scenario)
 
 
+def test_an_unseen_start_outlives_the_announced_end_of_its_worker():
+    """The next incarnation may have received it before its heartbeat."""
+
+    async def scenario(node, dispatcher, client):
+        run = dispatcher.links["w1"].worker.runs[TASK]
+        run.seen = False
+        client.born_ms = 2
+        await curio.sleep(0.02)
+        await dispatcher.leave(leave())
+        await curio.sleep(GRACE_MS * 2 / 1000)
+        await dispatcher._round()
+        assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
+        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+        assert dispatcher.links["w1"].worker.runs == {TASK: run}
+
+    run_with_worker(scenario)
+
+
+def test_an_unseen_start_of_a_worker_that_left_ends_with_its_lease():
+    async def scenario(node, dispatcher, client):
+        worker = dispatcher.links["w1"].worker
+        worker.runs[TASK].seen = False
+        client.failure = ConnectionRefusedError()
+        await curio.sleep(0.02)
+        await dispatcher.leave(leave())
+        await curio.sleep(GRACE_MS * 2 / 1000)
+        dispatcher.started_ms -= 60_000
+        worker.lease_until_ms = 1
+        await dispatcher._round()
+        assert node.state.jobs.jobs[build.JOB].active == set()
+        await dispatcher._round()
+        assert dispatcher.links == {}
+
+    run_with_worker(scenario)
+
+
 def test_ended_jobs_are_stopped_while_ends_can_not_be_committed():
     async def scenario(node, dispatcher, client):
         node.state.apply(build.commands.CancelJob(job=build.JOB, at_ms=1))
