Acknowledge no ends to a worker that may have restarted

Seen by callers: a task that was done could start once more, after a worker restarted under its identifier and its heartbeat was lost for a second or so.

Cause: the link kept polling the address with the acknowledgement of the earlier incarnation, also when it knew that another one replies. That one numbers its ends from 1 and forgets those up to the number it is sent. A task that had been ordered there in the meantime and was done was then never listed, so it counted as gone.

Evidence: by reading and the new test, which failed with the old number in each poll. It was not seen in the traced plays of the random fault test.

While the last poll got no reply of this incarnation, polls acknowledge nothing. Acknowledgements are cumulative, so the first poll after a reply makes up for it. What remains: the first poll after a restart, which the leader can't tell apart.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -85,7 +85,7 @@
         try:
             reply = await self.client.poll(
                 self._owner.term,
-                worker.acknowledged,
+                self._acknowledgement(),
                 self._lease_end_to_send_ms(sent_ms),
                 POLL_WAIT_MS,
             )
@@ -107,6 +107,14 @@
         await self._apply_reply(reply, sent_ms)
         return True
 
+    def _acknowledgement(self) -> int:
+        """Returns the number up to which to acknowledge ends with a poll.
+
+        After a poll without a reply another incarnation may receive it, which
+        numbers its ends anew. An acknowledged end is not listed again.
+        """
+        return 0 if self._is_unresponsive else self.worker.acknowledged
+
     def _lease_end_to_send_ms(self, now_ms: int) -> int:
         """Returns the end of the lease to send with a poll.
 
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -342,3 +342,15 @@
         poll_once(link)
     first, second, third, fourth, fifth = client.leases
     assert first == second == third == fourth < fifth
+
+
+@pytest.mark.parametrize(
+    "answer", [lists(born_ms=2), errors.ExchangeError("no reply", sent=True)]
+)
+def test_ends_of_the_next_incarnation_are_not_acknowledged_unseen(answer):
+    """Its ends are numbered anew; what replies next may be another one."""
+    link, client, _, _ = link_to(lists(), answer, answer, lists(), lists())
+    curio.run(link.note_committed, 7)
+    for _ in range(5):
+        poll_once(link)
+    assert client.acknowledged == [7, 7, 0, 0, 7]
