--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -17,6 +17,7 @@
 from galenahook.jobs import calls
 from galenahook.jobs import health as health_lib
 from galenahook.jobs import link as link_lib
+from galenahook.jobs import link_owner
 from galenahook.jobs import lost_runs
 from galenahook.jobs import placement
 from galenahook.jobs import run_times as run_times_lib
@@ -47,7 +48,7 @@
 ClientFactory = Callable[[calls.WorkerHeartbeat], worker_api.WorkerClient]
 
 
-class Dispatcher(link_lib.LinkOwner):
+class Dispatcher(link_owner.LinkOwner):
     """Places tasks during one term.
 
     Attributes:
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -6,15 +6,13 @@
 there.
 """
 
-from collections.abc import Callable
-from typing import Any
-
 import curio
 
 from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import errors
 from galenahook import logs
+from galenahook.jobs import link_owner
 from galenahook.jobs import worker_api
 from galenahook.jobs import workers as workers_lib
 from galenahook.replicas import notify
@@ -49,7 +47,7 @@
         self,
         worker: workers_lib.Worker,
         client: worker_api.WorkerClient,
-        owner: "LinkOwner",
+        owner: link_owner.LinkOwner,
         lease_ms: int,
     ) -> None:
         self.worker = worker
@@ -368,45 +366,3 @@
     if run.stop_confirmed_ms and run.stop_confirmed_ms < sent_ms:
         return True
     return bool(run.confirmed_ms and run.confirmed_ms < sent_ms)
-
-
-class LinkOwner:
-    """What a link requires of the leader."""
-
-    term: int
-    now_ms: Callable[[], int]
-    may_lead: Callable[[], bool]
-
-    async def spawn(
-        self, function: Callable[..., Any], *arguments: Any
-    ) -> None:
-        """Spawns a task that runs concurrently."""
-        raise NotImplementedError
-
-    async def note_deposed_by(self, worker: workers_lib.Worker) -> None:
-        """Handles that a worker has seen a leader of a later term."""
-        raise NotImplementedError
-
-    async def queue_ends(self, ends: list[commands.RunEnd]) -> None:
-        """Queues ends for a commit."""
-        raise NotImplementedError
-
-    def observe(self, worker: workers_lib.Worker) -> None:
-        """Handles the state that a poll returned."""
-        raise NotImplementedError
-
-    def note_end(
-        self, worker: workers_lib.Worker, run: workers_lib.LiveRun, outcome: str
-    ) -> None:
-        """Handles the end of a run."""
-        raise NotImplementedError
-
-    def note_refusal(
-        self,
-        worker: workers_lib.Worker,
-        run: workers_lib.LiveRun,
-        answer: worker_api.StartAnswer,
-        reason: str,
-    ) -> None:
-        """Handles a start that the worker refused."""
-        raise NotImplementedError
--- /dev/null
+++ b/src/galenahook/jobs/link_owner.py
@@ -0,0 +1,50 @@
+"""What a link to a worker requires of the leader."""
+
+from collections.abc import Callable
+from typing import Any
+
+from galenahook import commands
+from galenahook.jobs import worker_api
+from galenahook.jobs import workers as workers_lib
+
+
+class LinkOwner:
+    """What a link requires of the leader."""
+
+    term: int
+    now_ms: Callable[[], int]
+    may_lead: Callable[[], bool]
+
+    async def spawn(
+        self, function: Callable[..., Any], *arguments: Any
+    ) -> None:
+        """Spawns a task that runs concurrently."""
+        raise NotImplementedError
+
+    async def note_deposed_by(self, worker: workers_lib.Worker) -> None:
+        """Handles that a worker has seen a leader of a later term."""
+        raise NotImplementedError
+
+    async def queue_ends(self, ends: list[commands.RunEnd]) -> None:
+        """Queues ends for a commit."""
+        raise NotImplementedError
+
+    def observe(self, worker: workers_lib.Worker) -> None:
+        """Handles the state that a poll returned."""
+        raise NotImplementedError
+
+    def note_end(
+        self, worker: workers_lib.Worker, run: workers_lib.LiveRun, outcome: str
+    ) -> None:
+        """Handles the end of a run."""
+        raise NotImplementedError
+
+    def note_refusal(
+        self,
+        worker: workers_lib.Worker,
+        run: workers_lib.LiveRun,
+        answer: worker_api.StartAnswer,
+        reason: str,
+    ) -> None:
+        """Handles a start that the worker refused."""
+        raise NotImplementedError
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -5,6 +5,7 @@
 
 from galenahook import errors
 from galenahook.jobs import link as link_lib
+from galenahook.jobs import link_owner
 from galenahook.jobs import worker_api
 import job_builders as build
 
@@ -51,7 +52,7 @@
         pass
 
 
-class FakeOwner(link_lib.LinkOwner):
+class FakeOwner(link_owner.LinkOwner):
     """Records reports of a link; each clock reading advances by 10 ms."""
 
     def __init__(self):
