Simulate worker clocks and leases as the platform has them

The simulated workers of the random fault test shared the leader's clock, which ran on over restarts, kept runs past the end of their lease until a loop with a period of 10 ms ended them, and took leases of any length. Now each clock starts anew with its incarnation and may be 2 % slow, so do the numbers of heartbeats, a lease is shortened to the longest one, and everything ends at the moment at which the lease expires. A start that is carried out instead of the earlier incarnation is thus no longer refused as late. No check changed.

--- a/tests/test_jobs_random_faults.py
+++ b/tests/test_jobs_random_faults.py
@@ -26,6 +26,7 @@
 import job_builders as build
 
 LEASE_MS = 1_000
+CLOCK_RATES = (workers_lib.MIN_CLOCK_RATE, 1.0)
 CANCEL_MS = 400
 STOP_MS = 40
 CONTACT_MS = 400
@@ -79,7 +80,7 @@
     def __init__(self, system, name):
         self.system = system
         self.name = name
-        self.sequence = 0
+        self.clock_rate = system.rng.choice(CLOCK_RATES)
         self.incarnation = 0
         self.leaving_until_ms = 0
         self.restart()
@@ -88,6 +89,8 @@
         """Starts a new incarnation, which knows nothing of the earlier one."""
         self.incarnation += 1
         self.born_ms = self.incarnation
+        self.sequence = 0
+        self.started_ms = CLOCK.monotonic_ms()
         self.running = {}
         self.highest = collections.Counter()
         self.ends = []
@@ -97,25 +100,40 @@
         self.lease_until_ms = 0
         self.draining = False
 
+    def clock_ms(self):
+        """Returns its clock, which starts anew and may be slow."""
+        return (CLOCK.monotonic_ms() - self.started_ms) * self.clock_rate
+
+    def extend_lease(self, until_ms):
+        """Takes a lease, which never shortens and has a longest duration."""
+        self.expire()
+        until_ms = min(until_ms, self.clock_ms() + LEASE_MS)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
+    def expire(self):
+        """Ends everything once the lease has expired."""
+        if self.clock_ms() > self.lease_until_ms:
+            for task in list(self.running):
+                self.end(task, "gone")
+
     def heartbeat(self):
         self.sequence += 1
         return build.heartbeat(
             self.name,
             born_ms=self.born_ms,
             sequence=self.sequence,
-            clock_ms=CLOCK.monotonic_ms(),
+            clock_ms=int(self.clock_ms()),
             draining=self.draining,
         )
 
     def advance(self):
         """Ends runs that are done or whose lease has expired."""
+        self.expire()
         now_ms = CLOCK.monotonic_ms()
         for task, run in list(self.running.items()):
             run.checkpoint = f"{task}@{now_ms}"
             self.system.checkpoints[task].add(run.checkpoint)
-            if now_ms > self.lease_until_ms:
-                self.end(task, "gone")
-            elif now_ms - run.started_ms > run.work_ms:
+            if now_ms - run.started_ms > run.work_ms:
                 self.end(task, "done")
 
     def end(self, task, outcome):
@@ -139,13 +157,13 @@
             self.check_term(order.term)
         except worker_api.DeposedError:
             return worker_api.StartAnswer.DEPOSED, "fence"
-        self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
+        self.extend_lease(order.lease_until_ms)
         present = self.running.get(order.task)
         if present is not None and present.run == order.run:
             return worker_api.StartAnswer.RUNNING, ""
         if order.run <= self.highest[order.task] or present is not None:
             return worker_api.StartAnswer.REFUSED, "old"
-        if order.lease_until_ms < CLOCK.monotonic_ms():
+        if order.lease_until_ms < self.clock_ms():
             return worker_api.StartAnswer.REFUSED, "late"
         work_ms = int(order.spec)
         self.running[order.task] = SimulatedRun(order.run, work_ms, is_late)
@@ -161,19 +179,20 @@
 
     def poll(self, term, acknowledged, lease_until_ms):
         self.check_term(term)
-        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+        self.extend_lease(lease_until_ms)
         for row in self.ends:
             if row.number <= acknowledged and row.outcome == "done":
                 self.system.done[row.task] = self.done_ms[row.number]
         self.ends = [row for row in self.ends if row.number > acknowledged]
 
     def lists(self):
+        self.expire()
         running = [
             worker_api.RunningRow(task, run.run, run.checkpoint, 50.0, None)
             for task, run in self.running.items()
         ]
         return worker_api.PollReply(
-            self.born_ms, CLOCK.monotonic_ms(), running, list(self.ends), True
+            self.born_ms, int(self.clock_ms()), running, list(self.ends), True
         )
 
 
@@ -348,7 +367,10 @@
         ):
             self.broken.append(f"{order.task}: foreign checkpoint")
         for other in self.workers.values():
-            if other is not worker and order.task in other.running:
+            if other is worker:
+                continue
+            other.expire()
+            if order.task in other.running:
                 self.broken.append(f"{order.task} runs twice")
         if not is_late:
             self.started[order.task] = now_ms
