--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -5,6 +5,7 @@
 
 from galenahook import errors
 from galenahook.jobs import link as link_lib
+from galenahook.jobs import link_owner
 from galenahook.jobs import worker_api
 import job_builders as build
 
@@ -51,7 +52,7 @@
         pass
 
 
-class FakeOwner(link_lib.LinkOwner):
+class FakeOwner(link_owner.LinkOwner):
     """Records reports of a link; each clock reading advances by 10 ms."""
 
     def __init__(self):
@@ -271,6 +272,63 @@
     curio.run(main)
 
 
+async def adopted(link):
+    """Replaces the incarnation; returns the next link and the ends."""
+    successor, client, owner, other = link_to(lists())
+    successor.worker.runs.clear()
+    # Stops are not answered, so that only polls can prove an end.
+    client.stop_answer = False
+    ends = await link.end_incarnation(successor, "worker restarted")
+    return successor, owner, ends
+
+
+def test_an_unseen_start_of_an_earlier_term_is_adopted_until_a_poll():
+    """Only a poll of this term fences it in the new incarnation."""
+
+    async def main():
+        link, _, _, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=0
+        )
+        successor, owner, ends = await adopted(link)
+        assert ends == []
+        assert successor.worker.runs == {live.task: live}
+        await successor._poll()
+        assert successor.worker.runs == {}
+        assert [end.outcome for end in owner.ends] == ["gone"]
+
+    curio.run(main)
+
+
+def test_a_stop_that_the_earlier_incarnation_confirmed_proves_nothing():
+    async def main():
+        link, _, _, live = link_to(
+            lists(),
+            confirmed_ms=0,
+            seen=False,
+            ordered_ms=5,
+            stop_confirmed_ms=6,
+        )
+        successor, owner, _ = await adopted(link)
+        await successor._poll()
+        assert successor.worker.runs == {live.task: live}
+        assert owner.ends == []
+
+    curio.run(main)
+
+
+def test_a_stop_of_the_replaced_link_does_not_replace_that_of_the_next_one():
+    async def main():
+        link, _, _, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5
+        )
+        successor, _, _ = await adopted(link)
+        await link.stop(live, "no reply to the start order")
+        await curio.sleep(0.02)
+        assert successor.client.stopped == [(live.task, 1)]
+
+    curio.run(main)
+
+
 def test_a_failed_poll_ends_nothing():
     link, _, owner, live = link_to(errors.ExchangeError("no reply", sent=True))
     poll_once(link)
@@ -357,3 +415,15 @@
     for _ in range(3):
         poll_once(link)
     assert client.acknowledged == [57, 0, 57]
+
+
+@pytest.mark.parametrize(
+    "answer", [lists(born_ms=2), errors.ExchangeError("no reply", sent=True)]
+)
+def test_ends_of_the_next_incarnation_are_not_acknowledged_unseen(answer):
+    """Its ends are numbered anew; what replies next may be another one."""
+    link, client, _, _ = link_to(lists(), answer, answer, lists(), lists())
+    curio.run(link.note_committed, 7)
+    for _ in range(5):
+        poll_once(link)
+    assert client.acknowledged == [7, 7, 0, 0, 7]
