Reuse connections more briefly where an executor closes idle ones

What callers saw: with an executor that closes connections soon after a response, 33 of 60 requests in 600 ms were answered. A few got 504 with the outcome `unknown` within milliseconds, and most of the others 503 (`no slot came free in time`, `the wait would be too long`) for one to two seconds. `test_every_caller_gets_its_own_complete_response`, row "closes idle connections at once", failed on this now and then, also with nothing else running.

Cause: the executor's close crosses a request on a pooled connection. The connection still looks open when it is chosen, so the request is sent and its outcome is unknown; its slot may be in use and is abandoned until an announcement proves it free, 1 to 2 s later. After eight such requests the entry holds no slot of the executor and refuses everything. The pool learned nothing from it and chose the next connection in the same way.

Evidence: in a trial with log lines, `granted` fell by one with each failed exchange from 8 to 0, and refusals followed until the next grant.

No failure listed in the trials was a connection that was refused or not opened in time.

Change: the pool remembers the shortest idle time after which an executor closed a connection, seen on an idle connection or on a reused one that ended without a response. For 60 s connections to it are reused only within half of that time, else replaced, as long as one connection is left for each slot. Executors that keep connections open, as the interface demands, are served as before.

Conclusion: the first closes and those of connections that can't be replaced, since closed ones count against the limit for 250 ms, are still lost. Rows that follow each other without a pause still run out of slots, because abandoned slots come back late.

--- a/src/galenahook/upstreams/pool.py
+++ b/src/galenahook/upstreams/pool.py
@@ -3,6 +3,10 @@
 A connection carries one request at a time, and is closed after any exchange
 that does not end cleanly. Connections that the executor may still count as open
 are limited by the slots that the entry holds there.
+
+An executor may close an idle connection while a request is on its way, and the
+request's outcome is unknown then. Once an executor has closed a connection that
+was idle for some time, connections are reused only after a shorter time.
 """
 
 import collections
@@ -20,6 +24,11 @@
 # its end late, and much later if the connection is dead.
 CLOSED_LINGER_MS = 250
 DEAD_LINGER_MS = 60_000
+# Share of the shortest idle time after which an executor closed a connection
+# that another connection may have been idle when it is reused.
+REUSE_IDLE_FRACTION = 0.5
+# How long such a time is remembered: its cause may have been a single event.
+IDLE_CLOSE_MEMORY_MS = 60_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +46,14 @@
     until_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class _IdleClose:
+    """The shortest idle time after which an executor closed a connection."""
+
+    idle_ms: int
+    until_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class _ExecutorConnections:
     """Connections to one incarnation of an executor."""
@@ -46,6 +63,7 @@
         default_factory=collections.deque
     )
     closed: list[_Closed] = dataclasses.field(default_factory=list)
+    idle_close: _IdleClose | None = None
 
 
 class ExecutorPool:
@@ -76,7 +94,8 @@
         """Returns an idle connection or opens a new one.
 
         A request that is not repeatable gets only a recently used connection,
-        since its outcome would be unknown if the connection were dead.
+        since its outcome would be unknown if the connection were dead. A
+        connection that the executor may be about to close is replaced.
 
         Raises:
           errors.ExchangeError: No connection is available; nothing was sent.
@@ -87,7 +106,10 @@
         )
         while connections.idle:
             idle = connections.idle.pop()
-            if self._is_fresh(idle, max_idle_ms):
+            fresh = self._is_fresh(connections, idle, max_idle_ms)
+            idle_ms = self._clock.monotonic_ms() - idle.since_ms
+            if fresh and not self._should_replace(connections, idle_ms):
+                idle.connection.idle_ms = idle_ms
                 return idle.connection
             await self._close(connections, idle.connection, CLOSED_LINGER_MS)
         return await self.open(executor, timeout_ms)
@@ -138,6 +160,8 @@
     ) -> None:
         """Closes a connection whose exchange did not end cleanly."""
         connections = self._connections(executor)
+        if connection.closed_while_idle and connection.idle_ms is not None:
+            self._record_idle_close(connections, connection.idle_ms)
         may_be_dead = not connection.ended_by_peer
         linger_ms = DEAD_LINGER_MS if may_be_dead else CLOSED_LINGER_MS
         await self._close(connections, connection, linger_ms)
@@ -171,7 +195,8 @@
         while connections.idle:
             oldest = connections.idle[0]
             surplus = len(connections.idle) + executor.busy > executor.granted
-            if self._is_fresh(oldest, IDLE_TIMEOUT_MS) and not surplus:
+            fresh = self._is_fresh(connections, oldest, IDLE_TIMEOUT_MS)
+            if fresh and not surplus:
                 return
             connections.idle.popleft()
             await self._close(connections, oldest.connection, CLOSED_LINGER_MS)
@@ -190,15 +215,52 @@
             self._by_executor[key] = connections
         return connections
 
-    def _is_fresh(self, idle: _Idle, max_idle_ms: int) -> bool:
+    def _is_fresh(
+        self, connections: _ExecutorConnections, idle: _Idle, max_idle_ms: int
+    ) -> bool:
         now_ms = self._clock.monotonic_ms()
-        if now_ms - idle.since_ms > max_idle_ms:
+        idle_ms = now_ms - idle.since_ms
+        if idle_ms > max_idle_ms:
+            return False
+        if not idle.connection.is_open_and_idle():
+            self._record_idle_close(connections, idle_ms)
             return False
         age_ms = now_ms - idle.connection.opened_ms
-        return (
-            age_ms <= defaults.CONNECTION_MAX_AGE_MS
-            and idle.connection.is_open_and_idle()
-        )
+        return age_ms <= defaults.CONNECTION_MAX_AGE_MS
+
+    def _should_replace(
+        self, connections: _ExecutorConnections, idle_ms: int
+    ) -> bool:
+        """Returns whether the executor may be about to close a connection.
+
+        Returns False nevertheless if new connections would leave less than
+        one for each slot.
+        """
+        idle_close = connections.idle_close
+        if (
+            idle_close is None
+            or self._clock.monotonic_ms() >= idle_close.until_ms
+            or idle_ms <= idle_close.idle_ms * REUSE_IDLE_FRACTION
+        ):
+            return False
+        self._expire_closed(connections)
+        executor = connections.executor
+        spare = _allowed_connections(executor) - executor.connections
+        return spare > max(executor.granted, executor.busy)
+
+    def _record_idle_close(
+        self, connections: _ExecutorConnections, idle_ms: int
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        known = connections.idle_close
+        if (
+            known is None
+            or now_ms >= known.until_ms
+            or idle_ms <= known.idle_ms
+        ):
+            connections.idle_close = _IdleClose(
+                idle_ms, now_ms + IDLE_CLOSE_MEMORY_MS
+            )
 
     async def _close(
         self,
--- a/src/galenahook/web/client.py
+++ b/src/galenahook/web/client.py
@@ -26,6 +26,8 @@
       opened_ms: Monotonic time at which the connection was opened.
       ended_by_peer: Whether an exchange failed other than by a timeout, for
         example because the peer closed the connection.
+      idle_ms: How long it was idle before the current exchange, None if it
+        was not idle; set by the pool that it belongs to.
     """
 
     def __init__(self, address: str, sock: Any, opened_ms: int) -> None:
@@ -33,7 +35,9 @@
         self.reusable = True
         self.opened_ms = opened_ms
         self.ended_by_peer = False
+        self.idle_ms: int | None = None
         self._sock = sock
+        self._response_started = False
         self._connection = h11.Connection(h11.CLIENT)
         self._method = ""
 
@@ -62,6 +66,7 @@
             connection is closed.
         """
         self.reusable = False
+        self._response_started = False
         sent = False
         try:
             data = self._encode(request)
@@ -95,6 +100,19 @@
         await self._finish_cycle()
         return response
 
+    @property
+    def closed_while_idle(self) -> bool:
+        """Whether the peer may have closed it before the request arrived.
+
+        So it is if a connection that was idle ended without any byte of a
+        response.
+        """
+        return (
+            self.ended_by_peer
+            and self.idle_ms is not None
+            and not self._response_started
+        )
+
     async def _fail(self, error: BaseException, sent: bool) -> NoReturn:
         self.ended_by_peer = not isinstance(error, curio.TaskTimeout)
         await self.close()
@@ -131,6 +149,7 @@
             event = self._connection.next_event()
             if event is h11.NEED_DATA:
                 data = await self._sock.recv(http.RECEIVE_MAX_BYTES)
+                self._response_started |= bool(data)
                 self._connection.receive_data(data)
             elif isinstance(event, h11.Response):
                 head = event
