Do not eject an executor for closes of idle connections

What callers saw: after an executor had closed a few idle connections at the moment they were reused, the entry ejected it, and after the ejection gave it one slot, then gradually more over five seconds.

Cause: each exchange that failed counted as a failure of the executor, also one on a reused connection that ended without a byte of a response. Such a close crossed the request and shows no fault; three in a row are usual when requests arrive together.

Ruled out: that a dead executor is noticed later. Its new connections fail, and so do responses that are cut off and requests on new connections; they count as before.

Change: an exchange on a reused connection that ended without any byte of a response no longer counts. The request's outcome stays unknown and its slot is abandoned as before, since it may have run.

--- a/src/galenahook/callers/attempts.py
+++ b/src/galenahook/callers/attempts.py
@@ -215,7 +215,9 @@
         connection: web.ClientConnection,
         sent: bool,
     ) -> None:
-        self.router.record_failure(executor)
+        # A close that crossed the request shows no fault of the executor.
+        if not connection.closed_while_idle:
+            self.router.record_failure(executor)
         if sent:
             self.router.abandon(executor)
         else:
--- a/tests/test_upstreams_pool.py
+++ b/tests/test_upstreams_pool.py
@@ -203,3 +203,21 @@
         assert executor.connections <= allowed - executor.granted
 
     run(test)
+
+
+def test_closes_of_idle_connections_do_not_eject_the_executor() -> None:
+    """Requests sent together on connections that are closed at that moment."""
+
+    async def test(entry: Entry) -> None:
+        count = 2 * routing.FAILURES_TO_EJECT
+        for pause_ms in (KEEP_ALIVE_MS, 0):
+            tasks = [await curio.spawn(entry.send) for _ in range(count)]
+            results = [await task.join() for task in tasks]
+            entry.clock.now_ms += pause_ms
+        assert entry.stub.lost == count
+        assert not any(isinstance(item, attempts.Answered) for item in results)
+        statistics = entry.executor.statistics
+        assert statistics.ejections == 0
+        assert statistics.failures == 0
+
+    run(test)
