Stop an adopted start that the old link gives up at the same time

What callers saw: a job that never ended, and could never be stopped. A start without a reply is adopted by the next incarnation of its worker, whose link stops it. If the wait of the old link for that reply ended in the same instant, the old link marked the run as stopping and then left it alone, as the run was no longer its worker's; the new link found the mark and sent no stop.

Cause: the mark was set before the check of whose run it is.

Change: only the link whose worker has the run marks it.

Evidence: test_an_adopted_start_is_stopped_although_the_old_link_gives_it_up failed before (no stop was sent).

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -344,7 +344,8 @@
 
     async def stop(self, run: workers_lib.LiveRun, reason: str) -> None:
         """Orders a stop repeatedly until the run has ended."""
-        if run.stopping:
+        # A run that the next incarnation has adopted is stopped by its link.
+        if run.stopping or self.worker.runs.get(run.task) is not run:
             return
         run.stopping = True
         run.stop_reason = reason
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -357,3 +357,19 @@
     for _ in range(3):
         poll_once(link)
     assert client.acknowledged == [57, 0, 57]
+
+
+def test_an_adopted_start_is_stopped_although_the_old_link_gives_it_up():
+    async def main():
+        link, old_client, _, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5
+        )
+        successor, client, _, other = link_to(lists())
+        del successor.worker.runs[other.task]
+        await link.end_incarnation(successor, "started again")
+        await link.stop(live, "no reply to the start order")
+        await curio.sleep(0.02)
+        assert old_client.stopped == []
+        assert client.stopped == [(live.task, 1)]
+
+    curio.run(main)
