Fill the thread pool before the connection test connects

What was seen: `test_connection_does_not_wait_for_a_thread` waited 50 ms for all threads of the pool to be taken. On a slow machine some were still free, and the test could pass on code that waits for a thread.

Change: each thread reports that it is taken and stays so until the connection is open; the test connects only once all have reported. The connect time-out stays at 500 ms, so the test is as strict.

Evidence: it fails when `connect` resolves the address in a thread again, and passes now. Beside other work (load average about 27) filling the pool took up to 4 s, which 50 ms never covered; at rest it takes a fraction of a second.

--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import socket
+import threading
 import time
 from typing import Any
 
@@ -356,16 +357,28 @@
 
 
 def test_connection_does_not_wait_for_a_thread() -> None:
+    started = threading.Semaphore(0)
+    release = threading.Event()
+
+    def occupy() -> None:
+        started.release()
+        release.wait()
+
     async def test(server: web.Server) -> None:
         busy = [
-            await curio.spawn(curio.run_in_thread, time.sleep, 1.0)
+            await curio.spawn(curio.run_in_thread, occupy)
             for _ in range(curio.workers.MAX_WORKER_THREADS)
         ]
-        await curio.sleep(0.05)
-        connection = await web.connect(server.address, timeout_ms=500)
-        await connection.close()
-        for task in busy:
-            await task.join()
+        try:
+            for _ in busy:
+                while not started.acquire(blocking=False):
+                    await curio.sleep(0.001)
+            connection = await web.connect(server.address, timeout_ms=500)
+            await connection.close()
+        finally:
+            release.set()
+            for task in busy:
+                await task.join()
 
     run_with_server(test)
 
