Log unexpected errors of requests and of periodic actions

What operators saw: a request got 500 `internal error`, or 503 or 504 at an entry, and no log said why. A periodic action of an entry that failed was counted in `requests.faults` at most.

Cause: `Server._handle`, `CallerHandler._handle_safely` and `CallerHandler._run_periodically` catch every exception and drop it. The only other `except Exception` of the package, in `process`, raises it again.

Change: each logs an error with the traceback, `request:failed` with method and path, or `periodic:failed`. The query of the target is left out, since it may hold data of a caller. Responses are unchanged.

Evidence: the three new tests failed before, without any line, and pass now.

--- a/src/galenahook/callers/handler.py
+++ b/src/galenahook/callers/handler.py
@@ -3,11 +3,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
+import traceback
 
 import curio
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import logs
 from galenahook import messages
 from galenahook import web
 from galenahook.callers import admission as admission_lib
@@ -98,6 +100,13 @@
             return await self._route(call)
         except Exception:  # An internal error must still report the outcome.
             self._metrics.increment("requests.faults")
+            logs.error(
+                "request:failed",
+                request=call.identifier,
+                method=call.request.method,
+                target=call.request.target.partition("?")[0],
+                traceback=traceback.format_exc(),
+            )
             return _failure(call, 500, "internal error")
 
     async def _route(self, call: calls.Call) -> web.Response:
@@ -236,6 +245,7 @@
                 await action()
             except Exception:  # A failure must not stop the periodic task.
                 self._metrics.increment("requests.faults")
+                logs.error("periodic:failed", traceback=traceback.format_exc())
 
     async def _dispatch_waiting(self) -> None:
         """Assigns slots that became free by new grants or ended ejections."""
--- a/src/galenahook/web/server.py
+++ b/src/galenahook/web/server.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import socket as std_socket
+import traceback
 from typing import Any
 
 import curio
@@ -13,6 +14,7 @@
 from galenahook import clock as clock_lib
 from galenahook import defaults
 from galenahook import errors
+from galenahook import logs
 from galenahook.web import http
 from galenahook.web import stream as stream_lib
 
@@ -209,6 +211,12 @@
         try:
             return await self._handler(request)
         except Exception:  # The peer gets a response to any failure.
+            logs.error(
+                "request:failed",
+                method=request.method,
+                target=request.target.partition("?")[0],
+                traceback=traceback.format_exc(),
+            )
             response = http.refusal(500, "internal error")
             response.headers.append((http.OUTCOME_HEADER, b"unknown"))
             return response
--- a/tests/test_callers_handler.py
+++ b/tests/test_callers_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
 import functools
 import time
@@ -9,6 +10,7 @@
 
 import curio
 import curio.io
+import eliot
 import pytest
 
 from galenahook import clock as clock_lib
@@ -347,6 +349,57 @@
     run(test)
 
 
+@pytest.fixture
+def lines() -> Iterator[list[dict[str, Any]]]:
+    """Returns the list to which messages of the log are appended."""
+    messages_logged: list[dict[str, Any]] = []
+    eliot.add_destinations(messages_logged.append)
+    messages_logged.clear()
+    yield messages_logged
+    eliot.remove_destination(messages_logged.append)
+
+
+def test_internal_error_of_a_request_is_logged(
+    lines: list[dict[str, Any]],
+) -> None:
+    async def test(path: RequestPath) -> None:
+        def fail(*_: Any) -> None:
+            raise ValueError("planned")
+
+        path.router.reserve = fail  # type: ignore[method-assign]
+        response = await path.send("ok")
+        assert response.status == 503
+        [line] = [
+            item for item in lines if item["message_type"] == "request:failed"
+        ]
+        identifier = response.header(b"x-galenahook-request").decode()
+        assert line["request"] == identifier
+        assert line["target"] == "/prices/ok"
+        assert "ValueError: planned" in line["traceback"]
+
+    run(test)
+
+
+def test_failure_of_a_periodic_action_is_logged(
+    lines: list[dict[str, Any]],
+) -> None:
+    async def test(path: RequestPath) -> None:
+        async def fail() -> None:
+            raise ValueError("planned")
+
+        path.router.pool.reap = fail  # type: ignore[method-assign]
+        assert (await path.send("ok")).status == 200
+        async with curio.timeout_after(10):
+            while not any(
+                item["message_type"] == "periodic:failed"
+                and "ValueError: planned" in item["traceback"]
+                for item in lines
+            ):
+                await curio.sleep(0.02)
+
+    run(test)
+
+
 def test_old_high_latency_does_not_refuse_requests_forever() -> None:
     async def test(path: RequestPath) -> None:
         statistics = path.router._statistics(SERVICE)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,6 +10,7 @@
 import curio
 import curio.io
 import curio.workers
+import eliot
 import pytest
 
 from galenahook import errors
@@ -204,6 +205,27 @@
     run_with_server(test)
 
 
+def test_handler_exception_is_logged_with_its_place() -> None:
+    lines: list[dict[str, Any]] = []
+
+    async def test(server: web.Server) -> None:
+        client = await web.connect(server.address)
+        eliot.add_destinations(lines.append)
+        lines.clear()
+        try:
+            await client.exchange(web.Request("POST", "/fault"), 1_000)
+        finally:
+            eliot.remove_destination(lines.append)
+
+    run_with_server(test)
+    [line] = lines
+    assert line["message_type"] == "request:failed"
+    assert line["level"] == "error"
+    assert (line["method"], line["target"]) == ("POST", "/fault")
+    assert "ValueError: planned" in line["traceback"]
+    assert "in echo" in line["traceback"]
+
+
 def test_connection_of_slow_reader_is_closed() -> None:
     async def test(server: web.Server) -> None:
         sock = await open_socket(server)
