--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -3,12 +3,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import socket
+import threading
 import time
 from typing import Any
 
 import curio
 import curio.io
 import curio.workers
+import eliot
 import pytest
 
 from galenahook import errors
@@ -203,6 +205,27 @@
     run_with_server(test)
 
 
+def test_handler_exception_is_logged_with_its_place() -> None:
+    lines: list[dict[str, Any]] = []
+
+    async def test(server: web.Server) -> None:
+        client = await web.connect(server.address)
+        eliot.add_destinations(lines.append)
+        lines.clear()
+        try:
+            await client.exchange(web.Request("POST", "/fault"), 1_000)
+        finally:
+            eliot.remove_destination(lines.append)
+
+    run_with_server(test)
+    [line] = lines
+    assert line["message_type"] == "request:failed"
+    assert line["level"] == "error"
+    assert (line["method"], line["target"]) == ("POST", "/fault")
+    assert "ValueError: planned" in line["traceback"]
+    assert "in echo" in line["traceback"]
+
+
 def test_connection_of_slow_reader_is_closed() -> None:
     async def test(server: web.Server) -> None:
         sock = await open_socket(server)
@@ -356,16 +379,28 @@
 
 
 def test_connection_does_not_wait_for_a_thread() -> None:
+    started = threading.Semaphore(0)
+    release = threading.Event()
+
+    def occupy() -> None:
+        started.release()
+        release.wait()
+
     async def test(server: web.Server) -> None:
         busy = [
-            await curio.spawn(curio.run_in_thread, time.sleep, 1.0)
+            await curio.spawn(curio.run_in_thread, occupy)
             for _ in range(curio.workers.MAX_WORKER_THREADS)
         ]
-        await curio.sleep(0.05)
-        connection = await web.connect(server.address, timeout_ms=500)
-        await connection.close()
-        for task in busy:
-            await task.join()
+        try:
+            for _ in busy:
+                while not started.acquire(blocking=False):
+                    await curio.sleep(0.001)
+            connection = await web.connect(server.address, timeout_ms=500)
+            await connection.close()
+        finally:
+            release.set()
+            for task in busy:
+                await task.join()
 
     run_with_server(test)
 
