End the pending commands of a replica that a test kills

Cause: the claimers call `Node.submit` of the leader in their own process. `ReplicaGroup.kill` cancelled the leader's tasks, so that nothing ended the commands that waited there, and each claimer waited for COMMIT_TIMEOUT_MS, 2.5 s of the 5 s, for a replica that no longer existed. A caller of a VM that fails loses its connection. Two kills of a leader left no time for claims.

Ruled out: waits at a live replica. Replicas as processes: `Replica.run` and `JobReplica.run` stop through `transfer_leadership`, which steps down, and their callers see a closed connection.

Change: `kill` makes the killed replica step down in memory, which ends the commands that wait there and sends nothing. The new test failed before.

--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -169,12 +169,18 @@
         replica.server = server
 
     async def kill(self, *names: str) -> None:
-        """Kills replicas without a graceful stop, like a VM failure."""
+        """Kills replicas without a graceful stop, like a VM failure.
+
+        Commands that wait for a result there fail, as if the connections of
+        their submitters were lost.
+        """
         for name in names:
             replica = self.replicas[name]
-            replica.node = None
+            node, replica.node = replica.node, None
             for task in replica.tasks:
                 await task.cancel()
+            if node is not None:
+                await node.core.step_down("")
             if replica.server is not None:
                 await replica.server.close_listener()
             replica.server = None
--- a/tests/test_replicas_faults.py
+++ b/tests/test_replicas_faults.py
@@ -19,6 +19,7 @@
 FAULT_PERIOD_MS = 150
 CLAIMERS = 4
 KEYS = 400
+LOOP_TURNS = 10
 
 
 class Oracle:
@@ -94,6 +95,26 @@
     return set(node.state.claims.records)
 
 
+def test_killed_replica_ends_the_claims_that_wait_for_its_result(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        await group.kill(*(name for name in "abc" if name != leader.name))
+        claim = await curio.spawn(leader.submit, replica_group.new_claim("key"))
+        await curio.sleep(0)
+        await group.kill(leader.name)
+        for _ in range(LOOP_TURNS):
+            await curio.sleep(0)
+        assert claim.terminated
+        with pytest.raises(curio.TaskError) as raised:
+            await claim.join()
+        assert isinstance(raised.value.__cause__, errors.NoQuorumError)
+
+    replica_group.run(main)
+
+
 @pytest.mark.parametrize(("seed", "names"), [(1, "abc"), (2, "abcde")])
 def test_random_faults_lose_no_claim_and_grant_no_key_twice(
     tmp_path, monkeypatch, seed, names
