--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -125,9 +125,6 @@
             except errors.GalenahookError as error:
                 logs.warning("round:failed", term=self.term, reason=str(error))
                 await curio.sleep(clock_lib.seconds(ROUND_RETRY_MS))
-            except Exception as error:
-                logs.failure("round:failed", error, term=self.term)
-                await curio.sleep(clock_lib.seconds(ROUND_RETRY_MS))
             else:
                 seconds = clock_lib.seconds(self.now_ms() - began_ms)
                 self.metrics.round_seconds.observe(seconds)
@@ -198,7 +195,7 @@
             )
             try:
                 await self.commit(command)
-            except Exception:
+            except errors.GalenahookError:
                 self._ends = ends + self._ends
                 raise
         for end in ends:
@@ -217,7 +214,7 @@
         )
         try:
             result = await self.commit(command)
-        except Exception:
+        except errors.GalenahookError:
             # The starts may yet be committed, but none was ordered.
             for worker, run in placed:
                 self._withdraw(worker, run)
