Count no stop that the replaced link had ordered as confirmed

Seen by callers: a task could run on two workers at once, after a worker restarted while the stop of an unanswered start was on its way.

Cause: resets the confirmation when the next incarnation adopts the start. The reply to a stop of the replaced link, which the earlier incarnation had carried out, may arrive after that and set it again. The first list of the next incarnation then ended the run, although its start could still be carried out there.

Evidence: found by review; the new test failed with the run ended by the poll.

A link records a confirmation only for a run that its worker still has.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -362,7 +362,9 @@
         except Exception as error:
             self._log_failure("run:stop-failed", error, run.task, run.run)
             return
-        if is_confirmed and not run.stop_confirmed_ms:
+        # The next incarnation, which may have adopted the run, confirms its own.
+        is_own = self.worker.runs.get(run.task) is run
+        if is_confirmed and is_own and not run.stop_confirmed_ms:
             run.stop_confirmed_ms = self._owner.now_ms()
 
     async def throttle(self, run: workers_lib.LiveRun, percent: int) -> bool:
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -329,6 +329,31 @@
     curio.run(main)
 
 
+def test_a_late_reply_to_a_stop_confirms_nothing_for_the_next_incarnation():
+    async def main():
+        link, client, _, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5
+        )
+        reply = curio.Event()
+
+        async def stop(_task, _run, _term):
+            await reply.wait()
+            return True
+
+        client.stop = stop
+        task = await curio.spawn(link.stop, live, "job cancelled")
+        await curio.sleep(0.01)
+        successor, owner, _ = await adopted(link)
+        await reply.set()
+        await curio.sleep(0.01)
+        await successor._poll()
+        assert successor.worker.runs == {live.task: live}
+        assert owner.ends == []
+        await task.cancel()
+
+    curio.run(main)
+
+
 def test_a_failed_poll_ends_nothing():
     link, _, owner, live = link_to(errors.ExchangeError("no reply", sent=True))
     poll_once(link)
