Exclude no worker for a start that the leader withholds

Seen by callers: less served. After a wave of cancellations sound workers got no starts for 300 ms.

Cause: a start that the leader withholds, as its job has ended or it leads no more, was handled as one that the worker had refused, which excludes the worker for a while and counts as a refusal.

Evidence: found by review; both cases of the new test failed with a refusal recorded. How much was lost on the site was not measured.

Such a run is ended without a report about its worker.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -279,6 +279,12 @@
                 worker=self.worker.name,
             )
             return
+        if not self._owner.may_lead():
+            await self._end_unordered(run, "not the leader")
+            return
+        if run.job.ended:
+            await self._end_unordered(run, "job has ended")
+            return
         try:
             answer, reason = await self._order_start(run)
         except Exception as error:
@@ -286,13 +292,14 @@
             answer, reason = worker_api.StartAnswer.UNKNOWN, repr(error)
         await self._handle_start_answer(run, answer, reason)
 
+    async def _end_unordered(
+        self, run: workers_lib.LiveRun, reason: str
+    ) -> None:
+        await self._owner.queue_ends([self.end_run(run, "gone", "", reason)])
+
     async def _order_start(
         self, run: workers_lib.LiveRun
     ) -> tuple[worker_api.StartAnswer, str]:
-        if not self._owner.may_lead():
-            return worker_api.StartAnswer.REFUSED, "not the leader"
-        if run.job.ended:
-            return worker_api.StartAnswer.REFUSED, "job has ended"
         now_ms = self._owner.now_ms()
         return await self.client.start(
             worker_api.StartOrder(
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -1,11 +1,13 @@
 """A run is removed from its worker only if it has certainly ended."""
 
 import curio
+import msgspec
 import pytest
 
 from galenahook import errors
 from galenahook.jobs import link as link_lib
 from galenahook.jobs import link_owner
+from galenahook.jobs import tasks
 from galenahook.jobs import worker_api
 import job_builders as build
 
@@ -386,6 +388,27 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("reason", ["job has ended", "not the leader"])
+def test_a_start_that_the_leader_withholds_does_not_exclude_its_worker(reason):
+    async def main():
+        link, client, owner, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5
+        )
+        if reason == "job has ended":
+            outcome = tasks.Outcome.CANCELLED
+            live.job.record = msgspec.structs.replace(
+                live.job.record, outcome=outcome
+            )
+        else:
+            owner.may_lead = lambda: False
+        await link.start(live)
+        assert [end.outcome for end in owner.ends] == ["gone"]
+        assert client.started == []
+        assert owner.refusals == []
+
+    curio.run(main)
+
+
 class RestartedWorker(FakeWorker):
     """A worker whose new incarnation has one end, which polls acknowledge."""
 
