Reject the heartbeat of a worker without processors

Seen by callers: no job started any more. A heartbeat with `cpu` 0 was accepted, and the placement of a task that reserves no processor divided by it, which ended the process of each leader in turn. Found by review, by a test in which no job started on any worker; not seen on a site.

Such a heartbeat is rejected with the place of the fault, as other malformed ones are: no task of the platform can run there. The new case of test_invalid_heartbeat_is_rejected failed before.

--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -68,6 +68,10 @@
         raise wire.input_error(
             "$.state", f"state {heartbeat.state!r} is not known"
         )
+    if heartbeat.capacity.cpu < 1:
+        raise wire.input_error(
+            "$.capacity.cpu", f"{heartbeat.capacity.cpu} is less than 1"
+        )
     return calls.WorkerHeartbeat(
         worker=worker,
         born_ms=heartbeat.born,
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -187,6 +187,7 @@
         {"state": "resting"},
         {"seq": "four"},
         {"capacity": None},
+        {"capacity": {"cpu": 0, "mem_mb": 32768}},
         {"labels": "a"},
         {"address": 7},
     ],
