Keep trying to commit a cancellation while too many commands wait

What callers would see: a job that they cancelled runs on. Cancellations got 429 from an overloaded leader. The platform's callers repeat one after no reply, 502 or 504, but not after 429, and a task must stop within a bound even if the cancellation was never acknowledged.

Evidence: found by review against the protocol.

The entry tries again until the caller's deadline and then replies with 504.

--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -201,12 +201,9 @@
 
     async def _cancel(self, identifier: str) -> calls.JobReply:
         # Also committed for an unknown job: its submission may be under way.
-        try:
-            result = await self.dispatcher.commit(
-                commands.CancelJob(job=identifier, at_ms=self.clock.wall_ms())
-            )
-        except errors.OverloadedError as error:
-            return calls.JobReply(outcome="overloaded", reason=str(error))
+        result = await self.dispatcher.commit(
+            commands.CancelJob(job=identifier, at_ms=self.clock.wall_ms())
+        )
         is_stored = not isinstance(result, commands.JobUnknown)
         logs.info("job:cancelled", job=identifier, stored=is_stored)
         if not is_stored:
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -369,7 +369,7 @@
         except Exception as error:
             self._log_failure("run:stop-failed", error, run.task, run.run)
             return
-        # The next incarnation, which may have adopted the run, confirms its own.
+        # Another incarnation that adopted the run has to confirm its own stop.
         is_own = self.worker.runs.get(run.task) is run
         if is_confirmed and is_own and not run.stop_confirmed_ms:
             run.stop_confirmed_ms = self._owner.now_ms()
