Wait for a vote as long as the shortest election timeout

Cause: a candidate waited election_timeout_min_ms // 2 for each vote, which is 125 ms in the tests and 250 ms by default. A vote is on the voter's disk before it is sent, so a voter whose sync takes longer has granted its vote to a candidate that no longer listens. The next candidate raises the term and loses the votes in the same way: a group whose votes take between half the shortest election timeout and that timeout elects no leader for as long as this lasts.

Change: a candidate waits election_timeout_min_ms. A failed pre-vote does not delay the next attempt, as the election timer runs since the start of the campaign; a vote that is lost after a slow pre-vote can delay it.

--- a/src/galenahook/replicas/election.py
+++ b/src/galenahook/replicas/election.py
@@ -136,7 +136,7 @@
             core.address_of(member),
             transport.post(core.client, transport.VOTE_TARGET, request),
             wire.VoteReply,
-            core.timing.election_timeout_min_ms // 2,
+            core.timing.election_timeout_min_ms,
         )
         if reply.folder != member.folder:
             reply = None
--- a/tests/test_replicas_election.py
+++ b/tests/test_replicas_election.py
@@ -23,6 +23,7 @@
 
 MEMBERS = ("a=127.0.0.1:1#fa", "b=127.0.0.1:2#fb", "c=127.0.0.1:3#fc")
 START_MS = 100_000
+SLOW_VOTE_MS = 180
 
 
 class ManualClock(clock_lib.Clock):
@@ -332,6 +333,22 @@
     assert not list(tmp_path.iterdir())
 
 
+def test_vote_that_takes_longer_than_half_an_election_timeout_counts(tmp_path):
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    async def main():
+        await group.start()
+        leader = await group.wait_for_leader()
+        for replica in group.replicas.values():
+            if replica.name != leader.name:
+                replica.disk.sync_ms = SLOW_VOTE_MS
+        await group.kill(leader.name)
+        assert await group.claim("key")
+        await group.close()
+
+    replica_group.run(main)
+
+
 @pytest.mark.parametrize("directions", [("in",), ("out",), ("in", "out")])
 def test_isolated_leader_stops_acting_before_another_starts(
     tmp_path, directions
