Count faults, and hardly any stalls, in the test of random faults

Seen: after the waits at killed replicas were ended, the keys granted still depended on the machine: 103 to 400 with the same faults and nothing of its own beside (20 runs), 0 to 396 beside eight busy processes (40 runs, 8 failed).

Cause: the test counted the keys of 5 s of real time. In a trace, syncs that the test had not slowed took 1.4 to 4.1 ms on average and up to 164 ms, and a process that waits for a processor misses the timeouts of its replicas. The random numbers were shared by faults and claimers, so that a seed repeated no faults and a slow machine got fewer of them (20 instead of 33).

Change, with the number of keys and both safety checks as they were: - The faults have their own random numbers, and all 33 of them, the number that fits into 5 s, are injected. A seed repeats its faults. Two more seeds make up for the variety lost. - The clock of the test counts at most 5 ms between two readings, so it runs like a real clock while the process runs, and hardly while it is stalled. - A sync waits for 2 ms in place of the machine's disk. The replicas are killed within a process, so that no real sync affects what they recover. - Stricter: only keys granted before the faults end count; then a claim must commit within the time of six elections (4.5 s; before, 5 s for a leader and 5 s for the claim); no claim may wait for COMMIT_TIMEOUT_MS.

--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -45,14 +45,17 @@
       fail_writes: Writes fail half-way, as on a full disk.
       fail_syncs: Syncs fail with an input/output error.
       sync_ms: Delay of each sync.
+      simulates_syncs: A sync only waits for its delay. A killed replica still
+        finds what it wrote, as its process continues.
     """
 
-    __slots__ = ("fail_syncs", "fail_writes", "sync_ms")
+    __slots__ = ("fail_syncs", "fail_writes", "simulates_syncs", "sync_ms")
 
     def __init__(self) -> None:
         self.fail_writes = False
         self.fail_syncs = False
         self.sync_ms = 0
+        self.simulates_syncs = False
 
     def write(self, descriptor: int, data: bytes, offset: int) -> None:
         """Writes, or writes half of the data and fails."""
@@ -66,7 +69,13 @@
         time.sleep(clock_lib.seconds(self.sync_ms))
         if self.fail_syncs:
             raise OSError(5, "Input/output error")
-        super().sync(descriptor)
+        if not self.simulates_syncs:
+            super().sync(descriptor)
+
+    def sync_folder(self, folder: pathlib.Path) -> None:
+        """Syncs a folder's entries, unless syncs are simulated."""
+        if not self.simulates_syncs:
+            super().sync_folder(folder)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_replicas_faults.py
+++ b/tests/test_replicas_faults.py
@@ -2,24 +2,32 @@
 
 A key is granted at most once, and never after a claim of it returned a result.
 Two replicas never act at the same time. In the end all replicas have the same
-keys, among them each key whose claim returned a result.
+keys, among them each key whose claim returned a result. A seed determines the
+faults; the results of claims also depend on when the replicas elect a leader.
 """
 
 import random
+import time
 
 import curio
 import pytest
 
+from fakes import process_clock
 from fakes import replica_group
+from galenahook import clock as clock_lib
+from galenahook import defaults
 from galenahook import errors
 from galenahook.replicas import snapshot
 from galenahook.replicas import snapshot_transfer
 
-RUN_MS = 5_000
+FAULTS = 33
 FAULT_PERIOD_MS = 150
+SYNC_MS = 2
+SLOW_SYNC_MS = 120
 CLAIMERS = 4
 KEYS = 400
 LOOP_TURNS = 10
+ELECTIONS = 6
 
 
 class Oracle:
@@ -27,6 +35,7 @@
         self.granted = set()
         self.resolved = set()
         self.granted_twice = []
+        self.longest_wait_ms = 0
 
     def record(self, key, granted):
         if granted and key in self.resolved:
@@ -41,13 +50,17 @@
         key = f"key-{rng.randrange(KEYS)}"
         nodes = [node for node in group.nodes() if node.is_leader()]
         if not nodes:
-            await curio.sleep(0.005)
+            await curio.sleep(replica_group.POLL_PERIOD_MS / 1000)
             continue
         node = rng.choice(nodes)
+        started_ms = group.clock.monotonic_ms()
         try:
             result = await node.submit(replica_group.new_claim(key))
         except errors.GalenahookError:
             continue
+        finally:
+            wait_ms = group.clock.monotonic_ms() - started_ms
+            oracle.longest_wait_ms = max(oracle.longest_wait_ms, wait_ms)
         oracle.record(key, result.granted[0])
 
 
@@ -73,7 +86,7 @@
         case 3 if running:
             replica.disk.fail_writes = True
         case 4 if running:
-            replica.disk.sync_ms = 120
+            replica.disk.sync_ms = SLOW_SYNC_MS
         case 5 if running and is_quorum_safe(group):
             await group.stop(name)
         case _:
@@ -84,13 +97,24 @@
     group.release_links()
     for name, replica in group.replicas.items():
         replica.disk.fail_writes = False
-        replica.disk.sync_ms = 0
+        replica.disk.sync_ms = SYNC_MS
         if replica.node is not None and replica.node.status().error:
             await group.kill(name)
         if replica.node is None:
             await group.start(name)
 
 
+def recovery_bound_ms(timing):
+    """Returns the time of consecutive elections, each with its timeout.
+
+    A pre-vote and a vote together take less than the shortest timeout.
+    """
+    election_ms = (
+        timing.election_timeout_max_ms + timing.election_timeout_min_ms
+    )
+    return ELECTIONS * election_ms
+
+
 def keys_of(node):
     return set(node.state.claims.records)
 
@@ -115,7 +139,9 @@
     replica_group.run(main)
 
 
-@pytest.mark.parametrize(("seed", "names"), [(1, "abc"), (2, "abcde")])
+@pytest.mark.parametrize(
+    ("seed", "names"), [(1, "abc"), (2, "abcde"), (3, "abc"), (4, "abcde")]
+)
 def test_random_faults_lose_no_claim_and_grant_no_key_twice(
     tmp_path, monkeypatch, seed, names
 ):
@@ -123,11 +149,18 @@
     monkeypatch.setattr(snapshot, "RETAINED_ENTRIES", 20)
     monkeypatch.setattr(snapshot, "CHECK_PERIOD_MS", 50)
     monkeypatch.setattr(snapshot_transfer, "CHUNK_BYTES", 2_000)
-    rng = random.Random(seed)
+    fault_rng = random.Random(seed)
     group = replica_group.RelayedGroup(tmp_path, names)
+    group.clock = process_clock.ProcessClock()
+    monkeypatch.setattr(time, "monotonic", group.clock.monotonic)
+    for replica in group.replicas.values():
+        replica.disk.simulates_syncs = True
+        replica.disk.sync_ms = SYNC_MS
     stop, two_leaders, oracle = curio.Event(), [], Oracle()
+    granted_during_faults = 0
 
     async def main():
+        nonlocal granted_during_faults
         await group.start_relays()
         await group.start()
         tasks = [
@@ -135,16 +168,20 @@
                 replica_group.watch_leaders, group, stop, two_leaders
             )
         ]
-        for _ in range(CLAIMERS):
+        for number in range(CLAIMERS):
+            rng = random.Random(f"{seed}-{number}")
             tasks.append(
                 await curio.spawn(claim_at_random, group, oracle, rng, stop)
             )
-        end_ms = group.clock.monotonic_ms() + RUN_MS
-        while group.clock.monotonic_ms() < end_ms:
-            await inject_fault(group, rng)
+        for _ in range(FAULTS):
+            await inject_fault(group, fault_rng)
             await curio.sleep(FAULT_PERIOD_MS / 1000)
+        granted_during_faults = len(oracle.granted)
         await end_faults(group)
-        await group.wait_for_leader()
+        async with curio.timeout_after(
+            clock_lib.seconds(recovery_bound_ms(group.timing))
+        ):
+            assert await group.claim("recovered")
         await stop.set()
         for task in tasks:
             await task.join()
@@ -160,4 +197,6 @@
     replica_group.run(main)
     assert not two_leaders
     assert not oracle.granted_twice
-    assert len(oracle.granted) > KEYS // 4
+    assert granted_during_faults > KEYS // 4
+    # A leader without a quorum steps down long before a commit times out.
+    assert oracle.longest_wait_ms < defaults.COMMIT_TIMEOUT_MS
