Let a candidate give up that hears its leader during the pre-vote

Seen by callers: an avoidable election. A candidate whose pre-vote was granted raised the term although its leader was heard in the meantime, and deposed it.

Cause: after the pre-vote only the term and the own role were checked.

Evidence: found by review; the new test failed with term 6 instead of 5.

The lease of the leader is checked again after the pre-vote.

--- a/src/galenahook/replicas/election.py
+++ b/src/galenahook/replicas/election.py
@@ -51,6 +51,13 @@
     return core.is_voter() and len(core.members.voters) == 1
 
 
+def _has_leader(core: core_lib.Core) -> bool:
+    """Returns whether this replica leads or has recently heard its leader."""
+    if core.role is core_lib.Role.LEADER:
+        return True
+    return core.in_leader_lease() and not _is_only_voter(core)
+
+
 async def campaign(core: core_lib.Core, leadership_transfer: bool) -> None:
     """Runs one election with this replica as the candidate.
 
@@ -65,12 +72,12 @@
     if not core.is_voter() or core.error is not None:
         return
     if not leadership_transfer:
-        if core.in_leader_lease() and not _is_only_voter(core):
+        if _has_leader(core):
             return
         term = core.term
         if not await _collect_votes(core, term + 1, True, False):
             return
-        if core.term != term or core.role is core_lib.Role.LEADER:
+        if core.term != term or _has_leader(core):
             return
     core.term += 1
     core.voted_for = core.name
--- a/tests/test_replicas_election.py
+++ b/tests/test_replicas_election.py
@@ -349,6 +349,21 @@
     replica_group.run(main)
 
 
+def test_candidate_that_hears_its_leader_during_the_pre_vote_gives_up(
+    tmp_path, monkeypatch
+):
+    core, clock = make_core(tmp_path)
+    clock.now_ms += core.timing.election_timeout_max_ms
+
+    async def collect_votes(_core, _term, pre_vote, _leadership_transfer):
+        core.last_leader_contact_ms = clock.now_ms
+        return pre_vote
+
+    monkeypatch.setattr(election, "_collect_votes", collect_votes)
+    curio.run(election.campaign, core, False)
+    assert core.term == 5
+
+
 @pytest.mark.parametrize("directions", [("in",), ("out",), ("in", "out")])
 def test_isolated_leader_stops_acting_before_another_starts(
     tmp_path, directions
