Attach no run to an earlier incarnation of its worker

Seen by callers: a task that worked well was stopped and started again after a change of leader, if a delayed heartbeat of the earlier incarnation of its worker was the first that the new leader received.

Cause: runs of earlier terms were attached by the name of the worker only. The heartbeat of the right incarnation then replaced the other one, and its unseen starts are adopted, which stops them.

Evidence: found by review; the new test failed with the run attached to the earlier incarnation.

A run stays unattached until a heartbeat of its own or a later incarnation.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -295,10 +295,15 @@
             await self.queue_ends(ends)
 
     def _attach(self, worker: workers_lib.Worker) -> None:
-        """Attaches runs of earlier terms to the worker that was to run them."""
+        """Attaches runs of earlier terms to the worker that was to run them.
+
+        A delayed heartbeat may be of an earlier incarnation than the run.
+        """
         for task, record in list(self.unattached.items()):
             if record.worker != worker.name:
                 continue
+            if record.born_ms > worker.heartbeat.born_ms:
+                continue
             del self.unattached[task]
             run = live_run(self, record.task, record.run)
             if run is not None:
--- a/tests/test_jobs_dispatcher.py
+++ b/tests/test_jobs_dispatcher.py
@@ -4,6 +4,7 @@
 import pytest
 
 from galenahook import clock as clock_lib
+from galenahook import commands
 from galenahook import errors
 from galenahook import job_metrics
 from galenahook import state as state_lib
@@ -125,3 +126,23 @@
         dispatcher.note_end(worker, build.live_run(job, **changes), "done")
         learned = dispatcher.run_times.expected_ms(job, 500)
         assert learned == pytest.approx(known, rel=0.05)
+
+
+def test_a_delayed_heartbeat_of_an_earlier_incarnation_takes_no_run():
+    """The next incarnation would adopt the run, and stop it."""
+    node = FakeNode()
+    node.state.apply(build.submit())
+    start = commands.RunStart(task=TASK, run=1, worker="w1", born_ms=2)
+    node.state.apply(build.starts(start))
+    dispatcher = make(node)
+
+    async def main():
+        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=1))
+        assert dispatcher.links["w1"].worker.runs == {}
+        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+        await curio.sleep(0.02)
+        run = dispatcher.links["w1"].worker.runs[TASK]
+        assert not run.stopping
+        await dispatcher.close()
+
+    curio.run(main)
