Send no lease to a worker that may have restarted

Seen by callers: a task could run on two workers at once, after a worker restarted under its identifier while its heartbeats did not arrive.

Cause: polls of an unresponsive worker repeated the end of its last lease. That is a time on the clock of the earlier incarnation; on the clock of the next one it lies far ahead and is cut to the longest lease with each poll. The leader meanwhile took the lease for expired and started the task elsewhere.

Evidence: found by review, with a task that ran on for 940 ms of a lease of 1,000 ms. The new tests failed with the earlier lease in each poll. Two tests stated that lease and now state none, which is stricter.

Polls that may reach another incarnation name no deadline, which the protocol allows; the lease of the known one was not extended before either.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -128,15 +128,15 @@
         return 0 if self._is_unresponsive else self.worker.acknowledged
 
     def _lease_end_to_send_ms(self, now_ms: int) -> int:
-        """Returns the end of the lease to send with a poll.
+        """Returns the end of the lease to send with a poll; 0 for none.
 
         A worker whose reply was lost may have received the lease. While it is
-        unresponsive the lease is not extended, so that it expires.
+        unresponsive no lease is sent, so that it expires. An earlier lease would
+        extend that of the next incarnation, whose clock has restarted.
         """
-        worker = self.worker
-        if self._is_unresponsive and worker.lease_until_ms:
-            return worker.lease_until_ms
-        return worker.extend_lease(now_ms, self.lease_ms)
+        if self._is_unresponsive:
+            return 0
+        return self.worker.extend_lease(now_ms, self.lease_ms)
 
     def _log_unresponsive(self, reason: str) -> None:
         worker = self.worker
--- a/src/galenahook/jobs/worker_api.py
+++ b/src/galenahook/jobs/worker_api.py
@@ -128,7 +128,7 @@
     async def poll(
         self, term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
     ) -> PollReply:
-        """Renews the lease, acknowledges ends and lists runs.
+        """Renews the lease unless it is 0, acknowledges ends and lists runs.
 
         Raises:
           errors.ExchangeError: The worker did not reply.
--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -190,15 +190,15 @@
 def encode_poll(
     term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
 ) -> bytes:
-    """Encodes a poll of a worker's runs."""
-    return msgspec.json.encode(
-        {
-            "fencing_token": term,
-            "ack_cursor": acknowledged,
-            "deadline_ms": lease_until_ms,
-            "wait_ms": wait_ms,
-        }
-    )
+    """Encodes a poll of a worker's runs; a lease of 0 is not sent."""
+    poll = {
+        "fencing_token": term,
+        "ack_cursor": acknowledged,
+        "wait_ms": wait_ms,
+    }
+    if lease_until_ms:
+        poll["deadline_ms"] = lease_until_ms
+    return msgspec.json.encode(poll)
 
 
 def decode_start_response(
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -369,7 +369,21 @@
     for _ in range(5):
         poll_once(link)
     first, second, third, fourth, fifth = client.leases
-    assert first == second == third == fourth < fifth
+    assert second == third == fourth == 0 < first < fifth
+
+
+@pytest.mark.parametrize(
+    "answer", [lists(born_ms=2), errors.ExchangeError("no reply", sent=True)]
+)
+def test_no_lease_is_sent_to_what_may_be_the_next_incarnation(answer):
+    """Its clock has restarted, so that an earlier lease would extend its own."""
+    link, client, _, _ = link_to(lists(), answer, answer)
+    for _ in range(3):
+        poll_once(link)
+    until_ms = link.worker.lease_until_ms
+    poll_once(link)
+    assert client.leases[2:] == [0, 0]
+    assert link.worker.lease_until_ms == until_ms
 
 
 def test_a_start_that_the_records_gave_up_is_not_sent():
--- a/tests/test_jobs_unexpected_errors.py
+++ b/tests/test_jobs_unexpected_errors.py
@@ -67,7 +67,7 @@
         task = await curio.spawn(link.run)
         await curio.sleep(0.1)
         assert len(client.leases) > 1
-        assert client.leases[1] == client.leases[0]
+        assert client.leases[1] == 0 < client.leases[0]
         assert failures == [("worker:poll-failed", "KeyError('row')")]
         await task.cancel()
         assert task.cancelled
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -252,3 +252,9 @@
 def test_start_responses_are_decoded(status, reason, answer):
     body = encode({"clock_ms": 1, "reason": reason})
     assert wire_workers.decode_start_response(status, body)[0] is answer
+
+
+@pytest.mark.parametrize(("lease_until_ms", "sent"), [(9, True), (0, False)])
+def test_a_poll_without_a_lease_names_no_deadline(lease_until_ms, sent):
+    poll = json.loads(wire_workers.encode_poll(7, 3, lease_until_ms, 5))
+    assert ("deadline_ms" in poll) is sent
