Count the lease of an adopted start from its latest execution

Seen by callers: a task could run on two workers at once, after a worker restarted under its identifier and was then cut off.

Cause: the lease that the next incarnation may hold was counted from the adoption. The start may be carried out up to 12 s later, and holds a full lease from then on, as its end lies far ahead on the restarted clock.

Evidence: found by review, with a start carried out 600 ms after the adoption that ran on for 517 ms beside the second one.

The lease counts from the longest delay of an order. It is waited for only if the new incarnation replies to no poll in that time.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -131,7 +131,7 @@
         """Returns the end of the lease to send with a poll; 0 for none.
 
         A worker whose reply was lost may have received the lease. While it is
-        unresponsive no lease is sent, so that it expires. An earlier lease would
+        unresponsive no lease is sent, so that it expires. The last one would
         extend that of the next incarnation, whose clock has restarted.
         """
         if self._is_unresponsive:
@@ -412,7 +412,10 @@
         """Stops a start that may have reached this incarnation instead."""
         run.confirmed_ms = run.stop_confirmed_ms = 0
         run.stopping = False
-        self.worker.note_inherited_lease(self._owner.now_ms(), self.lease_ms)
+        # The start may be carried out late, and its lease begins only then.
+        self.worker.note_inherited_lease(
+            self._owner.now_ms() + workers_lib.MAX_ORDER_DELAY_MS, self.lease_ms
+        )
         self.worker.runs[run.task] = run
         await self._owner.spawn(self.stop, run, "worker restarted")
 
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -9,6 +9,8 @@
 
 # Slowest rate of a worker's monotonic clock that the platform permits.
 MIN_CLOCK_RATE = 0.98
+# Longest time after which a worker may still carry out an order.
+MAX_ORDER_DELAY_MS = 12_000
 # Time without a response after which nothing new starts on a worker.
 UNRESPONSIVE_AFTER_MS = 1_500
 # Measured tail latencies are means over this time.
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -9,6 +9,7 @@
 from galenahook.jobs import link_owner
 from galenahook.jobs import tasks
 from galenahook.jobs import worker_api
+from galenahook.jobs import workers as workers_lib
 import job_builders as build
 
 
@@ -331,6 +332,21 @@
     curio.run(main)
 
 
+def test_an_adopted_start_that_is_carried_out_late_keeps_its_lease():
+    async def main():
+        link, _, owner, _ = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5
+        )
+        successor, _, _ = await adopted(link)
+        carried_out_ms = owner.now_ms() + workers_lib.MAX_ORDER_DELAY_MS
+        lease_ms = successor.lease_ms
+        worker = successor.worker
+        assert not worker.is_lease_expired(carried_out_ms + lease_ms - 100)
+        assert worker.is_lease_expired(carried_out_ms + lease_ms * 2)
+
+    curio.run(main)
+
+
 def test_a_late_reply_to_a_stop_confirms_nothing_for_the_next_incarnation():
     async def main():
         link, client, _, live = link_to(
@@ -376,7 +392,7 @@
     "answer", [lists(born_ms=2), errors.ExchangeError("no reply", sent=True)]
 )
 def test_no_lease_is_sent_to_what_may_be_the_next_incarnation(answer):
-    """Its clock has restarted, so that an earlier lease would extend its own."""
+    """On its restarted clock the end of an earlier lease lies far ahead."""
     link, client, _, _ = link_to(lists(), answer, answer)
     for _ in range(3):
         poll_once(link)
