Keep the machine's disk out of the random fault test of replicas

Cause: in traces of two further failures the group elected no leader, as each ballot took 300 to 1,036 ms to be saved, more than the votes are awaited. The test simulates syncs, but files were still created and renamed on the machine's disk, which other processes kept busy.

Change: the replicas' folders lie in memory where the machine has such a folder. Faults, number of keys and all checks are as before.

Not shown: that nothing else makes the test fail.

--- a/tests/test_replicas_faults.py
+++ b/tests/test_replicas_faults.py
@@ -6,7 +6,9 @@
 faults; the results of claims also depend on when the replicas elect a leader.
 """
 
+import pathlib
 import random
+import tempfile
 import time
 
 import curio
@@ -20,6 +22,7 @@
 from galenahook.replicas import snapshot
 from galenahook.replicas import snapshot_transfer
 
+MEMORY_FOLDER = pathlib.Path("/dev/shm")
 FAULTS = 33
 FAULT_PERIOD_MS = 150
 SYNC_MS = 2
@@ -30,6 +33,19 @@
 ELECTIONS = 6
 
 
+@pytest.fixture
+def memory_path(tmp_path):
+    """Returns a folder in memory, or one on disk where there is none.
+
+    The test simulates slow disks, and the machine's own would add to them.
+    """
+    if not MEMORY_FOLDER.is_dir():
+        yield tmp_path
+        return
+    with tempfile.TemporaryDirectory(dir=MEMORY_FOLDER) as folder:
+        yield pathlib.Path(folder)
+
+
 class Oracle:
     def __init__(self):
         self.granted = set()
@@ -143,14 +159,14 @@
     ("seed", "names"), [(1, "abc"), (2, "abcde"), (3, "abc"), (4, "abcde")]
 )
 def test_random_faults_lose_no_claim_and_grant_no_key_twice(
-    tmp_path, monkeypatch, seed, names
+    memory_path, monkeypatch, seed, names
 ):
     monkeypatch.setattr(snapshot, "MIN_ENTRIES", 100)
     monkeypatch.setattr(snapshot, "RETAINED_ENTRIES", 20)
     monkeypatch.setattr(snapshot, "CHECK_PERIOD_MS", 50)
     monkeypatch.setattr(snapshot_transfer, "CHUNK_BYTES", 2_000)
     fault_rng = random.Random(seed)
-    group = replica_group.RelayedGroup(tmp_path, names)
+    group = replica_group.RelayedGroup(memory_path, names)
     group.clock = process_clock.ProcessClock()
     monkeypatch.setattr(time, "monotonic", group.clock.monotonic)
     for replica in group.replicas.values():
