--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -170,7 +170,7 @@
                 ends += self._end_absent(listed, sent_ms)
             self._owner.observe(worker)
         finally:
-            # Also after an exception: these runs are removed already.
+            # The runs that have ended are removed already, also after an error.
             has_new_ends = self.queued_end < worker.last_processed_end
             self.queued_end = worker.last_processed_end
             if ends or is_first or has_new_ends:
@@ -270,10 +270,10 @@
         return [self.end_run(run, "gone", "", "not listed") for run in absent]
 
     async def start(self, run: workers_lib.LiveRun) -> None:
-        """Orders a start whose run is committed, unless it was given up."""
+        """Orders a start whose run is committed, unless the run has ended."""
         if self.worker.runs.get(run.task) is not run:
             logs.info(
-                "run:given-up",
+                "run:not-ordered",
                 task=run.task,
                 run=run.run,
                 worker=self.worker.name,
@@ -369,7 +369,7 @@
         except Exception as error:
             self._log_failure("run:stop-failed", error, run.task, run.run)
             return
-        # Another incarnation that adopted the run has to confirm its own stop.
+        # An incarnation that has adopted the run must confirm its own stop.
         is_own = self.worker.runs.get(run.task) is run
         if is_confirmed and is_own and not run.stop_confirmed_ms:
             run.stop_confirmed_ms = self._owner.now_ms()
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -29,7 +29,7 @@
 ) -> list[commands.RunEnd]:
     """Ends runs whose worker has certainly ended or lost its lease."""
     now_ms = dispatcher.now_ms()
-    is_settled = now_ms > _inherited_leases_end_ms(dispatcher)
+    is_settled = now_ms > _earlier_leaders_leases_end_ms(dispatcher)
     ends = []
     if is_settled and dispatcher.unattached:
         ends += _end_unattached(dispatcher)
@@ -52,7 +52,9 @@
     return ends
 
 
-def _inherited_leases_end_ms(dispatcher: "dispatcher_lib.Dispatcher") -> float:
+def _earlier_leaders_leases_end_ms(
+    dispatcher: "dispatcher_lib.Dispatcher",
+) -> float:
     """Returns when every lease sent by earlier leaders has expired."""
     longest_ms = dispatcher.lease_ms / workers_lib.MIN_CLOCK_RATE
     return dispatcher.started_ms + longest_ms + LEASE_MARGIN_MS
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -155,7 +155,7 @@
 
     def note_inherited_lease(self, now_ms: int, length_ms: int) -> None:
         """Records that it may hold a lease that was not sent by its link."""
-        # Its clock has started anew, so only the length of the lease is known.
+        # Its clock has restarted, so only the length of the lease is known.
         self.inherited_lease_until_ms = max(
             self.inherited_lease_until_ms, now_ms + length_ms / MIN_CLOCK_RATE
         )
--- a/tests/test_jobs_random_faults.py
+++ b/tests/test_jobs_random_faults.py
@@ -102,7 +102,7 @@
         self.draining = False
 
     def clock_ms(self):
-        """Returns its clock, which starts anew and may be slow."""
+        """Returns its clock, which restarts with it and may be slow."""
         return (CLOCK.monotonic_ms() - self.started_ms) * self.clock_rate
 
     def extend_lease(self, until_ms):
