Log membership changes and lost elections

members:changed lists voters, learners and the quorum, election:lost the voters that granted, refused or did not answer; replica:started adds the role, the folder and the voters, and the metrics the number of voters.

--- a/src/galenahook/job_replica.py
+++ b/src/galenahook/job_replica.py
@@ -77,6 +77,11 @@
         add_gauge = self.metrics.add_gauge
         add_gauge("term", "Term of the group.", lambda: float(node.term()))
         add_gauge("leads", "Whether it leads.", lambda: float(node.is_leader()))
+        add_gauge(
+            "voters",
+            "Voters of the group.",
+            lambda: float(len(node.core.members.voters)),
+        )
         add_gauge(
             "applied_index",
             "Last command applied.",
@@ -117,6 +122,9 @@
             name=self.settings.name,
             term=self.node.term(),
             applied=self.node.core.applied_index,
+            role=self.node.status().role,
+            folder=self.node.core.folder_id,
+            voters=[str(member) for member in self.node.core.members.voters],
         )
         try:
             await stop.wait()
--- a/src/galenahook/replicas/core.py
+++ b/src/galenahook/replicas/core.py
@@ -17,6 +17,7 @@
 from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import errors
+from galenahook import logs
 from galenahook import settings as settings_lib
 from galenahook import state as state_lib
 from galenahook import web
@@ -71,6 +72,7 @@
       last_leader_contact_ms: When the leader last sent a message; initially the
         start time, as earlier contacts are not persisted across a restart.
       election_timer_start_ms: Start of the current election timeout.
+      election_logged_ms: When a lost election was last logged, or None.
       commit_index: Last index known to be committed.
       applied_index: Last index applied to the state.
       snapshot_index: Last index that the snapshot contains.
@@ -114,6 +116,7 @@
         self.last_leader_contact_ms = self.election_timer_start_ms = (
             clock.monotonic_ms()
         )
+        self.election_logged_ms: int | None = None
         self.commit_index = 0
         self.applied_index = 0
         self.snapshot_index = 0
@@ -347,6 +350,13 @@
             assert isinstance(command, commands.ChangeMembers)
             members = membership.from_command(command, index)
             self.members_history.append(members)
+            logs.info(
+                "members:changed",
+                index=index,
+                voters=command.members,
+                learners=command.learners,
+                quorum=members.quorum(),
+            )
             if self.role is Role.LEADER:
                 self.refresh_peers()
 
--- a/src/galenahook/replicas/election.py
+++ b/src/galenahook/replicas/election.py
@@ -4,11 +4,14 @@
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import logs
 from galenahook.replicas import core as core_lib
 from galenahook.replicas import membership
 from galenahook.replicas import transport
 from galenahook.replicas import wire
 
+_LOG_PERIOD_MS = 1_000
+
 
 async def run(core: core_lib.Core) -> None:
     """Starts an election on each election timeout, until cancelled."""
@@ -96,7 +99,9 @@
 ) -> bool:
     """Returns whether a quorum, including this replica, grants its vote."""
     others = [m for m in core.members.voters if m.name != core.name]
-    missing = core.members.quorum() - 1
+    quorum = core.members.quorum()
+    granted = [core.name]
+    refused: list[str] = []
     replies = curio.Queue()
     tasks = []
     try:
@@ -115,16 +120,18 @@
                 await curio.spawn(_request_vote, core, member, request, replies)
             )
         for _ in others:
-            if missing <= 0:
+            if len(granted) >= quorum:
                 break
-            reply = await replies.get()
+            name, reply = await replies.get()
             if reply is None:
                 continue
             if reply.term > core.term:
                 await core.observe_term(reply.term)
                 return False
-            missing -= reply.granted
-        return missing <= 0
+            (granted if reply.granted else refused).append(name)
+        if len(granted) < quorum:
+            _log_lost(core, term, pre_vote, granted, refused)
+        return len(granted) >= quorum
     finally:
         for task in tasks:
             await task.cancel(blocking=False)
@@ -149,7 +156,34 @@
             reply = None
     except errors.ExchangeError:
         pass
-    await replies.put(reply)
+    await replies.put((member.name, reply))
+
+
+def _log_lost(
+    core: core_lib.Core,
+    term: int,
+    pre_vote: bool,
+    granted: list[str],
+    refused: list[str],
+) -> None:
+    """Logs a lost election, at most one in each period."""
+    now_ms = core.now_ms()
+    logged_ms = core.election_logged_ms
+    if logged_ms is not None and now_ms - logged_ms < _LOG_PERIOD_MS:
+        return
+    core.election_logged_ms = now_ms
+    voters = {member.name for member in core.members.voters}
+    logs.warning(
+        "election:lost",
+        term=term,
+        pre_vote=pre_vote,
+        quorum=core.members.quorum(),
+        granted=granted,
+        refused=refused,
+        unanswered=sorted(voters.difference(granted, refused)),
+        last_index=core.log.last_index,
+        last_term=core.log.last_term,
+    )
 
 
 async def handle_vote(
