Show that dead voters of replaced machines cost the quorum

Three of five replicas are replaced one after the other, then all are killed and one loses its disk. On this code no leader is elected: the log lists 8 voters, of which 4 run.

--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import curio
+import msgspec
 
 from fakes import loopback
 from fakes import relay as relay_lib
@@ -275,6 +276,64 @@
         await self.kill(*self.replicas)
 
 
+class SelfJoiningGroup(ReplicaGroup):
+    """A group that replicas join without an operator.
+
+    Attributes:
+      founders: Names of the replicas that bootstrap it; the settings of each
+        replica contain only their addresses.
+      may_found: Whether a replica with an empty folder may bootstrap it.
+    """
+
+    def __init__(self, folder: pathlib.Path, founders: str = "abc") -> None:
+        super().__init__(folder, founders)
+        self.folder = folder
+        self.founders = founders
+        self.may_found = True
+
+    def replica_settings(self, name: str) -> settings_lib.ReplicaSettings:
+        """Returns the settings of a replica."""
+        settings = super().replica_settings(name)
+        addresses = {
+            other: address
+            for other, address in settings.replicas.items()
+            if other in self.founders
+        }
+        return msgspec.structs.replace(
+            settings,
+            replicas=addresses,
+            joins_by_itself=True,
+            may_found=self.may_found,
+        )
+
+    async def start_and_join(self, *names: str) -> None:
+        """Starts replicas, new or known, and waits until all are voters."""
+        for name in names:
+            if name not in self.replicas:
+                self.add(name, self.folder / name)
+        await self.start(*names)
+        await self.wait_until(
+            lambda: all(self.leader_counts(name) for name in names)
+        )
+
+    def leader_counts(self, name: str) -> bool:
+        """Returns whether the leader counts the running folder as a voter."""
+        leader = self.leader()
+        node = self.replicas[name].node
+        return (
+            leader is not None
+            and node is not None
+            and leader.core.members.is_voter(name, node.core.folder_id)
+        )
+
+    def voters(self) -> set[str]:
+        """Returns the names of the leader's voters; empty without a leader."""
+        leader = self.leader()
+        if leader is None:
+            return set()
+        return {member.name for member in leader.core.members.voters}
+
+
 class RelayedGroup(ReplicaGroup):
     """A group with a relay on each link, in each direction.
 
