Remove dead voters, so that replaced machines do not cost the quorum

Cause: a replica that joins becomes a voter, and one that never returns stayed a voter. Each replaced machine left a dead vote behind, until the voters that run were fewer than a quorum. Class of fault: a set that only grows, against which a threshold is computed.

The leader now removes a member that has acknowledged nothing for two longest election timeouts, if a learner that has caught up takes its place or if the group can spare it. So the number of voters stays that of the machines that run. A group of five without a successor keeps all votes: with fewer, two lost disks could take every copy of an entry. A replica that was removed while it was down hears no leader and is admitted again; changes are still one at a time, planned by the leader in its own term.

--- a/src/galenahook/replicas/core.py
+++ b/src/galenahook/replicas/core.py
@@ -300,7 +300,9 @@
             peer = self.peers.get(member.name)
             if peer is None or peer.member.folder != member.folder:
                 next_index = self.log.last_index + 1
-                self.peers[member.name] = peers_lib.Peer(member, next_index)
+                self.peers[member.name] = peers_lib.Peer(
+                    member, next_index, added_ms=self.now_ms()
+                )
             else:
                 peer.member = member
 
--- a/src/galenahook/replicas/joining.py
+++ b/src/galenahook/replicas/joining.py
@@ -6,6 +6,10 @@
 its settings, which refers it to the leader. The leader admits it as a learner
 and promotes it to voter once it has caught up, one membership change at a
 time. A replica with a new folder replaces the member of the same name.
+
+A learner with a new name replaces a voter that is dead, and the leader removes
+dead members that the group can spare. A replica that hears no leader requests
+admission again, as it may have been removed meanwhile.
 """
 
 from typing import TYPE_CHECKING
@@ -29,21 +33,41 @@
 
 
 async def request_admission(core: core_lib.Core) -> None:
-    """Requests admission until the folder belongs to a cluster."""
-    if not core.settings.joins_by_itself:
-        return
+    """Requests admission while no leader replicates to this replica."""
     hints: list[str] = []
-    while not core.cluster and core.error is None:
-        own = core.settings.peers.listen
-        for address in [*hints, *core.settings.replicas.values()]:
-            if address == own:
-                continue
-            hint = await _request_admission_from(core, address)
-            if hint:
-                hints = [hint]
+    while core.settings.joins_by_itself and core.error is None:
+        if not _is_led(core):
+            hints = await _request_admission_once(core, hints)
         await curio.sleep(clock_lib.seconds(_REQUEST_PERIOD_MS))
 
 
+async def _request_admission_once(
+    core: core_lib.Core, hints: list[str]
+) -> list[str]:
+    """Sends a request to each known replica; returns the leader's address."""
+    known = [core.address_of(m) for m in core.members.by_name.values()]
+    addresses = [*hints, *core.settings.replicas.values(), *known]
+    leaders = []
+    for address in dict.fromkeys(addresses):
+        if address == core.settings.peers.listen:
+            continue
+        hint = await _request_admission_from(core, address)
+        if hint:
+            leaders = [hint]
+        if _is_led(core):
+            break
+    return leaders
+
+
+def _is_led(core: core_lib.Core) -> bool:
+    """Returns whether it leads, or its leader was heard of recently."""
+    if core.role is core_lib.Role.LEADER:
+        return True
+    silent_ms = core.now_ms() - core.last_leader_contact_ms
+    is_silent = silent_ms > core.timing.election_timeout_max_ms
+    return bool(core.cluster) and not is_silent
+
+
 async def _request_admission_from(core: core_lib.Core, address: str) -> str:
     """Sends one request; returns the possible address of the leader."""
     request = wire.JoinRequest(
@@ -91,22 +115,54 @@
 
 
 async def _admit_next(node: "node_lib.Node") -> None:
+    """Makes the next membership change, if there is one to make."""
+    if not (await _promote_next(node) or await _admit_requested(node)):
+        await _remove_dead(node)
+
+
+async def _promote_next(node: "node_lib.Node") -> bool:
     core = node.core
     for learner in core.members.learners:
-        if membership_changes.plan_promotion(core, learner.name).is_ok():
-            await node.promote(learner.name)
-            logs.info("member:promoted", replica=learner.name)
-            return
+        if membership_changes.plan_promotion(core, learner.name).is_error():
+            continue
+        if membership_changes.should_replace_first(core):
+            for member in membership_changes.dead_members(core):
+                if member.voter:
+                    await _remove(node, member.name, f"for {learner.name}")
+                    return True
+            continue
+        await node.promote(learner.name)
+        logs.info("member:promoted", replica=learner.name)
+        return True
+    return False
+
+
+async def _admit_requested(node: "node_lib.Node") -> bool:
+    core = node.core
     for name, request in list(core.join_requests.items()):
         member = core.members.by_name.get(name)
         if member is not None and member.folder == request.folder:
             del core.join_requests[name]
-        elif member is not None:
-            outcome = await node.remove(name)
-            logs.info("member:removed", replica=name, done=outcome.is_ok())
-            return
-        else:
-            del core.join_requests[name]
-            outcome = await node.add_learner(name, request.address)
-            logs.info("member:admitted", replica=name, done=outcome.is_ok())
+            continue
+        if member is not None:
+            await _remove(node, name, "it has a new folder")
+            return True
+        del core.join_requests[name]
+        outcome = await node.add_learner(name, request.address)
+        logs.info("member:admitted", replica=name, done=outcome.is_ok())
+        return True
+    return False
+
+
+async def _remove_dead(node: "node_lib.Node") -> None:
+    for member in membership_changes.dead_members(node.core):
+        if membership_changes.can_spare(node.core, member):
+            await _remove(node, member.name, "it is dead")
             return
+
+
+async def _remove(node: "node_lib.Node", name: str, reason: str) -> None:
+    outcome = await node.remove(name)
+    logs.info(
+        "member:removed", replica=name, done=outcome.is_ok(), reason=reason
+    )
--- a/src/galenahook/replicas/membership_changes.py
+++ b/src/galenahook/replicas/membership_changes.py
@@ -2,6 +2,11 @@
 
 A new replica is first a learner, so that it delays no commit while it catches
 up. A replica that lost its disk is removed, added as a learner and promoted.
+
+A voter that never returns still counts towards the quorum, so the leader
+removes one that is dead, which means silent for `_DEAD_ELECTION_TIMEOUTS`. It
+may do so only where the others are as safe without it. A replica that was
+removed and returns is admitted again.
 """
 
 import expression
@@ -16,6 +21,11 @@
 _REQUEST_TIMEOUT_MS = 1_000
 # A learner within this lag catches up within one request.
 _MAX_PROMOTION_LAG_ENTRIES = 1_000
+# Longest election timeouts without an acknowledgement after which a member is
+# dead. Crashed processes are back sooner.
+_DEAD_ELECTION_TIMEOUTS = 2
+# With fewer voters, two lost disks could take every copy of an entry.
+_MIN_VOTERS_WITHOUT_DEAD = 5
 
 Outcome = expression.Result[membership.Members, wire.MemberChangeRefused]
 
@@ -93,6 +103,41 @@
     return expression.Ok(members)
 
 
+def dead_members(core: core_lib.Core) -> list[membership.Member]:
+    """Returns the members that are dead, the longest silent first."""
+    now_ms = core.now_ms()
+    dead_ms = core.timing.election_timeout_max_ms * _DEAD_ELECTION_TIMEOUTS
+    silent = [
+        (peer.silent_ms(now_ms), peer.member) for peer in core.peers.values()
+    ]
+    silent.sort(key=lambda entry: entry[0], reverse=True)
+    return [member for silent_ms, member in silent if silent_ms >= dead_ms]
+
+
+def should_replace_first(core: core_lib.Core) -> bool:
+    """Returns whether a silent voter is removed before a learner is promoted.
+
+    Another voter would raise the quorum of an odd number of voters.
+    """
+    voters = core.members.voters
+    is_odd = len(voters) % 2 == 1
+    return is_odd and not all(_is_responsive(core, m.name) for m in voters)
+
+
+def can_spare(core: core_lib.Core, member: membership.Member) -> bool:
+    """Returns whether a dead member may be removed without a successor.
+
+    A learner has no vote. Without one of an even number of voters, the quorum
+    is smaller.
+    """
+    voters = len(core.members.voters)
+    return (
+        not member.voter
+        or voters > _MIN_VOTERS_WITHOUT_DEAD
+        or (voters % 2 == 0 and voters > 2)
+    )
+
+
 def _may_change(core: core_lib.Core) -> bool:
     return core.members.index <= core.commit_index
 
--- a/src/galenahook/replicas/peers.py
+++ b/src/galenahook/replicas/peers.py
@@ -48,6 +48,7 @@
       next_index: Next index to send.
       synced_index: Last index known to match and to be on its disk.
       acknowledged_sent_ms: When the last request that it acknowledged was sent.
+      added_ms: When the leader began to replicate to it.
       installing: Whether it is installing a snapshot.
       snapshot_transfer: Transfer of a snapshot to it, or None.
       connection: Persistent connection, or None.
@@ -59,12 +60,19 @@
     next_index: int
     synced_index: int = 0
     acknowledged_sent_ms: int | None = None
+    added_ms: int = 0
     installing: bool = False
     snapshot_transfer: SnapshotTransfer | None = None
     connection: web.ClientConnection | None = None
     error: str = ""
     wake: notify.Signal = dataclasses.field(default_factory=notify.Signal)
 
+    def silent_ms(self, now_ms: int) -> int:
+        """Returns the time since the last request that it acknowledged."""
+        if self.acknowledged_sent_ms is None:
+            return now_ms - self.added_ms
+        return now_ms - self.acknowledged_sent_ms
+
     async def drop_connection(self) -> None:
         """Closes the connection; the next request opens another."""
         connection, self.connection = self.connection, None
