Give replicas of the simulated group seeds that run

A replica that starts late was given the addresses of the founders only. The platform writes the seeds from a list of the machines that run.

--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -26,6 +26,7 @@
 WATCH_PERIOD_MS = 1
 CONCURRENT_SUBMITTERS = 200
 TOKEN_BYTES = 8
+SEEDS = 3
 KEY = (b"x-galenahook-key", b"key of the site")
 FAST_TIMING = settings_lib.Timing(
     heartbeat_period_ms=40,
@@ -280,15 +281,15 @@
     """A group that replicas join without an operator.
 
     Attributes:
-      founders: Names of the replicas that bootstrap it; the settings of each
-        replica contain only their addresses.
+      seeds: Names of the replicas whose addresses a replica is given when it
+        starts: at first those that bootstrap the group, later some that run.
       may_found: Whether a replica with an empty folder may bootstrap it.
     """
 
     def __init__(self, folder: pathlib.Path, founders: str = "abc") -> None:
         super().__init__(folder, founders)
         self.folder = folder
-        self.founders = founders
+        self.seeds = list(founders)
         self.may_found = True
 
     def replica_settings(self, name: str) -> settings_lib.ReplicaSettings:
@@ -297,7 +298,7 @@
         addresses = {
             other: address
             for other, address in settings.replicas.items()
-            if other in self.founders
+            if other in self.seeds
         }
         return msgspec.structs.replace(
             settings,
@@ -308,6 +309,8 @@
 
     async def start_and_join(self, *names: str) -> None:
         """Starts replicas, new or known, and waits until all are voters."""
+        running = [node.name for node in self.nodes()]
+        self.seeds = running[:SEEDS] or self.seeds
         for name in names:
             if name not in self.replicas:
                 self.add(name, self.folder / name)
