Close idle connections to peers that are no longer called

What would be seen: a replica that has run for long enough has no free descriptor, and new connections fail. A leader has one or more connections to each worker. They stay open when its term ends, and those to workers that go dark later are never closed; with each further term the same happens again. Of a burst of orders to one worker, all connections stay open while only one is in use.

Cause: the control client checks the age of an idle connection only when it takes it for a call to the same address. One to an address that is never called again stays open until the peer closes it, which a machine without power never does. Of a burst, only the newest connection is used and checked again.

Ruled out: a call that fails closes all idle connections of its address, so those to a replica that was replaced, and to a worker that goes dark while its leader polls it, are closed. It does not cover peers that are no longer called at all.

Why the fix works: each release of a connection also closes the expired ones of its address, and those of addresses that were released least recently. Addresses are kept in that order, so a release looks only at what it closes and one address more, however many workers there are. Connections that would have been reused stay open.

--- a/src/galenahook/web/control.py
+++ b/src/galenahook/web/control.py
@@ -24,8 +24,9 @@
 class ControlClient:
     """Exchanges JSON messages with the system's own processes and workers.
 
-    It keeps idle connections open and reuses them. It does not retry a failed
-    exchange: whether to retry is left to the code that calls it.
+    It keeps idle connections open for a limited time and reuses them. It does
+    not retry a failed exchange: whether to retry is left to the code that calls
+    it.
 
     Attributes:
       headers: Headers that `post` adds to each request, such as the site's
@@ -71,10 +72,46 @@
             await self._close_idle(address)
             raise
         if connection.reusable:
-            idle = _IdleConnection(connection, self.clock.monotonic_ms())
-            self._idle.setdefault(address, []).append(idle)
+            await self._release(address, connection)
         return response
 
+    async def _release(
+        self, address: str, connection: client.ClientConnection
+    ) -> None:
+        """Makes a connection available and closes those idle for too long.
+
+        Peers that are no longer called, as they were replaced, are not reused
+        and may never close their end.
+        """
+        now_ms = self.clock.monotonic_ms()
+        connections = self._idle.pop(address, [])
+        connections.append(_IdleConnection(connection, now_ms))
+        self._idle[address] = connections
+        for expired in self._take_expired(connections, now_ms):
+            await expired.connection.close()
+
+    def _take_expired(
+        self, released: list[_IdleConnection], now_ms: int
+    ) -> list[_IdleConnection]:
+        """Removes and returns connections that were idle for too long.
+
+        Args:
+          released: Connections of the address that was released last.
+          now_ms: Current monotonic time.
+        """
+        oldest_valid_ms = now_ms - IDLE_TIMEOUT_MS
+        expired = []
+        while released[0].since_ms < oldest_valid_ms:
+            expired.append(released.pop(0))
+        # Addresses are in the order of their last release.
+        while True:
+            address, connections = next(iter(self._idle.items()))
+            if connections and connections[-1].since_ms >= oldest_valid_ms:
+                return expired
+            del self._idle[address]
+            expired += connections
+            connections.clear()
+
     async def _acquire(
         self, address: str, timeout_ms: int
     ) -> client.ClientConnection:
