Keep the time of a worker's last throttle with the worker

What would be seen: the leader's memory grows by an entry for each worker that it ever throttled a run on, for as long as its term lasts; and a worker that restarts under its identifier is not throttled until the throttles of its predecessor have settled.

Cause: the control kept these times in a map by the workers' names, from which nothing was removed. The time is now an attribute of the worker's incarnation, which ends with it.

Seen failing before the fix: the new test, no throttle was ordered.

--- a/src/galenahook/jobs/tail_latency.py
+++ b/src/galenahook/jobs/tail_latency.py
@@ -123,7 +123,6 @@
 
     def __init__(self) -> None:
         self.model = headroom_lib.HeadroomModel()
-        self._changed_ms: dict[str, int] = {}
         self._pruned_ms = 0
         self._reviewed_ms = 0
 
@@ -168,8 +167,11 @@
         for link in list(dispatcher.links.values()):
             worker = link.worker
             colocated = _colocated_runs(worker)
-            changed_ms = self._changed_ms.get(worker.name, -THROTTLE_SETTLE_MS)
-            if not colocated or now_ms - changed_ms < THROTTLE_SETTLE_MS:
+            changed_ms = worker.throttles_changed_ms
+            is_settling = (
+                changed_ms and now_ms - changed_ms < THROTTLE_SETTLE_MS
+            )
+            if not colocated or is_settling:
                 continue
             for run, percent in self.throttle_changes(
                 worker, colocated, now_ms
@@ -178,7 +180,7 @@
                     run.slowed_ms = now_ms
                 run.throttle_percent = percent
                 dispatcher.metrics.throttles.inc()
-                self._changed_ms[worker.name] = now_ms
+                worker.throttles_changed_ms = now_ms
                 await dispatcher.spawn(_throttle, link, run, percent)
             for run in self.runs_to_migrate(worker, colocated, now_ms):
                 reason = "slows colocated serving tasks"
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -92,6 +92,7 @@
       has_polled: Whether it has replied to a poll in this term.
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
+      throttles_changed_ms: When a throttle of its runs last changed; 0 before.
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         "has_polled",
         "runs",
         "last_processed_end",
+        "throttles_changed_ms",
     )
 
     def __init__(self, heartbeat: calls.WorkerHeartbeat, now_ms: int) -> None:
@@ -126,6 +128,7 @@
         self.failures = 0
         self.has_polled = False
         self.ended_batch_runs: list[tuple[int, str, float]] = []
+        self.throttles_changed_ms = 0
 
     @property
     def name(self) -> str:
--- a/tests/test_jobs_tail_latency.py
+++ b/tests/test_jobs_tail_latency.py
@@ -238,3 +238,12 @@
     curio.run(control_of(1.3, bad=8.0).control, dispatcher)
     assert len(link.throttled) == 3
     assert len(set(link.throttled)) == 1
+
+
+def test_a_restarted_worker_does_not_inherit_the_settling_of_a_throttle():
+    control = control_of(1.6, bad=8.0)
+    assert run_control(control, colocated_worker(90, "bad")).throttled
+    restarted = colocated_worker(90, "bad")
+    soon_ms = NOW_MS + tail_latency_lib.REVIEW_PERIOD_MS
+    assert soon_ms < NOW_MS + tail_latency_lib.THROTTLE_SETTLE_MS
+    assert run_control(control, restarted, (soon_ms,)).throttled
