Read the seeds again while no leader is found

What would be seen: an entry that was cut off or suspended while every replica that it knew was replaced answers each caller with 503 until an operator sends it SIGHUP or restarts it. A replica does the same to workers and operators, whose calls it forwards.

Cause: a process learns the group's addresses from its leader and searches for the next leader among these. Its settings file names the seeds of today, but was read only at the start and on SIGHUP.

Ruled out: while any known replica is up, it names the members, also if it doesn't lead; so stale or partly dead seeds alone do no harm (the test of a leader that is not a seed).

Why the fix works: without a leader, the seeds are read again every 2 s and added to the addresses that are searched. The first reply of a leader replaces them all.

--- a/src/galenahook/job_entry.py
+++ b/src/galenahook/job_entry.py
@@ -42,7 +42,6 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self._read_settings = read_settings
         self.draining = False
         self.client = web.ControlClient(clock, [])
         self.metrics = job_metrics.JobMetrics()
@@ -52,6 +51,7 @@
             self.client,
             clock,
             self.metrics,
+            read_settings,
         )
         self.callers = callers_lib.CallerListener(
             self.gateway, clock, self.metrics
@@ -86,7 +86,7 @@
 
     def reload(self) -> None:
         """Reloads the settings; only the addresses in `seeds` take effect."""
-        gateway_lib.reload_seeds(self.gateway, self._read_settings)
+        self.gateway.reload_seeds()
 
     async def run(self, stop: curio.Event) -> None:
         """Runs until `stop` is set, then drains and returns."""
--- a/src/galenahook/job_replica.py
+++ b/src/galenahook/job_replica.py
@@ -39,7 +39,6 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self._read_settings = read_settings
         self.client = web.ControlClient(clock, [])
         self.metrics = job_metrics.JobMetrics()
         consensus_settings = settings.consensus_settings()
@@ -50,6 +49,7 @@
             self.client,
             clock,
             self.metrics,
+            read_settings,
         )
         self.leader: leader_lib.JobLeader | None = None
         self.control = control_lib.ControlListener(self._call, clock)
@@ -99,7 +99,7 @@
 
     def reload(self) -> None:
         """Reloads the settings; only the addresses in `seeds` take effect."""
-        gateway_lib.reload_seeds(self.gateway, self._read_settings)
+        self.gateway.reload_seeds()
 
     async def run(self, stop: curio.Event) -> None:
         """Runs until `stop` is set, then transfers any leadership and returns.
--- a/src/galenahook/jobs/gateway.py
+++ b/src/galenahook/jobs/gateway.py
@@ -35,6 +35,8 @@
 # Time between two searches, and between two polls of a known leader.
 SEARCH_PERIOD_MS = 100
 POLL_PERIOD_MS = 500
+# Time without a leader between two reloads of the settings.
+RELOAD_PERIOD_MS = 2_000
 # Pause before a retry of a call that the leader may or may not have committed.
 UNCERTAIN_PAUSE_MS = 100
 
@@ -73,6 +75,7 @@
         client: web.ControlClient,
         clock: clock_lib.Clock,
         metrics: job_metrics.JobMetrics,
+        read_settings: SettingsReader,
     ) -> None:
         self.name = name
         self.replicas = replicas
@@ -82,6 +85,8 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._read_settings = read_settings
+        self._reloaded_ms = clock.monotonic_ms()
         self._found = notify.Signal()
         self._lost = notify.Signal()
 
@@ -159,10 +164,19 @@
             else:
                 await self._search(body)
             if self.leader:
+                self._reloaded_ms = self._clock.monotonic_ms()
                 await self._lost.wait(POLL_PERIOD_MS)
             else:
+                self._reload_if_due()
                 await curio.sleep(clock_lib.seconds(SEARCH_PERIOD_MS))
 
+    def _reload_if_due(self) -> None:
+        """Reloads the seeds, as every known replica may have been replaced."""
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._reloaded_ms >= RELOAD_PERIOD_MS:
+            self._reloaded_ms = now_ms
+            self.reload_seeds()
+
     async def _search(self, body: bytes) -> None:
         """Asks all replicas concurrently whether they lead."""
         async with curio.TaskGroup() as group:
@@ -201,21 +215,16 @@
         self.replicas.update(replicas)
         self.replicas.setdefault(leader, address)
 
-
-def reload_seeds(gateway: Gateway, read: SettingsReader) -> None:
-    """Adds the seeds of reloaded settings; ignores invalid settings.
-
-    Args:
-      gateway: Gateway that searches for the leader among the seeds too.
-      read: Reads the settings file again.
-    """
-    result = read()
-    if result.is_error():
-        logs.error(
-            "settings:invalid", findings=[str(item) for item in result.error]
-        )
-        return
-    settings = result.ok
-    seeds = settings_lib.peer_addresses(settings.seeds, settings.peer_port)
-    gateway.replicas.update(seeds)
-    logs.info("settings:reloaded", seeds=sorted(seeds))
+    def reload_seeds(self) -> None:
+        """Adds the seeds of reloaded settings; ignores invalid settings."""
+        result = self._read_settings()
+        if result.is_error():
+            logs.error(
+                "settings:invalid",
+                findings=[str(item) for item in result.error],
+            )
+            return
+        settings = result.ok
+        seeds = settings_lib.peer_addresses(settings.seeds, settings.peer_port)
+        self.replicas.update(seeds)
+        logs.info("settings:reloaded", seeds=sorted(seeds))
--- a/tests/test_jobs_gateway.py
+++ b/tests/test_jobs_gateway.py
@@ -1,12 +1,15 @@
 """Search for the leader, and calls without a leader."""
 
 import curio
+import expression
 import pytest
 
 from galenahook import clock as clock_lib
 from galenahook import errors
+from galenahook import job_entry
 from galenahook import job_metrics
 from galenahook import messages
+from galenahook import settings as settings_lib
 from galenahook import web
 from galenahook.jobs import calls
 from galenahook.jobs import gateway as gateway_lib
@@ -56,6 +59,7 @@
         replicas,
         clock_lib.Clock(),
         job_metrics.JobMetrics(),
+        lambda: expression.Error([]),
     )
 
 
@@ -194,3 +198,46 @@
 
 def test_a_stored_job_is_acknowledged_after_a_lost_reply():
     assert call_scripted(LOST, reply_with("stored")).outcome == "stored"
+
+
+def test_seeds_are_read_again_once_all_known_replicas_were_replaced(
+    monkeypatch,
+):
+    """The settings file follows replaced machines; no signal announces it."""
+    monkeypatch.setattr(gateway_lib, "RELOAD_PERIOD_MS", 50)
+
+    async def lead(_request):
+        reply = calls.JobReply(outcome="done", replicas={"127.0.0.1": address})
+        return web.json_response(reply)
+
+    async def main():
+        replica = await curio.spawn(server.run, daemon=True)
+        entry = job_entry.JobEntry(
+            settings_with_seed("127.0.0.2:1"),
+            clock_lib.Clock(),
+            lambda: expression.Ok(settings_with_seed("127.0.0.1:1")),
+        )
+        await curio.spawn(entry.gateway.track_leader, daemon=True)
+        async with curio.ignore_after(3):
+            while not entry.gateway.leader:
+                await curio.sleep(0.01)
+        assert entry.gateway.leader == "127.0.0.1"
+        assert set(entry.gateway.replicas) == {"127.0.0.1"}
+        await replica.cancel()
+
+    def settings_with_seed(seed):
+        listener = settings_lib.Listener(listen="127.0.0.1:0")
+        return settings_lib.JobEntrySettings(
+            name="entry",
+            availability_zone="a",
+            callers=listener,
+            platform=listener,
+            metrics=listener,
+            seeds=(seed,),
+            peer_port=web.parse_address(address)[1],
+            stop_ms=2_000,
+        )
+
+    server = web.Server(web.listen("127.0.0.1:0"), lead, web.Limits())
+    address = server.address
+    run(main)
