Reject a heartbeat with a number out of range

Seen, as reported by operators of similar systems: one heartbeat from another writer with a clock of 10^400 ended the leader's dispatcher with OverflowError ("int too large to convert to float"), and with it the process. Whichever replica led next and received such a heartbeat would end as well. Sequence numbers, starts of incarnations, sizes and draining times of 10^400, 2^64 or below 0 were taken as they were.

Cause: the decoder takes integers of up to about 4,300 digits, and nothing bounded them. The first sum of such an integer and a float raises, in a round rather than in the request that brought it.

Ruled out: Integers too large for the one float field, were rejected before (eight cases passed).

Fix: all numbers in heartbeats and leave notices lie in 0 to 2^53 - 1, or the message is refused with 400 and the earlier state of its worker stays. Every integer of that range is exact as a float, so mixed arithmetic can't raise. The test writes each number into the heartbeat of a worker, and another worker must go on to complete a job.

Test before the fix: 20 of 28 cases failed, the one for the clock with "AssertionError: OverflowError('int too large to convert to float')" from the dispatcher, the others as the heartbeat was accepted with 200.

--- a/src/galenahook/messages/codec.py
+++ b/src/galenahook/messages/codec.py
@@ -1,6 +1,7 @@
 """Base class of all messages, and JSON encoding and decoding."""
 
 import functools
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
@@ -11,6 +12,13 @@
 
 _MessageT = TypeVar("_MessageT")
 
+# Largest integer that a float represents exactly, and with it any JSON reader.
+# A larger one can't be converted in mixed arithmetic.
+MAX_NUMBER = 2**53 - 1
+# Numbers in messages from other programs.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class Message(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from galenahook import messages
 from galenahook.jobs import calls
 from galenahook.jobs import worker_api
 from galenahook.platform import wire
@@ -20,9 +21,9 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int  # Thousandths of a core.
-    mem_mb: int
-    gpu: int = 0
+    cpu: messages.Count  # Thousandths of a core.
+    mem_mb: messages.Count
+    gpu: messages.Count = 0
 
 
 class _Heartbeat(msgspec.Struct):
@@ -32,13 +33,13 @@
     address: str
     zone: str
     state: str
-    seq: int
+    seq: messages.Count
     capacity: _Capacity
     labels: tuple[str, ...] = ()
     machine: str = ""
-    born: int = 0  # Start of the incarnation, Unix milliseconds.
-    clock_ms: int = 0  # Monotonic clock of the worker.
-    drain_remaining_ms: float = 0
+    born: messages.Count = 0  # Start of the incarnation, Unix milliseconds.
+    clock_ms: messages.Count = 0  # Monotonic clock of the worker.
+    drain_remaining_ms: messages.Amount = 0
 
 
 class _Lists(msgspec.Struct):
@@ -91,7 +92,7 @@
 
 
 class _Deregistration(msgspec.Struct):
-    born: int = 0
+    born: messages.Count = 0
 
 
 def decode_deregistration(worker: str, data: bytes) -> calls.WorkerLeft:
--- /dev/null
+++ b/tests/test_odd_input.py
@@ -0,0 +1,174 @@
+"""One odd entry from another writer stops no process and hides no neighbour."""
+
+import json
+
+import curio
+import pytest
+
+from fakes import platform_worker
+from galenahook import clock as clock_lib
+from galenahook import job_metrics
+from galenahook import web
+from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import leader as leader_lib
+from galenahook.platform import callers as callers_lib
+from galenahook.platform import control as control_lib
+from galenahook.platform import workers as platform_workers
+import job_builders as build
+import test_jobs_leader as leaders
+
+HUGE = 10**400
+MARK = "<odd>"
+
+
+def insert(document, path, fragment):
+    """Encodes a document with a raw fragment in place of one value."""
+    document = json.loads(json.dumps(document))
+    parent = document
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = MARK
+    return json.dumps(document).encode().replace(b'"<odd>"', fragment)
+
+
+def heartbeat(name, **changes):
+    return {
+        "backend": "desk",
+        "address": "127.0.0.1:9",
+        "zone": "zone-a",
+        "state": "ready",
+        "seq": 1,
+        "capacity": {"cpu": 8000, "mem_mb": 32000, "gpu": 0},
+        "labels": ["a", "r1"],
+        "machine": f"m-{name}",
+        "born": 1_800_000_000_000,
+        "clock_ms": 5_000,
+        "drain_remaining_ms": 0,
+        **changes,
+    }
+
+
+class LocalGateway:
+    """Sends a caller's call to the leader in the same process."""
+
+    def __init__(self, leader):
+        self.leader = leader
+
+    async def call(self, call, _timeout_ms):
+        return await self.leader.handle_call(call)
+
+
+class Leader:
+    """A leader with its listeners, in the event loop of a test.
+
+    Attributes:
+      task: Runs the rounds of the dispatcher.
+    """
+
+    def __init__(self, node):
+        clock = clock_lib.Clock()
+        metrics = job_metrics.JobMetrics()
+        self.client = web.ControlClient(clock, [])
+        self.node = node
+        self.dispatcher = dispatcher_lib.Dispatcher(
+            node, clock, self._connect, 3_000, metrics
+        )
+        self.leader = leader_lib.JobLeader(node, clock, self.dispatcher)
+        self.control = control_lib.ControlListener(self._call, clock)
+        self.callers = callers_lib.CallerListener(
+            LocalGateway(self.leader), clock, metrics
+        )
+        self.task = None
+
+    def _connect(self, beat):
+        return platform_workers.PlatformWorkerClient(beat, self.client)
+
+    async def _call(self, call, _timeout_ms):
+        return await self.leader.handle_call(call)
+
+    async def beat(self, name, body):
+        """Sends the heartbeat of a worker; returns the status."""
+        target = f"/galenahook/instances/{name}/heartbeat"
+        request = web.Request("POST", target, [], body)
+        return (await self.control.handle(request)).status
+
+    async def ask(self, method, job=build.JOB, body=b"", headers=()):
+        """Sends a caller's request; returns the response."""
+        headers = [(b"host", b"desk.example"), *headers]
+        target = f"/quotes/{job}"
+        request = web.Request(method, target, headers, body)
+        return await self.callers.handle(request)
+
+    async def state(self, job=build.JOB):
+        return json.loads((await self.ask("GET", job)).body).get("state")
+
+    async def start_worker(self, name, path=(), fragment=b""):
+        """Starts a worker and sends its heartbeat; returns the status.
+
+        With a path, the fragment takes the place of one value.
+        """
+        worker = platform_worker.PlatformWorker(name)
+        await curio.spawn(worker.run, [], daemon=True)
+        body = heartbeat(
+            name,
+            address=worker.address,
+            born=worker.born_ms,
+            clock_ms=worker.clock_ms(),
+        )
+        if path:
+            return await self.beat(name, insert(body, path, fragment))
+        return await self.beat(name, json.dumps(body).encode())
+
+    async def complete_job(self, job=build.JOB):
+        """Waits until a new job of four tasks is completed."""
+        body = json.dumps({"spec": "20", "steps": [{"count": 4, "cpu": 500}]})
+        assert (await self.ask("POST", job, body.encode())).status == 200
+        async with curio.timeout_after(8):
+            while await self.state(job) != "completed":
+                assert not self.task.terminated, self.task.exception
+                await curio.sleep(0.02)
+
+
+@pytest.fixture
+def run_leader():
+    """Returns a function that runs a scenario with a leader."""
+
+    def run(scenario):
+        async def main():
+            leader = Leader(leaders.SlowNode())
+            leader.task = await curio.spawn(leader.dispatcher.run, daemon=True)
+            await scenario(leader)
+            assert not leader.task.terminated, leader.task.exception
+
+        curio.run(main)
+
+    return run
+
+
+HEARTBEAT_NUMBERS = [
+    ("seq",),
+    ("born",),
+    ("clock_ms",),
+    ("drain_remaining_ms",),
+    ("capacity", "cpu"),
+    ("capacity", "mem_mb"),
+    ("capacity", "gpu"),
+]
+
+
+@pytest.mark.parametrize("path", HEARTBEAT_NUMBERS, ids="-".join)
+@pytest.mark.parametrize(
+    "number", [HUGE, 2**64, -1, 1e308], ids=["huge", "2^64", "-1", "1e308"]
+)
+def test_a_heartbeat_with_a_number_out_of_range_ends_no_leader(
+    run_leader, path, number
+):
+    async def scenario(leader):
+        fragment = json.dumps(number).encode()
+        status = await leader.start_worker("odd", path, fragment)
+        assert await leader.start_worker("sound") == 200
+        await curio.sleep(0.2)
+        await leader.complete_job()
+        assert status == 400
+
+    run_leader(scenario)
