Reject a job with a number out of range

A job with `cpu` of 10^400 was accepted and stored, and ended the leader's dispatcher with OverflowError ("int too large to convert to float") in the next round, and the process with it. The job is in the replicated log, so every next leader would end in its first round: one request of one caller stops the service for good. Other fields took 10^400, 2^64, 1e308 or numbers below 0 as well (seen in the test, without an end).

Cause: as for heartbeats, nothing bounded the integers; the rank of a job sums them with floats. `count`, `repeat_count` and `depends_on` were bounded already.

Fix: every number of a job lies in 0 to 2^53 - 1, or the job is refused with 400 and the field is named. A product of such numbers with the limits on tasks and occurrences is still far from the range of a float.

--- a/src/galenahook/platform/wire.py
+++ b/src/galenahook/platform/wire.py
@@ -11,6 +11,7 @@
 from galenahook import commands
 from galenahook import errors
 from galenahook import findings as findings_lib
+from galenahook import messages
 from galenahook.jobs import calls
 
 _WireT = TypeVar("_WireT")
@@ -24,6 +25,16 @@
 MAX_TASKS_PER_STEP = 10_000
 MAX_OCCURRENCES = 10_000
 
+_STEP_NUMBERS = (
+    "cpu",
+    "mem_mb",
+    "gpu",
+    "estimate_ms",
+    "anti_affinity",
+    "target_ms",
+    "may_miss",
+)
+
 
 class _Step(msgspec.Struct):
     """A step of a job as callers send it."""
@@ -89,6 +100,8 @@
         findings.add("$.steps", f"expected 1 to {MAX_STEPS} steps")
     if not 0 <= job.repeat_count <= MAX_OCCURRENCES:
         findings.add("$.repeat_count", f"expected 0 to {MAX_OCCURRENCES}")
+    for field in ("start_at_ms", "interval_ms"):
+        _check_number(getattr(job, field), f"$.{field}", findings)
     for index, step in enumerate(job.steps):
         _check_step(step, index, findings)
     if findings:
@@ -102,6 +115,13 @@
     )
 
 
+def _check_number(
+    value: float, place: str, findings: findings_lib.Findings
+) -> None:
+    if not 0 <= value <= messages.MAX_NUMBER:
+        findings.add(place, f"expected 0 to {messages.MAX_NUMBER}")
+
+
 def _check_step(
     step: _Step, index: int, findings: findings_lib.Findings
 ) -> None:
@@ -110,9 +130,8 @@
         findings.add(
             f"{place}.count", f"expected 1 to {MAX_TASKS_PER_STEP} tasks"
         )
-    for field in ("cpu", "mem_mb", "gpu", "estimate_ms", "anti_affinity"):
-        if getattr(step, field) < 0:
-            findings.add(f"{place}.{field}", "must not be negative")
+    for field in _STEP_NUMBERS:
+        _check_number(getattr(step, field) or 0, f"{place}.{field}", findings)
     for dependency in step.depends_on:
         if not 0 <= dependency < index:
             findings.add(
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -18,6 +18,7 @@
 import test_jobs_leader as leaders
 
 HUGE = 10**400
+ODD_JOB = "00000000000000b2"
 MARK = "<odd>"
 
 
@@ -172,3 +173,39 @@
         assert status == 400
 
     run_leader(scenario)
+
+
+JOB_NUMBERS = [
+    ("repeat_count",),
+    ("start_at_ms",),
+    ("interval_ms",),
+    ("steps", 0, "count"),
+    ("steps", 0, "cpu"),
+    ("steps", 0, "mem_mb"),
+    ("steps", 0, "gpu"),
+    ("steps", 0, "estimate_ms"),
+    ("steps", 0, "depends_on"),
+    ("steps", 0, "anti_affinity"),
+    ("steps", 0, "target_ms"),
+    ("steps", 0, "may_miss"),
+]
+
+
+@pytest.mark.parametrize("path", JOB_NUMBERS, ids=lambda path: path[-1])
+@pytest.mark.parametrize(
+    "number", [HUGE, 2**64, -1, 1e308], ids=["huge", "2^64", "-1", "1e308"]
+)
+def test_a_job_with_a_number_out_of_range_ends_no_leader(
+    run_leader, path, number
+):
+    async def scenario(leader):
+        fragment = json.dumps(number).encode()
+        body = {"spec": "1", "steps": [{"count": 1, "cpu": 500}]}
+        response = await leader.ask(
+            "POST", ODD_JOB, insert(body, path, fragment)
+        )
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+        assert response.status == 400
+
+    run_leader(scenario)
