Read the rows of a poll reply strictly

One odd value in a worker's reply to a poll had four effects (each seen in the tests):

* a measurement of "nan", as a string, was learned and the leader committed its model with NaN, which is encoded as null.
No replica can read that command from its log, so every replica would end when it applies it, and again at each start;
* a clock of 10^400 ended the leader's dispatcher with OverflowError;
* an end with the number 2^64, 10^400 or 1e308 made the link ignore the ends that followed, and acknowledge them: the job never completed;
* an end with such a task or run was skipped and its task, which was done, ran again.

Cause: rows were converted with int(), float() and str(), which take strings and other types, NaN and numbers of any size.

Fix: the rows have types, as the other messages do, and their numbers lie in 0 to 2^53 - 1. A reply that can't be read counts as none, as before: nothing of it is applied or acknowledged, and the next poll gets the same ends. Trailing elements that are added to a row later are still ignored.

--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -4,8 +4,6 @@
 misleading. Unknown fields are ignored, since the platform may add some.
 """
 
-from typing import Any
-
 import msgspec
 
 from galenahook import messages
@@ -42,19 +40,39 @@
     drain_remaining_ms: messages.Amount = 0
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A run that is running, as a JSON array."""
+
+    task: str
+    run: messages.Count
+    checkpoint: str
+    percent: messages.Amount
+    measurement: messages.Amount | None = None
+
+
+class _FinishedRow(msgspec.Struct, array_like=True):
+    """A run that has ended, as a JSON array."""
+
+    number: messages.Count
+    task: str
+    run: messages.Count
+    end_reason: str
+    checkpoint: str
+
+
 class _Lists(msgspec.Struct):
-    """A worker's lists of runs, with each row as a JSON array."""
+    """A worker's lists of runs."""
 
-    clock_ms: int
-    running: tuple[tuple[Any, ...], ...] = ()
-    finished: tuple[tuple[Any, ...], ...] = ()
-    born: int = 0
+    clock_ms: messages.Count
+    running: tuple[_RunningRow, ...] = ()
+    finished: tuple[_FinishedRow, ...] = ()
+    born: messages.Count = 0
 
 
 class OrderResponse(msgspec.Struct):
     """A worker's response to an order."""
 
-    clock_ms: int = 0
+    clock_ms: messages.Count = 0
     reason: str = ""
 
 
@@ -118,45 +136,31 @@
       errors.InvalidInputError: The response or one of its rows is malformed.
     """
     listed = wire.decode(data, _Lists)
-    try:
-        return worker_api.PollReply(
-            born_ms=listed.born,
-            clock_ms=listed.clock_ms,
-            running=[_running_row(row) for row in listed.running],
-            finished=[_finished_row(row) for row in listed.finished],
-            complete=len(listed.finished) < _MAX_LISTED_ENDS,
-        )
-    except (IndexError, TypeError, ValueError) as error:
-        raise wire.input_error(
-            "$", f"a row can't be read: {error!r}"
-        ) from error
-
-
-def _running_row(row: tuple[Any, ...]) -> worker_api.RunningRow:
-    """Decodes `[task, run, checkpoint, percent, measurement]`.
-
-    The measurement may be missing or null.
-    """
-    measurement = float(row[4]) if len(row) > 4 and row[4] is not None else None
-    return worker_api.RunningRow(
-        task=str(row[0]),
-        run=int(row[1]),
-        checkpoint=str(row[2]),
-        percent=float(row[3]),
-        measurement=measurement,
-    )
-
-
-def _finished_row(row: tuple[Any, ...]) -> worker_api.FinishedRow:
-    """Decodes `[number, task, run, end reason, checkpoint]`."""
-    end_reason = str(row[3])
-    return worker_api.FinishedRow(
-        number=int(row[0]),
-        task=str(row[1]),
-        run=int(row[2]),
-        outcome=_OUTCOME_BY_END_REASON.get(end_reason, "gone"),
-        checkpoint=str(row[4]),
-        detail=end_reason,
+    return worker_api.PollReply(
+        born_ms=listed.born,
+        clock_ms=listed.clock_ms,
+        running=[
+            worker_api.RunningRow(
+                task=row.task,
+                run=row.run,
+                checkpoint=row.checkpoint,
+                percent=row.percent,
+                measurement=row.measurement,
+            )
+            for row in listed.running
+        ],
+        finished=[
+            worker_api.FinishedRow(
+                number=row.number,
+                task=row.task,
+                run=row.run,
+                outcome=_OUTCOME_BY_END_REASON.get(row.end_reason, "gone"),
+                checkpoint=row.checkpoint,
+                detail=row.end_reason,
+            )
+            for row in listed.finished
+        ],
+        complete=len(listed.finished) < _MAX_LISTED_ENDS,
     )
 
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -7,6 +7,8 @@
 
 from fakes import platform_worker
 from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook import errors
 from galenahook import job_metrics
 from galenahook import web
 from galenahook.jobs import dispatcher as dispatcher_lib
@@ -49,6 +51,48 @@
     }
 
 
+class OddWorker(platform_worker.PlatformWorker):
+    """A worker that lists its runs with odd values.
+
+    Attributes:
+      path: Place of the value in the reply to a poll.
+      fragments: Values as JSON, one for each reply that has the place, in turn.
+    """
+
+    def __init__(self, name, path, *fragments):
+        super().__init__(name)
+        self.path = path
+        self.fragments = iter(fragments)
+
+    async def _hold(self, body):
+        response = await super()._hold(body)
+        reply = json.loads(response.body)
+        if reply.get(self.path[0]):
+            fragment = next(self.fragments, None)
+            if fragment is not None:
+                response.body = insert(reply, self.path, fragment)
+        return response
+
+
+class ReplayingNode(leaders.SlowNode):
+    """A replica that leads and applies commands as read from the log.
+
+    Attributes:
+      unreadable: Commands that no replica could read from the log.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.unreadable = []
+
+    async def submit(self, command):
+        try:
+            command = commands.decode_command(commands.encode_command(command))
+        except errors.InvalidInputError as error:
+            self.unreadable.append((command, str(error)))
+        return await super().submit(command)
+
+
 class LocalGateway:
     """Sends a caller's call to the leader in the same process."""
 
@@ -108,17 +152,23 @@
 
         With a path, the fragment takes the place of one value.
         """
-        worker = platform_worker.PlatformWorker(name)
+        return await self.add_worker(
+            platform_worker.PlatformWorker(name), path, fragment
+        )
+
+    async def add_worker(self, worker, path=(), fragment=b""):
+        """Like `start_worker`, with a given worker."""
         await curio.spawn(worker.run, [], daemon=True)
         body = heartbeat(
-            name,
+            worker.name,
             address=worker.address,
             born=worker.born_ms,
             clock_ms=worker.clock_ms(),
         )
+        data = json.dumps(body).encode()
         if path:
-            return await self.beat(name, insert(body, path, fragment))
-        return await self.beat(name, json.dumps(body).encode())
+            data = insert(body, path, fragment)
+        return await self.beat(worker.name, data)
 
     async def complete_job(self, job=build.JOB):
         """Waits until a new job of four tasks is completed."""
@@ -136,16 +186,34 @@
 
     def run(scenario):
         async def main():
-            leader = Leader(leaders.SlowNode())
+            leader = Leader(ReplayingNode())
             leader.task = await curio.spawn(leader.dispatcher.run, daemon=True)
             await scenario(leader)
             assert not leader.task.terminated, leader.task.exception
+            assert not leader.node.unreadable
 
         curio.run(main)
 
     return run
 
 
+# Values, as JSON, that no field of any message may have.
+ODD_FRAGMENTS = {
+    "huge": b"1" + b"0" * 400,
+    "2^64": b"18446744073709551616",
+    "1e308": b"1e308",
+    "1e999": b"1e999",
+    "NaN": b"NaN",
+    "Infinity": b"-Infinity",
+    "deep": b"[" * 100_000 + b"]" * 100_000,
+    "surrogate": b'"\\ud800"',
+    "bytes": b'"\xff"',
+    "control": b'"\x00"',
+}
+any_odd_fragment = pytest.mark.parametrize(
+    "fragment", ODD_FRAGMENTS.values(), ids=ODD_FRAGMENTS.keys()
+)
+
 HEARTBEAT_NUMBERS = [
     ("seq",),
     ("born",),
@@ -222,3 +290,53 @@
         assert response.status == 400
 
     run_leader(scenario)
+
+
+@pytest.mark.parametrize(
+    "measurement",
+    ['"nan"', '"inf"', "1e-320", "1e308", "-1", "1" + "0" * 400, "[]", "true"],
+    ids=["nan", "inf", "tiny", "1e308", "-1", "huge", "list", "true"],
+)
+def test_an_odd_measurement_is_not_committed(
+    run_leader, monkeypatch, measurement
+):
+    monkeypatch.setattr(dispatcher_lib, "MODEL_STORE_PERIOD_MS", 100)
+
+    async def scenario(leader):
+        worker = OddWorker(
+            "odd", ("running", 0, 4), *[measurement.encode()] * 50
+        )
+        assert await leader.add_worker(worker) == 200
+        step = {"count": 1, "cpu": 500, "long_running": True, "target_ms": 90}
+        body = {"spec": "-1", "steps": [step]}
+        response = await leader.ask("POST", ODD_JOB, json.dumps(body).encode())
+        assert response.status == 200
+        await curio.sleep(2)
+        assert worker.started
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+
+    run_leader(scenario)
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("clock_ms",),
+        ("born",),
+        ("running", 0, 1),
+        ("finished", 0, 0),
+        ("finished", 0, 1),
+        ("finished", 0, 2),
+    ],
+    ids=lambda path: "-".join(map(str, path)),
+)
+@any_odd_fragment
+def test_ends_after_one_odd_reply_to_a_poll_count(run_leader, path, fragment):
+    async def scenario(leader):
+        worker = OddWorker("odd", path, fragment)
+        assert await leader.add_worker(worker) == 200
+        await leader.complete_job()
+        assert len(worker.started) == 4
+
+    run_leader(scenario)
