Count a measured tail of at least a millisecond

NaN is encoded as null, so the leader would commit a model that no replica can read from its log, and every replica would end with it. Callers see nothing yet: no worker is known to report such a value.

Cause: the target is divided by the measurement, and only 0 was excepted. The mean of a correction then adds infinity divided by infinity.

Fix: the measured tail counts as at least 1 ms, the smallest that workers report, as they report whole milliseconds. With it all inputs of the model are finite.

Test before the fix: "$.levels[0].state[0]: Expected `float`, got `null`".

--- a/src/galenahook/jobs/tail_latency.py
+++ b/src/galenahook/jobs/tail_latency.py
@@ -59,6 +59,9 @@
 # Limit of the search for throttles. Each iteration throttles one image further,
 # and a worker runs few images.
 MAX_THROTTLE_ITERATIONS = 20
+# Measured tail latencies are whole milliseconds. The headroom of a smaller one
+# may be infinite.
+MIN_TAIL_MS = 1.0
 # Steps without a measured tail latency for this long are discarded.
 STEP_RETENTION_MS = 20_000
 
@@ -359,7 +362,8 @@
 
 
 def _headroom(run: workers_lib.LiveRun) -> float:
-    return run.step.tail_target_ms / (run.measurement or 1.0)
+    measured_ms = max(run.measurement or 0.0, MIN_TAIL_MS)
+    return run.step.tail_target_ms / measured_ms
 
 
 def _colocated_runs(worker: workers_lib.Worker) -> list[workers_lib.LiveRun]:
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -12,7 +12,9 @@
 from galenahook import job_metrics
 from galenahook import web
 from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import headroom as headroom_lib
 from galenahook.jobs import leader as leader_lib
+from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.platform import callers as callers_lib
 from galenahook.platform import control as control_lib
 from galenahook.platform import workers as platform_workers
@@ -340,3 +342,19 @@
         assert len(worker.started) == 4
 
     run_leader(scenario)
+
+
+def test_a_tail_near_zero_between_others_leaves_a_model_that_can_be_stored():
+    model = headroom_lib.HeadroomModel()
+    control = tail_latency_lib.TailLatencyControl()
+    control.model = model
+    worker = build.worker()
+    run = build.live_run(build.job(build.serving_step()), progress_percent=100)
+    worker.runs[run.task] = run
+    for number, measurement in enumerate([20.0, 1e-320, 20.0, 0.0, 1e15] * 20):
+        run.measurement = measurement
+        control.observe(worker, 1_000 + 100 * number)
+        command = commands.encode_command(model.export(5_000, 5_000))
+        stored = commands.decode_command(command)
+        for level in stored.levels:
+            assert abs(level.state[0]) < 1_000
