Reject a heartbeat whose address can't be connected to

A heartbeat under a worker's identifier and start that names a port out of range, and that a new leader meets first, hid the worker from that leader: the link connects to the address of the first heartbeat of an incarnation, the correct heartbeats that follow replace only what is known of its state, and as they arrive the worker is never dropped. Nothing starts there, and the runs that it has lapse. A host name was looked up in a thread for each poll.

Cause: the address was any text. Connecting to it fails with an error that is handled, so no process ended.

Fix: the address is an IPv4 address and a port from 1 to 65,535 in ASCII digits, as the platform sends it, or the heartbeat is refused with 400 and opens no link.

--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -4,9 +4,12 @@
 misleading. Unknown fields are ignored, since the platform may add some.
 """
 
+import ipaddress
+
 import msgspec
 
 from galenahook import messages
+from galenahook import web
 from galenahook.jobs import calls
 from galenahook.jobs import worker_api
 from galenahook.platform import wire
@@ -91,6 +94,11 @@
         raise wire.input_error(
             "$.capacity.cpu", f"{heartbeat.capacity.cpu} is less than 1"
         )
+    if not _is_address(heartbeat.address):
+        raise wire.input_error(
+            "$.address",
+            f"{heartbeat.address[:100]!r} is not an IPv4 address and a port",
+        )
     return calls.WorkerHeartbeat(
         worker=worker,
         born_ms=heartbeat.born,
@@ -109,6 +117,16 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    return is_number and 0 < int(port) <= web.MAX_PORT
+
+
 class _Deregistration(msgspec.Struct):
     born: messages.Count = 0
 
--- a/src/galenahook/web/__init__.py
+++ b/src/galenahook/web/__init__.py
@@ -7,6 +7,7 @@
 from galenahook.web.client import ClientConnection as ClientConnection
 from galenahook.web.client import connect as connect
 from galenahook.web.control import ControlClient as ControlClient
+from galenahook.web.http import MAX_PORT as MAX_PORT
 from galenahook.web.http import OUTCOME_HEADER as OUTCOME_HEADER
 from galenahook.web.http import Headers as Headers
 from galenahook.web.http import Request as Request
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -53,6 +53,15 @@
     }
 
 
+def heartbeat_of(worker):
+    return heartbeat(
+        worker.name,
+        address=worker.address,
+        born=worker.born_ms,
+        clock_ms=worker.clock_ms(),
+    )
+
+
 class OddWorker(platform_worker.PlatformWorker):
     """A worker that lists its runs with odd values.
 
@@ -161,12 +170,7 @@
     async def add_worker(self, worker, path=(), fragment=b""):
         """Like `start_worker`, with a given worker."""
         await curio.spawn(worker.run, [], daemon=True)
-        body = heartbeat(
-            worker.name,
-            address=worker.address,
-            born=worker.born_ms,
-            clock_ms=worker.clock_ms(),
-        )
+        body = heartbeat_of(worker)
         data = json.dumps(body).encode()
         if path:
             data = insert(body, path, fragment)
@@ -358,3 +362,39 @@
         stored = commands.decode_command(command)
         for level in stored.levels:
             assert abs(level.state[0]) < 1_000
+
+
+ODD_ADDRESSES = [
+    "127.0.0.1:99999",
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1:8_0",
+    "127.0.0.1:\uff18\uff10",
+    "127.0.0.1:" + "9" * 5_000,
+    "127.0.0.1",
+    "256.0.0.1:80",
+    "127.0.0.1 :80",
+    "executor.example:80",
+    "a\0b:80",
+    "x" * 100_000 + ":80",
+    ":80",
+    "",
+]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda text: text[:20])
+def test_a_worker_is_polled_after_a_heartbeat_with_an_odd_address(
+    run_leader, address
+):
+    async def scenario(leader):
+        worker = platform_worker.PlatformWorker("w")
+        await curio.spawn(worker.run, [], daemon=True)
+        body = heartbeat_of(worker)
+        odd = {**body, "address": address}
+        status = await leader.beat("w", json.dumps(odd).encode())
+        later = json.dumps({**body, "seq": 2}).encode()
+        assert await leader.beat("w", later) == 200
+        await leader.complete_job()
+        assert status == 400
+
+    run_leader(scenario)
