--- a/src/galenahook/platform/wire.py
+++ b/src/galenahook/platform/wire.py
@@ -11,6 +11,7 @@
 from galenahook import commands
 from galenahook import errors
 from galenahook import findings as findings_lib
+from galenahook import messages
 from galenahook.jobs import calls
 
 _WireT = TypeVar("_WireT")
@@ -23,6 +24,18 @@
 MAX_STEPS = 100
 MAX_TASKS_PER_STEP = 10_000
 MAX_OCCURRENCES = 10_000
+# All occurrences included. Every replica holds an object for each task.
+MAX_TASKS_PER_JOB = 100_000
+
+_STEP_NUMBERS = (
+    "cpu",
+    "mem_mb",
+    "gpu",
+    "estimate_ms",
+    "anti_affinity",
+    "target_ms",
+    "may_miss",
+)
 
 
 class _Step(msgspec.Struct):
@@ -89,6 +102,13 @@
         findings.add("$.steps", f"expected 1 to {MAX_STEPS} steps")
     if not 0 <= job.repeat_count <= MAX_OCCURRENCES:
         findings.add("$.repeat_count", f"expected 0 to {MAX_OCCURRENCES}")
+    tasks = max(1, job.repeat_count) * sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS_PER_JOB:
+        findings.add(
+            "$", f"over {MAX_TASKS_PER_JOB} tasks in all occurrences together"
+        )
+    for field in ("start_at_ms", "interval_ms"):
+        _check_number(getattr(job, field), f"$.{field}", findings)
     for index, step in enumerate(job.steps):
         _check_step(step, index, findings)
     if findings:
@@ -102,6 +122,13 @@
     )
 
 
+def _check_number(
+    value: float, place: str, findings: findings_lib.Findings
+) -> None:
+    if not 0 <= value <= messages.MAX_NUMBER:
+        findings.add(place, f"expected 0 to {messages.MAX_NUMBER}")
+
+
 def _check_step(
     step: _Step, index: int, findings: findings_lib.Findings
 ) -> None:
@@ -110,9 +137,8 @@
         findings.add(
             f"{place}.count", f"expected 1 to {MAX_TASKS_PER_STEP} tasks"
         )
-    for field in ("cpu", "mem_mb", "gpu", "estimate_ms", "anti_affinity"):
-        if getattr(step, field) < 0:
-            findings.add(f"{place}.{field}", "must not be negative")
+    for field in _STEP_NUMBERS:
+        _check_number(getattr(step, field) or 0, f"{place}.{field}", findings)
     for dependency in step.depends_on:
         if not 0 <= dependency < index:
             findings.add(
