Accept the heartbeat of a worker whose capacity shrank to zero

A worker whose capacity shrinks to no processors while it runs went on to be given tasks by its earlier capacity, for as long as the capacity stayed at zero. Its announcement that it drains was lost as well.

Cause: the heartbeat was rejected as invalid (`$.capacity.cpu: 0 is less than 1`), so the leader kept the one before.

Ruled out: a late or repeated heartbeat, or one of an earlier incarnation, does not bring the earlier capacity back (the existing tests of `WorkerPool`).

Change: only a negative capacity is invalid. Shares of a worker are computed in one place, `Worker.share_of`, which is at most 1 and defined without processors. A share above 1, of a task that runs over a capacity that shrank, would be attributed to the serving tasks of the worker by the headroom model, which other workers share.

--- a/src/galenahook/jobs/free_capacity.py
+++ b/src/galenahook/jobs/free_capacity.py
@@ -86,7 +86,7 @@
 
     def share_of(self, step: commands.StepDescription) -> float:
         """Returns the share of the worker that a task of a step may use."""
-        return step.cpu_millis / self.worker.heartbeat.cpu_millis
+        return self.worker.share_of(step.cpu_millis)
 
     def tolerates(
         self, model: headroom_lib.HeadroomModel, step: commands.StepDescription
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -269,7 +269,6 @@
     colocated batch task.
     """
     worker = candidate.worker
-    capacity = worker.heartbeat.cpu_millis
     if step.uses_idle_cpu:
         return _colocation_cost(dispatcher.tails.model, step, candidate)
     if step.serves:
@@ -278,8 +277,9 @@
         ]
         others = sum(image != step.image for image in images)
         is_first = step.image not in images
-        return (float(others), float(is_first), candidate.cpu_millis / capacity)
-    return (-candidate.cpu_millis / capacity,)
+        free_share = worker.share_of(candidate.cpu_millis)
+        return (float(others), float(is_first), free_share)
+    return (-worker.share_of(candidate.cpu_millis),)
 
 
 def _colocation_cost(
@@ -304,7 +304,7 @@
     ]
     reduction = share * max(weights, default=0.0)
     mean_reduction = share * max(mean_weights, default=0.0)
-    idle = candidate.idle_cpu_millis / candidate.worker.heartbeat.cpu_millis
+    idle = candidate.worker.share_of(candidate.idle_cpu_millis)
     return (
         reduction
         - MEAN_REDUCTION_WEIGHT * mean_reduction
--- a/src/galenahook/jobs/tail_latency.py
+++ b/src/galenahook/jobs/tail_latency.py
@@ -87,7 +87,7 @@
     shares = worker.ended_run_shares(now_ms)
     for run in worker.runs.values():
         if run.step.uses_idle_cpu and run.measurement is not None:
-            share = run.measurement / worker.heartbeat.cpu_millis
+            share = worker.share_of(run.measurement)
             shares[run.step.image] = shares.get(run.step.image, 0.0) + share
     return shares
 
@@ -109,7 +109,7 @@
         if not run.step.uses_idle_cpu or run.stopping:
             continue
         speed = 1.0 if unthrottled else run.throttle_percent / 100
-        share = run.step.cpu_millis * speed / worker.heartbeat.cpu_millis
+        share = worker.share_of(run.step.cpu_millis) * speed
         shares[run.step.image] = shares.get(run.step.image, 0.0) + share
     return shares
 
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -186,10 +186,17 @@
         shares: dict[str, float] = {}
         for ended_ms, image, used in self.ended_batch_runs:
             weight = 1 - (now_ms - ended_ms) / MEASUREMENT_WINDOW_MS
-            share = weight * used / self.heartbeat.cpu_millis
+            share = weight * self.share_of(used)
             shares[image] = shares.get(image, 0.0) + share
         return shares
 
+    def share_of(self, cpu_millis: float) -> float:
+        """Returns a processor use as a share of the worker, at most 1.
+
+        Its capacity may have shrunk below the use, and to zero.
+        """
+        return min(1.0, cpu_millis / max(1, self.heartbeat.cpu_millis))
+
     def is_usable(self, now_ms: int) -> bool:
         """Returns whether new runs may start on it."""
         return (
--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -68,9 +68,9 @@
         raise wire.input_error(
             "$.state", f"state {heartbeat.state!r} is not known"
         )
-    if heartbeat.capacity.cpu < 1:
+    if heartbeat.capacity.cpu < 0:
         raise wire.input_error(
-            "$.capacity.cpu", f"{heartbeat.capacity.cpu} is less than 1"
+            "$.capacity.cpu", f"{heartbeat.capacity.cpu} is less than 0"
         )
     return calls.WorkerHeartbeat(
         worker=worker,
