Check the capacity of a worker again when a start is sent

A worker whose heartbeat has announced less capacity was still sent the starts that were placed before that heartbeat.

Cause: placement compares the free capacity, then the starts are committed, and `Link.start` sent them without another comparison. A commit takes milliseconds, but up to seconds while the replicas are disturbed.

Ruled out: two rounds at once reserve the same capacity. A round reserves what it places before its first await, and the next round begins after the commit.

Change: a start is withheld if the runs on its worker, it included, reserve more than the worker's latest capacity. Its task waits again and is placed where it fits. As withheld runs are removed one by one, the starts that still fit are sent. The check adds up the runs of one worker for each start to it.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -270,7 +270,7 @@
         return [self.end_run(run, "gone", "", "not listed") for run in absent]
 
     async def start(self, run: workers_lib.LiveRun) -> None:
-        """Orders a start whose run is committed, unless the run has ended."""
+        """Orders a start whose run is committed, unless it must not start."""
         if self.worker.runs.get(run.task) is not run:
             logs.info(
                 "run:not-ordered",
@@ -285,6 +285,10 @@
         if run.job.ended:
             await self._end_unordered(run, "job has ended")
             return
+        if self.worker.is_over_capacity():
+            # The capacity may have shrunk since the placement.
+            await self._end_unordered(run, "no capacity left")
+            return
         try:
             answer, reason = await self._order_start(run)
         except Exception as error:
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -197,6 +197,18 @@
         """
         return min(1.0, cpu_millis / max(1, self.heartbeat.cpu_millis))
 
+    def is_over_capacity(self) -> bool:
+        """Returns whether its runs reserve more than its capacity."""
+        steps = [run.step for run in self.runs.values()]
+        reserved_cpu_millis = sum(
+            step.cpu_millis for step in steps if not step.uses_idle_cpu
+        )
+        return (
+            reserved_cpu_millis > self.heartbeat.cpu_millis
+            or sum(step.memory_mb for step in steps) > self.heartbeat.memory_mb
+            or sum(step.gpus for step in steps) > self.heartbeat.gpus
+        )
+
     def is_usable(self, now_ms: int) -> bool:
         """Returns whether new runs may start on it."""
         return (
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -1,11 +1,128 @@
 """Capacity of workers that shrinks and grows while they run."""
 
+import curio
 import pytest
 
+from galenahook import clock as clock_lib
+from galenahook import job_metrics
+from galenahook import state as state_lib
+from galenahook.jobs import dispatcher as dispatcher_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
+from galenahook.jobs import worker_api
 import job_builders as build
 import test_jobs_placement as placements
 
+TASK = f"{build.JOB}.0.0.0"
+OTHER_JOB = "00000000000000a2"
+
+
+class FakeNode:
+    """A replica that leads; a test may run a function during a commit."""
+
+    def __init__(self):
+        self.state = state_lib.State()
+        self.during_commit = None
+
+    def term(self):
+        return 7
+
+    def has_valid_lease(self):
+        return True
+
+    def is_leader(self):
+        return True
+
+    async def submit(self, command):
+        if self.during_commit is not None:
+            await self.during_commit()
+        return self.state.apply(command)
+
+
+class FakeWorker(worker_api.WorkerClient):
+    """A worker that never checks its capacity.
+
+    Attributes:
+      running: Run of each task that it lists.
+      started: Tasks whose starts were ordered.
+      stopped: Tasks whose stops were ordered; each stays listed.
+      answer: Answer to a start, which runs only after `RUNNING`.
+    """
+
+    def __init__(self, running=()):
+        self.running = dict(running)
+        self.started = []
+        self.stopped = []
+        self.answer = worker_api.StartAnswer.RUNNING
+
+    async def start(self, order):
+        self.started.append(order.task)
+        if self.answer is worker_api.StartAnswer.RUNNING:
+            self.running[order.task] = order.run
+        return self.answer, self.answer.value
+
+    async def stop(self, task, _run, _term):
+        self.stopped.append(task)
+        return True
+
+    async def poll(self, *_arguments):
+        await curio.sleep(0.005)
+        rows = [
+            worker_api.RunningRow(task, run, "", 50.0, None)
+            for task, run in self.running.items()
+        ]
+        return worker_api.PollReply(1, 10_000, rows, [], complete=True)
+
+    async def throttle(self, *_arguments):
+        return True
+
+    async def close(self):
+        pass
+
+
+class Leader:
+    """A leader of fake workers.
+
+    Attributes:
+      node: Its replica.
+      workers: Fake workers by name.
+      dispatcher: Its dispatcher; a test runs the rounds.
+    """
+
+    def __init__(self, *applied, **workers):
+        self.node = FakeNode()
+        for command in applied:
+            self.node.state.apply(command)
+        self.workers = workers or {"w1": FakeWorker()}
+        self.dispatcher = dispatcher_lib.Dispatcher(
+            self.node,
+            clock_lib.Clock(),
+            lambda heartbeat: self.workers[heartbeat.worker],
+            3_000,
+            job_metrics.JobMetrics(),
+        )
+
+    async def announce(self, name="w1", **changes):
+        await self.dispatcher.handle_heartbeat(build.heartbeat(name, **changes))
+        await curio.sleep(0.02)
+
+    async def place(self):
+        await self.dispatcher._round()
+        await curio.sleep(0.02)
+
+    def runs(self, name="w1"):
+        return self.dispatcher.links[name].worker.runs
+
+
+def lead(scenario, *applied, **workers):
+    """Runs a scenario with a leader of the given state and workers."""
+
+    async def main():
+        leader = Leader(*applied, **workers)
+        await scenario(leader)
+        await leader.dispatcher.close()
+
+    curio.run(main)
+
 
 def serving_and_batch_runs(worker, **changes):
     """Adds a serving run and a batch run on idle processors to a worker."""
@@ -66,3 +183,51 @@
 def test_a_use_above_a_shrunken_capacity_counts_as_the_whole_worker():
     assert build.worker(cpu_millis=400).share_of(500) == 1.0
     assert build.worker(cpu_millis=1_000).share_of(500) == 0.5
+
+
+@pytest.mark.parametrize(
+    ("shrunk", "started"),
+    [
+        ({}, 4),
+        ({"cpu_millis": 7_999}, 3),
+        ({"cpu_millis": 2_000}, 1),
+        ({"memory_mb": 2_500}, 2),
+        ({"gpus": 3}, 3),
+        ({"cpu_millis": 0, "memory_mb": 0, "gpus": 0}, 0),
+    ],
+)
+def test_a_start_is_not_sent_if_the_capacity_shrank_during_its_commit(
+    shrunk, started
+):
+    async def scenario(leader):
+        await leader.announce(gpus=4)
+
+        async def shrink():
+            await leader.announce(**{"gpus": 4, "sequence": 2, **shrunk})
+
+        leader.node.during_commit = shrink
+        await leader.place()
+        leader.node.during_commit = None
+        worker = leader.workers["w1"]
+        assert len(worker.started) == started
+        assert sorted(leader.runs()) == sorted(worker.started)
+        await leader.place()
+        assert len(worker.started) == started
+
+    step = build.step(tasks=4, cpu_millis=2_000, memory_mb=1_000, gpus=1)
+    lead(scenario, build.submit(step))
+
+
+def test_processors_of_tasks_on_idle_ones_withhold_no_start():
+    async def scenario(leader):
+        await leader.announce()
+
+        async def shrink():
+            await leader.announce(sequence=2, cpu_millis=1_000, memory_mb=2_500)
+
+        leader.node.during_commit = shrink
+        await leader.place()
+        assert len(leader.workers["w1"].started) == 2
+
+    step = build.batch_step(tasks=4, cpu_millis=1_000, memory_mb=1_000)
+    lead(scenario, build.submit(step))
