Start nothing beside a run that the state does not contain

What callers would see: LIMIT. While a worker stopped a run that the replicated state does not contain, its capacity counted as free, and other tasks started in it.

Cause: a stray run is ordered to stop, but it is no run of the worker's record, so no capacity was reserved for it. What is being stopped still takes its room until the worker lists the end. The needs of a stray run may not be known, if its job is not.

Change: a worker that listed a stray run in its last poll is not used for placement. Its end completes the next poll at once, which makes the worker usable again.

Ruled out: runs that are stopped by order, runs of ended jobs, and starts without a reply stay among the worker's runs and their capacity stays reserved.

Test: it failed on the code before (the task was started beside the stray run).

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -220,15 +220,19 @@
         )
 
     async def _process_running(self, rows: list[worker_api.RunningRow]) -> None:
+        strays = []
         for row in rows:
             run = self.worker.runs.get(row.task)
             if run is None or run.run != row.run:
-                await self._stop_stray(row)
+                strays.append(row)
                 continue
             run.seen = True
             run.checkpoint = row.checkpoint or run.checkpoint
             run.progress_percent = row.percent
             run.measurement = row.measurement
+        self.worker.has_stray_runs = bool(strays)
+        for row in strays:
+            await self._stop_stray(row)
 
     async def _stop_stray(self, row: worker_api.RunningRow) -> None:
         """Stops a run that the replicated state does not contain."""
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -90,6 +90,8 @@
       excluded_until_ms: Until when nothing new starts on it.
       failures: Number of consecutive failed runs.
       has_polled: Whether it has replied to a poll in this term.
+      has_stray_runs: Whether it last listed runs that the replicated state does
+        not contain, and whose needs may not be known.
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
     """
@@ -107,6 +109,7 @@
         "lease_until_ms",
         "leaving_since_ms",
         "has_polled",
+        "has_stray_runs",
         "runs",
         "last_processed_end",
     )
@@ -125,6 +128,7 @@
         self.excluded_until_ms = 0
         self.failures = 0
         self.has_polled = False
+        self.has_stray_runs = False
         self.ended_batch_runs: list[tuple[int, str, float]] = []
 
     @property
@@ -213,6 +217,7 @@
         """Returns whether new runs may start on it."""
         return (
             self.has_polled
+            and not self.has_stray_runs
             and not self.heartbeat.draining
             and not self.leaving_since_ms
             and now_ms - self.last_reply_ms < UNRESPONSIVE_AFTER_MS
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -231,3 +231,22 @@
 
     step = build.batch_step(tasks=4, cpu_millis=1_000, memory_mb=1_000)
     lead(scenario, build.submit(step))
+
+
+def test_nothing_starts_beside_a_run_that_the_state_does_not_contain():
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        await leader.announce()
+        await leader.place()
+        assert worker.started == []
+        assert set(worker.stopped) == {f"{OTHER_JOB}.0.0.0"}
+        del worker.running[f"{OTHER_JOB}.0.0.0"]
+        await curio.sleep(0.02)
+        await leader.place()
+        assert worker.started == [TASK]
+
+    lead(
+        scenario,
+        build.submit(build.step(cpu_millis=8_000)),
+        w1=FakeWorker({f"{OTHER_JOB}.0.0.0": 1}),
+    )
