Start nothing by a heartbeat that is older than 4 s

A worker whose capacity had shrunk was given tasks by its earlier capacity, while its heartbeats did not reach the leader or came late: a worker counted as usable whenever it replied to polls, which do not tell its capacity.

Cause: the age of a heartbeat was not looked at. Sequence numbers protect only a leader that has received a later one. A new leader whose first heartbeat of a worker is one that a partition delayed has nothing to compare it with.

A heartbeat carries the worker's monotonic clock, and polls report that clock as well, so the age does not depend on when the heartbeat arrived. From an age of 4 s on nothing is placed on the worker, and no start is sent to it if the commit took so long; the next heartbeat makes it usable. Heartbeats that arrive as they should are 1.5 s old at most.

Tests: three failed on the code before (a delayed heartbeat at a new leader, heartbeats that do not arrive, a commit that outlasts the heartbeat), each as the starts were sent. The random fault test scales the new time like its others. With the change the tests of links, workers, placement, the dispatcher, lost runs, unexpected errors, the whole path and random faults pass (138 tests).

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -283,15 +283,9 @@
                 worker=self.worker.name,
             )
             return
-        if not self._owner.may_lead():
-            await self._end_unordered(run, "not the leader")
-            return
-        if run.job.ended:
-            await self._end_unordered(run, "job has ended")
-            return
-        if self.worker.is_over_capacity():
-            # The capacity may have shrunk since the placement.
-            await self._end_unordered(run, "no capacity left")
+        obstacle = self._start_obstacle(run)
+        if obstacle:
+            await self._end_unordered(run, obstacle)
             return
         try:
             answer, reason = await self._order_start(run)
@@ -300,6 +294,18 @@
             answer, reason = worker_api.StartAnswer.UNKNOWN, repr(error)
         await self._handle_start_answer(run, answer, reason)
 
+    def _start_obstacle(self, run: workers_lib.LiveRun) -> str:
+        """Returns why a run must not start since its placement; else ""."""
+        if not self._owner.may_lead():
+            return "not the leader"
+        if run.job.ended:
+            return "job has ended"
+        if self.worker.is_heartbeat_outdated(self._owner.now_ms()):
+            return "heartbeat is outdated"
+        if self.worker.is_over_capacity():
+            return "capacity has shrunk"
+        return ""
+
     async def _end_unordered(
         self, run: workers_lib.LiveRun, reason: str
     ) -> None:
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -13,6 +13,8 @@
 MAX_ORDER_DELAY_MS = 12_000
 # Time without a response after which nothing new starts on a worker.
 UNRESPONSIVE_AFTER_MS = 1_500
+# Age from which a heartbeat no longer tells the capacity of its worker.
+MAX_HEARTBEAT_AGE_MS = 4_000
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
 
@@ -201,6 +203,14 @@
         """
         return min(1.0, cpu_millis / max(1, self.heartbeat.cpu_millis))
 
+    def is_heartbeat_outdated(self, now_ms: int) -> bool:
+        """Returns whether its capacity may have changed unnoticed.
+
+        A delayed heartbeat is as old as it is by the worker's clock.
+        """
+        age_ms = self.min_clock_ms(now_ms) - self.heartbeat.clock_ms
+        return age_ms > MAX_HEARTBEAT_AGE_MS
+
     def is_over_capacity(self) -> bool:
         """Returns whether its runs reserve more than its capacity."""
         steps = [run.step for run in self.runs.values()]
@@ -222,6 +232,7 @@
             and not self.leaving_since_ms
             and now_ms - self.last_reply_ms < UNRESPONSIVE_AFTER_MS
             and now_ms >= self.excluded_until_ms
+            and not self.is_heartbeat_outdated(now_ms)
         )
 
 
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -9,6 +9,7 @@
 from galenahook.jobs import dispatcher as dispatcher_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.jobs import worker_api
+from galenahook.jobs import workers as workers_lib
 import job_builders as build
 import test_jobs_placement as placements
 
@@ -43,13 +44,15 @@
 
     Attributes:
       running: Run of each task that it lists.
+      clock_ms: Its clock in replies to polls.
       started: Tasks whose starts were ordered.
       stopped: Tasks whose stops were ordered; each stays listed.
       answer: Answer to a start, which runs only after `RUNNING`.
     """
 
-    def __init__(self, running=()):
+    def __init__(self, running=(), clock_ms=10_000):
         self.running = dict(running)
+        self.clock_ms = clock_ms
         self.started = []
         self.stopped = []
         self.answer = worker_api.StartAnswer.RUNNING
@@ -70,7 +73,7 @@
             worker_api.RunningRow(task, run, "", 50.0, None)
             for task, run in self.running.items()
         ]
-        return worker_api.PollReply(1, 10_000, rows, [], complete=True)
+        return worker_api.PollReply(1, self.clock_ms, rows, [], complete=True)
 
     async def throttle(self, *_arguments):
         return True
@@ -250,3 +253,52 @@
         build.submit(build.step(cpu_millis=8_000)),
         w1=FakeWorker({f"{OTHER_JOB}.0.0.0": 1}),
     )
+
+
+def test_a_delayed_heartbeat_does_not_tell_a_new_leader_the_capacity():
+    """The capacity may have shrunk since the heartbeat was sent."""
+
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        await leader.announce(sequence=4, clock_ms=10_000)
+        await leader.place()
+        assert worker.started == []
+        await leader.announce(sequence=8, clock_ms=17_900, cpu_millis=1_000)
+        await leader.place()
+        assert len(worker.started) == 1
+
+    submitted = build.submit(build.step(tasks=4))
+    lead(scenario, submitted, w1=FakeWorker(clock_ms=18_000))
+
+
+def test_nothing_starts_on_a_worker_whose_heartbeats_do_not_arrive():
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        await leader.announce()
+        worker.clock_ms += workers_lib.MAX_HEARTBEAT_AGE_MS + 100
+        await curio.sleep(0.02)
+        assert not leader.dispatcher.links["w1"].is_gone
+        await leader.place()
+        assert worker.started == []
+        await leader.announce(sequence=2, clock_ms=worker.clock_ms)
+        await leader.place()
+        assert worker.started == [TASK]
+
+    lead(scenario, build.submit())
+
+
+def test_a_start_is_not_sent_if_its_commit_outlasts_the_heartbeat():
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        await leader.announce()
+
+        async def wait():
+            worker.clock_ms += workers_lib.MAX_HEARTBEAT_AGE_MS + 100
+            await curio.sleep(0.02)
+
+        leader.node.during_commit = wait
+        await leader.place()
+        assert worker.started == []
+        assert leader.runs() == {}
+
+    lead(scenario, build.submit())
--- a/tests/test_jobs_random_faults.py
+++ b/tests/test_jobs_random_faults.py
@@ -52,6 +52,7 @@
         (lost_runs, "LEASE_MARGIN_MS", 50),
         (lost_runs, "LEAVE_GRACE_MS", 100),
         (workers_lib, "UNRESPONSIVE_AFTER_MS", 150),
+        (workers_lib, "MAX_HEARTBEAT_AGE_MS", 400),
         (workers_lib, "MAX_ORDER_DELAY_MS", MAX_LATE_MS),
         (dispatcher_lib, "ROUND_PERIOD_MS", 20),
         (dispatcher_lib, "ROUND_DELAY_MS", 2),
