--- a/tests/test_jobs_random_faults.py
+++ b/tests/test_jobs_random_faults.py
@@ -315,6 +315,8 @@
       started: Last start of each task, except those carried out late.
     """
 
+    worker_type = SimulatedWorker
+
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.state = state_lib.State()
@@ -327,7 +329,7 @@
         self.started = {}
         self.checkpoints = collections.defaultdict(set)
         self.workers = {
-            name: SimulatedWorker(self, name)
+            name: self.worker_type(self, name)
             for name in (f"w{number}" for number in range(5))
         }
         self.leader = None
@@ -434,6 +436,10 @@
                     await curio.sleep(0.2)
                     worker.restart()
 
+    def step(self):
+        """Returns the step of the next job."""
+        return build.step(tasks=4, cpu_millis=200, memory_mb=10)
+
     async def run_caller(self, number):
         """Submits a job, and cancels some: also before the submission ends."""
         job = f"{number:016x}"
@@ -442,7 +448,7 @@
         work_ms = self.rng.choice((20, 100, 400, 60_000))
         order = calls.JobOrder(
             spec=str(work_ms),
-            steps=(build.step(tasks=4, cpu_millis=200, memory_mb=10),),
+            steps=(self.step(),),
         )
         submission = await curio.spawn(
             self.call,
