Test what counts against a capacity that shrinks and grows

A late or repeated heartbeat, or one of an earlier incarnation, does not bring an earlier capacity back. A capacity that has grown again is used. Beside what runs over a shrunken capacity nothing starts, and what runs is not stopped for it: the rule is on starts, and a stop would end serving tasks. Runs of an earlier term, also those of jobs that have ended, and starts without a reply take processors, memory and accelerators. Tasks on idle processors take memory and no processors. A new leader starts nothing on a worker that has not replied to it. A start that a worker refuses for lack of capacity is placed on another one, and on the same one at most every 0.3 s.

Without the condition that a worker has replied, all pass, as the time of its last reply covers it.

--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -302,3 +302,193 @@
         assert leader.runs() == {}
 
     lead(scenario, build.submit())
+
+
+@pytest.mark.parametrize("sequence", [1, 3, 4])
+def test_a_late_heartbeat_does_not_restore_an_earlier_capacity(sequence):
+    async def scenario(leader):
+        await leader.announce(sequence=4, cpu_millis=1_000)
+        await leader.announce(sequence=sequence, cpu_millis=8_000)
+        await leader.place()
+        assert len(leader.workers["w1"].started) == 1
+
+    lead(scenario, build.submit(build.step(tasks=4)))
+
+
+def test_a_heartbeat_of_an_earlier_incarnation_does_not_restore_a_capacity():
+    async def scenario(leader):
+        await leader.announce(born_ms=1, cpu_millis=1_000)
+        await leader.announce(born_ms=0, sequence=9, cpu_millis=8_000)
+        await leader.place()
+        assert len(leader.workers["w1"].started) == 1
+
+    lead(scenario, build.submit(build.step(tasks=4)))
+
+
+def test_a_capacity_that_has_grown_again_is_used():
+    async def scenario(leader):
+        started = leader.workers["w1"].started
+        for sequence, (cpu_millis, count) in enumerate(
+            [(2_000, 2), (0, 2), (1_000, 2), (3_000, 3), (8_000, 4)], 1
+        ):
+            await leader.announce(sequence=sequence, cpu_millis=cpu_millis)
+            await leader.place()
+            assert len(started) == count
+
+    lead(scenario, build.submit(build.step(tasks=4)))
+
+
+@pytest.mark.parametrize(
+    "needs",
+    [{"cpu_millis": 5_000}, {"memory_mb": 20_000}, {"gpus": 1}],
+)
+def test_nothing_starts_beside_what_runs_over_a_shrunken_capacity(needs):
+    """What runs goes on, and is neither stopped nor joined."""
+
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        await leader.announce(gpus=1)
+        await leader.place()
+        assert worker.started == [TASK]
+        leader.node.state.apply(build.submit(build.step(), job=OTHER_JOB))
+        await leader.announce(
+            sequence=2, cpu_millis=4_000, memory_mb=16_000, gpus=0
+        )
+        await leader.place()
+        assert worker.started == [TASK]
+        assert worker.stopped == []
+
+    lead(scenario, build.submit(build.step(**needs)))
+
+
+NEEDS = {"cpu_millis": 5_000, "memory_mb": 20_000, "gpus": 2}
+OTHER_NEEDS = [
+    {"cpu_millis": 3_001, "memory_mb": 1_000},
+    {"cpu_millis": 100, "memory_mb": 12_001},
+    {"cpu_millis": 100, "memory_mb": 100, "gpus": 3},
+    {"cpu_millis": 100, "memory_mb": 12_001, "uses_idle_cpu": True},
+]
+
+
+@pytest.mark.parametrize("other", OTHER_NEEDS)
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_run_of_an_earlier_term_takes_its_capacity(other, ended):
+    """Also that of a job that has ended, until the worker lists its end."""
+
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        await leader.announce(gpus=4)
+        await leader.place()
+        assert worker.started == []
+        assert bool(worker.stopped) is ended
+        del worker.running[TASK]
+        await curio.sleep(0.02)
+        await leader.place()
+        assert worker.started == [f"{OTHER_JOB}.0.0.0" if ended else TASK]
+
+    commands = [
+        build.submit(build.step(**NEEDS)),
+        build.starts(build.start(TASK)),
+        build.submit(build.step(**other), job=OTHER_JOB),
+    ]
+    if ended:
+        commands.append(build.commands.CancelJob(job=build.JOB, at_ms=1))
+    lead(scenario, *commands, w1=FakeWorker({TASK: 1}))
+
+
+@pytest.mark.parametrize("other", OTHER_NEEDS)
+def test_a_start_without_a_reply_takes_its_capacity(other):
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        worker.answer = worker_api.StartAnswer.UNKNOWN
+        await leader.announce(gpus=4)
+        await leader.place()
+        assert worker.started == [TASK]
+        leader.node.state.apply(
+            build.submit(build.step(**other), job=OTHER_JOB)
+        )
+        await leader.place()
+        assert worker.started == [TASK]
+
+    lead(scenario, build.submit(build.step(**NEEDS)))
+
+
+def test_a_new_leader_starts_nothing_before_a_worker_has_replied():
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        replied = curio.Event()
+        poll = worker.poll
+
+        async def poll_late(*arguments):
+            await replied.wait()
+            return await poll(*arguments)
+
+        worker.poll = poll_late
+        await leader.place()
+        await leader.announce()
+        await leader.place()
+        assert worker.started == []
+        await replied.set()
+        await curio.sleep(0.02)
+        await leader.place()
+        assert worker.started == [TASK]
+
+    lead(scenario, build.submit())
+
+
+def test_processors_of_tasks_on_idle_ones_stay_free_for_others():
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        await leader.announce(cpu_millis=2_000, memory_mb=3_000)
+        await leader.place()
+        leader.node.state.apply(
+            build.submit(build.step(tasks=4), job=OTHER_JOB)
+        )
+        await leader.place()
+        assert worker.started == [
+            TASK,
+            f"{OTHER_JOB}.0.0.0",
+            f"{OTHER_JOB}.0.0.1",
+        ]
+
+    lead(scenario, build.submit(build.batch_step()))
+
+
+def test_a_start_refused_for_lack_of_capacity_is_placed_elsewhere():
+    async def scenario(leader):
+        full = leader.workers["w1"]
+        full.answer = worker_api.StartAnswer.NO_CAPACITY
+        await leader.announce("w1")
+        await leader.announce("w2", cpu_millis=7_000)
+        await leader.place()
+        assert full.started == [TASK]
+        await leader.place()
+        assert leader.workers["w2"].started == [TASK]
+        assert full.started == [TASK]
+
+    lead(scenario, build.submit(), w1=FakeWorker(), w2=FakeWorker())
+
+
+def test_refusals_for_lack_of_capacity_cause_no_busy_loop():
+    """The worker refuses until its heartbeat tells that it has shrunk."""
+
+    async def scenario(leader):
+        worker = leader.workers["w1"]
+        worker.answer = worker_api.StartAnswer.NO_CAPACITY
+        await leader.announce()
+        rounds = await curio.spawn(leader.dispatcher.run)
+        await curio.sleep(0.6)
+        assert 1 <= len(worker.started) <= 3
+        await leader.announce(sequence=2, cpu_millis=0)
+        count = len(worker.started)
+        await curio.sleep(0.6)
+        assert len(worker.started) == count
+        worker.answer = worker_api.StartAnswer.RUNNING
+        await leader.announce(sequence=3)
+        async with curio.timeout_after(10):
+            while TASK not in worker.running:
+                await curio.sleep(0.01)
+        assert len(worker.started) == count + 1
+        await rounds.cancel()
+
+    lead(scenario, build.submit())
