--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -220,15 +220,19 @@
         )
 
     async def _process_running(self, rows: list[worker_api.RunningRow]) -> None:
+        strays = []
         for row in rows:
             run = self.worker.runs.get(row.task)
             if run is None or run.run != row.run:
-                await self._stop_stray(row)
+                strays.append(row)
                 continue
             run.seen = True
             run.checkpoint = row.checkpoint or run.checkpoint
             run.progress_percent = row.percent
             run.measurement = row.measurement
+        self.worker.has_stray_runs = bool(strays)
+        for row in strays:
+            await self._stop_stray(row)
 
     async def _stop_stray(self, row: worker_api.RunningRow) -> None:
         """Stops a run that the replicated state does not contain."""
@@ -270,7 +274,7 @@
         return [self.end_run(run, "gone", "", "not listed") for run in absent]
 
     async def start(self, run: workers_lib.LiveRun) -> None:
-        """Orders a start whose run is committed, unless the run has ended."""
+        """Orders a start whose run is committed, unless it must not start."""
         if self.worker.runs.get(run.task) is not run:
             logs.info(
                 "run:not-ordered",
@@ -279,11 +283,9 @@
                 worker=self.worker.name,
             )
             return
-        if not self._owner.may_lead():
-            await self._end_unordered(run, "not the leader")
-            return
-        if run.job.ended:
-            await self._end_unordered(run, "job has ended")
+        obstacle = self._start_obstacle(run)
+        if obstacle:
+            await self._end_unordered(run, obstacle)
             return
         try:
             answer, reason = await self._order_start(run)
@@ -292,6 +294,18 @@
             answer, reason = worker_api.StartAnswer.UNKNOWN, repr(error)
         await self._handle_start_answer(run, answer, reason)
 
+    def _start_obstacle(self, run: workers_lib.LiveRun) -> str:
+        """Returns why a run must not start since its placement; else ""."""
+        if not self._owner.may_lead():
+            return "not the leader"
+        if run.job.ended:
+            return "job has ended"
+        if self.worker.is_heartbeat_outdated(self._owner.now_ms()):
+            return "heartbeat is outdated"
+        if self.worker.is_over_capacity():
+            return "capacity has shrunk"
+        return ""
+
     async def _end_unordered(
         self, run: workers_lib.LiveRun, reason: str
     ) -> None:
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -13,6 +13,8 @@
 MAX_ORDER_DELAY_MS = 12_000
 # Time without a response after which nothing new starts on a worker.
 UNRESPONSIVE_AFTER_MS = 1_500
+# Age from which a heartbeat no longer tells the capacity of its worker.
+MAX_HEARTBEAT_AGE_MS = 4_000
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
 
@@ -90,6 +92,8 @@
       excluded_until_ms: Until when nothing new starts on it.
       failures: Number of consecutive failed runs.
       has_polled: Whether it has replied to a poll in this term.
+      has_stray_runs: Whether it last listed runs that the replicated state does
+        not contain, and whose needs may not be known.
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
       throttles_changed_ms: When a throttle of its runs last changed; 0 before.
@@ -108,6 +112,7 @@
         "lease_until_ms",
         "leaving_since_ms",
         "has_polled",
+        "has_stray_runs",
         "runs",
         "last_processed_end",
         "throttles_changed_ms",
@@ -127,6 +132,7 @@
         self.excluded_until_ms = 0
         self.failures = 0
         self.has_polled = False
+        self.has_stray_runs = False
         self.ended_batch_runs: list[tuple[int, str, float]] = []
         self.throttles_changed_ms = 0
 
@@ -189,18 +195,47 @@
         shares: dict[str, float] = {}
         for ended_ms, image, used in self.ended_batch_runs:
             weight = 1 - (now_ms - ended_ms) / MEASUREMENT_WINDOW_MS
-            share = weight * used / self.heartbeat.cpu_millis
+            share = weight * self.share_of(used)
             shares[image] = shares.get(image, 0.0) + share
         return shares
 
+    def share_of(self, cpu_millis: float) -> float:
+        """Returns a processor use as a share of the worker, at most 1.
+
+        Its capacity may have shrunk below the use, and to zero.
+        """
+        return min(1.0, cpu_millis / max(1, self.heartbeat.cpu_millis))
+
+    def is_heartbeat_outdated(self, now_ms: int) -> bool:
+        """Returns whether its capacity may have changed unnoticed.
+
+        A delayed heartbeat is as old as it is by the worker's clock.
+        """
+        age_ms = self.min_clock_ms(now_ms) - self.heartbeat.clock_ms
+        return age_ms > MAX_HEARTBEAT_AGE_MS
+
+    def is_over_capacity(self) -> bool:
+        """Returns whether its runs reserve more than its capacity."""
+        steps = [run.step for run in self.runs.values()]
+        reserved_cpu_millis = sum(
+            step.cpu_millis for step in steps if not step.uses_idle_cpu
+        )
+        return (
+            reserved_cpu_millis > self.heartbeat.cpu_millis
+            or sum(step.memory_mb for step in steps) > self.heartbeat.memory_mb
+            or sum(step.gpus for step in steps) > self.heartbeat.gpus
+        )
+
     def is_usable(self, now_ms: int) -> bool:
         """Returns whether new runs may start on it."""
         return (
             self.has_polled
+            and not self.has_stray_runs
             and not self.heartbeat.draining
             and not self.leaving_since_ms
             and now_ms - self.last_reply_ms < UNRESPONSIVE_AFTER_MS
             and now_ms >= self.excluded_until_ms
+            and not self.is_heartbeat_outdated(now_ms)
         )
 
 
