Reserve a worker for a serving task that fits none

Cause: serving tasks are placed first in a round, but only on a worker where they fit then. 167 of 173 workers had too few cores free in one piece, 6 too little memory. Batch runs end one by one, and the same round gives each piece to a smaller task, so that no worker ever gathers enough. Nothing bounds this wait.

Change: a serving step that has fit no worker for 0.3 s gets one reserved, where it is expected to fit first. Nothing else starts there until the task is placed, on whatever worker, its job has ended, or the worker becomes unusable or too small. After 1 s the batch runs in its way are stopped, those with checkpoints first; they count until their end is listed. At most one in 16 workers is reserved and one search made in 50 ms, which compares the runs of 32 workers. Reservations are not replicated; the next leader makes its own.

A step is no longer skipped for a smaller one of its class that did not fit if it has a reserved worker, which the smaller one could not use.

Test: test_a_large_serving_task_is_not_kept_waiting_by_smaller_tasks failed before with 1, 4 and 20 workers: not started within 3 s, the time after which a waiting task counts as lost.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -20,6 +20,7 @@
 from galenahook.jobs import link_owner
 from galenahook.jobs import lost_runs
 from galenahook.jobs import placement
+from galenahook.jobs import reservations as reservations_lib
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.jobs import tasks as tasks_lib
@@ -61,6 +62,7 @@
       health: Excludes workers that fail runs.
       tails: Throttles batch tasks that slow serving tasks.
       run_times: Estimated run times of tasks.
+      reservations: Workers reserved for serving tasks that fit no worker.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.health = health_lib.WorkerHealth()
         self.tails = tail_latency_lib.TailLatencyControl()
         self.run_times = run_times_lib.RunTimes()
+        self.reservations = reservations_lib.Reservations()
         self.now_ms = clock.monotonic_ms
         self.started_ms = self.now_ms()
         self.unattached = _active_runs(node)
@@ -156,6 +159,7 @@
         await self._commit_ends()
         await self.tails.control(self)
         await self._start_waiting()
+        await self.reservations.preempt(self)
         self._waiting_report.log(self)
         if self.now_ms() - self._model_stored_ms >= MODEL_STORE_PERIOD_MS:
             self._model_stored_ms = self.now_ms()
--- a/src/galenahook/jobs/free_capacity.py
+++ b/src/galenahook/jobs/free_capacity.py
@@ -30,6 +30,10 @@
       memory_mb: Memory that no task reserves.
       gpus: Accelerators that no task reserves.
       idle_cpu_millis: Processors that no task is expected to use.
+      batch_cpu_millis: Processors that batch tasks reserve.
+      batch_memory_mb: Memory that batch tasks reserve.
+      batch_gpus: Accelerators that batch tasks reserve.
+      reserved_for: Step for which the worker is reserved; None for no step.
       serving_steps: Serving steps on the worker, with their forecast baselines.
       shares: Share of the worker that each colocated image is expected to use.
       task_counts: Number of tasks on the worker by job, occurrence and step.
@@ -40,6 +44,10 @@
     memory_mb: int
     gpus: int
     idle_cpu_millis: float
+    batch_cpu_millis: int = 0
+    batch_memory_mb: int = 0
+    batch_gpus: int = 0
+    reserved_for: workers_lib.StepId | None = None
     serving_steps: list[tail_latency_lib.ServingStep] = dataclasses.field(
         default_factory=list
     )
@@ -74,6 +82,37 @@
             self.cpu_millis -= step.cpu_millis
             used = SERVING_CPU_USE if step.serves else 1.0
             self.idle_cpu_millis -= used * step.cpu_millis
+        if not step.serves:
+            self.batch_memory_mb += step.memory_mb
+            self.batch_gpus += step.gpus
+            if not step.uses_idle_cpu:
+                self.batch_cpu_millis += step.cpu_millis
+
+    def is_allowed(
+        self,
+        service: str,
+        step: commands.StepDescription,
+        step_id: workers_lib.StepId,
+    ) -> bool:
+        """Returns whether tasks of a step may run here, capacity aside."""
+        heartbeat = self.worker.heartbeat
+        if heartbeat.service != service:
+            return False
+        if step.required_label and step.required_label not in heartbeat.labels:
+            return False
+        if self.reserved_for not in (None, step_id):
+            return False
+        if not step.max_per_worker:
+            return True
+        return self.task_counts.get(step_id, 0) < step.max_per_worker
+
+    def fits_without_batch(self, step: commands.StepDescription) -> bool:
+        """Returns whether a serving task would fit if no batch task ran."""
+        return (
+            step.cpu_millis <= self.cpu_millis + self.batch_cpu_millis
+            and step.memory_mb <= self.memory_mb + self.batch_memory_mb
+            and step.gpus <= self.gpus + self.batch_gpus
+        )
 
     def fits(self, step: commands.StepDescription) -> bool:
         """Returns whether the unreserved capacity holds one more task."""
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -42,8 +42,10 @@
     now_wall_ms = dispatcher.clock.wall_ms()
     waiting = [job for job in dispatcher.table.open.values() if job.waiting]
     if not waiting:
+        dispatcher.reservations.clear(dispatcher.now_ms())
         return []
     candidates = usable_capacity(dispatcher)
+    dispatcher.reservations.begin_round(dispatcher, candidates)
     waiting.sort(
         key=lambda job: ordering.rank(job, dispatcher.run_times, now_wall_ms)
     )
@@ -89,6 +91,7 @@
         self.candidates = candidates
         self.placed: Placements = []
         self._dispatcher = dispatcher
+        self._reservations = dispatcher.reservations
         self._now_wall_ms = now_wall_ms
         self._failed: dict[PlacementClass, list[commands.StepDescription]] = {}
 
@@ -115,18 +118,27 @@
             step.required_label,
         )
         failed = self._failed.setdefault(placement_class, [])
-        if any(_requires_at_least(step, other) for other in failed):
-            return
+        candidates = self.candidates
+        is_larger = any(_requires_at_least(step, other) for other in failed)
+        if is_larger:
+            if not step.serves:
+                return
+            # The other task could not use the workers reserved for this step.
+            candidates = self._reservations.candidates_of(step_id)
         is_delayed = _is_delayed(job, step, self._now_wall_ms)
         ranking = _Ranking(self._dispatcher, job, step, step_id)
-        for candidate in self.candidates:
+        for candidate in candidates:
             ranking.add(candidate)
         for key in keys:
             before = job.runs.get(key)
             chosen = ranking.pop(before.last_worker if before else "")
             if chosen is None:
-                if not step.max_per_worker:
+                if not (step.max_per_worker or is_larger):
                     failed.append(step)
+                if step.serves:
+                    self._reservations.request(
+                        self._dispatcher, self.candidates, job, step_id
+                    )
                 return
             if is_delayed:
                 # Reserve the capacity so that no other task uses it meanwhile.
@@ -156,6 +168,8 @@
         if step.uses_idle_cpu:
             candidate.add_colocated(step)
         candidate.worker.runs[run.task] = run
+        if candidate.reserved_for is not None:
+            self._reservations.note_placed(candidate, self._dispatcher.now_ms())
         self.placed.append((candidate.worker, run))
 
 
@@ -229,17 +243,9 @@
 
     def _is_allowed(self, candidate: free_capacity_lib.FreeCapacity) -> bool:
         step = self._step
-        heartbeat = candidate.worker.heartbeat
-        if heartbeat.service != self._service:
-            return False
-        if step.required_label and step.required_label not in heartbeat.labels:
-            return False
         if step.uses_idle_cpu and candidate.idle_cpu_millis < step.cpu_millis:
             return False
-        if not step.max_per_worker:
-            return True
-        count = candidate.task_counts.get(self._step_id, 0)
-        return count < step.max_per_worker
+        return candidate.is_allowed(self._service, step, self._step_id)
 
     def pop(self, avoided_worker: str) -> free_capacity_lib.FreeCapacity | None:
         """Removes and returns the cheapest candidate, or None.
--- /dev/null
+++ b/src/galenahook/jobs/reservations.py
@@ -0,0 +1,376 @@
+"""Reserves workers for serving tasks that fit no worker.
+
+Without a reservation, smaller tasks take each piece of capacity that becomes
+free, and a large task may wait forever. The reservations of a term end with it;
+the next leader makes its own.
+"""
+
+import dataclasses
+import heapq
+from typing import TYPE_CHECKING
+
+from galenahook import commands
+from galenahook import logs
+from galenahook.jobs import free_capacity as free_capacity_lib
+from galenahook.jobs import run_times as run_times_lib
+from galenahook.jobs import tasks as tasks_lib
+from galenahook.jobs import workers as workers_lib
+
+if TYPE_CHECKING:
+    from galenahook.jobs import dispatcher as dispatcher_lib
+
+# How long a step must have fit no worker before one is reserved for it.
+RESERVATION_DELAY_MS = 300
+# Time after which a step for which no worker could be reserved is tried again.
+RESERVATION_RETRY_MS = 300
+# Least time between two searches for a worker to reserve.
+SEARCH_PERIOD_MS = 50
+# Workers, those that lack least, whose runs one search examines.
+MAX_EXAMINED_WORKERS = 32
+# At most one of so many usable workers is reserved, but always one.
+WORKERS_PER_RESERVATION = 16
+MAX_RESERVATIONS = 32
+# How long a worker is reserved before batch runs that have not ended by
+# themselves are stopped.
+PREEMPTION_DELAY_MS = 1_000
+# Lower bound of the speed assumed for a throttled run.
+MIN_SPEED = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """A worker on which nothing but the tasks of one step may start.
+
+    Attributes:
+      candidate: Free capacity of the worker in this round.
+      step: The step.
+      step_id: Its job, occurrence and number.
+      reserved_ms: When the reservation was made.
+    """
+
+    candidate: free_capacity_lib.FreeCapacity
+    step: commands.StepDescription
+    step_id: workers_lib.StepId
+    reserved_ms: int
+
+    @property
+    def worker(self) -> workers_lib.Worker:
+        """The reserved worker."""
+        return self.candidate.worker
+
+
+class Reservations:
+    """Workers reserved for serving steps that fit no worker."""
+
+    __slots__ = ("_by_worker", "_requested", "_retry_ms", "_searched_ms")
+
+    def __init__(self) -> None:
+        self._by_worker: dict[str, Reservation] = {}
+        # Steps that fit no worker in this round.
+        self._requested: set[workers_lib.StepId] = set()
+        # When the next search is due, by steps that fit no worker lately.
+        self._retry_ms: dict[workers_lib.StepId, int] = {}
+        self._searched_ms = -SEARCH_PERIOD_MS
+
+    def clear(self, now_ms: int) -> None:
+        """Releases every worker, as no task is waiting."""
+        for reservation in list(self._by_worker.values()):
+            self._release(reservation, "not needed", now_ms)
+        self._requested.clear()
+        self._retry_ms.clear()
+
+    def begin_round(
+        self,
+        dispatcher: "dispatcher_lib.Dispatcher",
+        candidates: list[free_capacity_lib.FreeCapacity],
+    ) -> None:
+        """Releases workers that are unusable or no longer needed.
+
+        Marks the candidates that stay reserved.
+        """
+        self._retry_ms = {
+            step_id: retry_ms
+            for step_id, retry_ms in self._retry_ms.items()
+            if step_id in self._requested
+        }
+        self._requested.clear()
+        if not self._by_worker:
+            return
+        now_ms = dispatcher.now_ms()
+        usable = {candidate.worker.name: candidate for candidate in candidates}
+        needed = _waiting_counts(
+            dispatcher, {item.step_id for item in self._by_worker.values()}
+        )
+        for name, reservation in list(self._by_worker.items()):
+            candidate = usable.get(name)
+            if needed[reservation.step_id] <= 0:
+                self._release(reservation, "not needed", now_ms)
+            elif candidate is None or not _may_host(candidate, reservation):
+                self._release(reservation, "worker is unusable", now_ms)
+            else:
+                needed[reservation.step_id] -= 1
+                reservation.candidate = candidate
+                candidate.reserved_for = reservation.step_id
+
+    def candidates_of(
+        self, step_id: workers_lib.StepId
+    ) -> list[free_capacity_lib.FreeCapacity]:
+        """Returns the workers that are reserved for a step."""
+        return [
+            reservation.candidate
+            for reservation in self._by_worker.values()
+            if reservation.step_id == step_id
+        ]
+
+    def note_placed(
+        self, candidate: free_capacity_lib.FreeCapacity, now_ms: int
+    ) -> None:
+        """Releases a worker on which the task was placed."""
+        candidate.reserved_for = None
+        reservation = self._by_worker[candidate.worker.name]
+        self._release(reservation, "placed", now_ms)
+
+    def _release(
+        self, reservation: Reservation, reason: str, now_ms: int
+    ) -> None:
+        del self._by_worker[reservation.worker.name]
+        logs.info(
+            "worker:released",
+            worker=reservation.worker.name,
+            job=reservation.step_id[0],
+            step=reservation.step_id[2],
+            held_ms=now_ms - reservation.reserved_ms,
+            reason=reason,
+        )
+
+    def request(
+        self,
+        dispatcher: "dispatcher_lib.Dispatcher",
+        candidates: list[free_capacity_lib.FreeCapacity],
+        job: tasks_lib.Job,
+        step_id: workers_lib.StepId,
+    ) -> None:
+        """Reserves a worker for a serving step that has fit none for a time."""
+        now_ms = dispatcher.now_ms()
+        self._requested.add(step_id)
+        retry_ms = self._retry_ms.setdefault(
+            step_id, now_ms + RESERVATION_DELAY_MS
+        )
+        limit = len(candidates) // WORKERS_PER_RESERVATION
+        limit = max(1, min(limit, MAX_RESERVATIONS))
+        if (
+            now_ms < retry_ms
+            or now_ms - self._searched_ms < SEARCH_PERIOD_MS
+            or len(self._by_worker) >= limit
+        ):
+            return
+        waiting = _waiting_counts(dispatcher, {step_id})[step_id]
+        if len(self.candidates_of(step_id)) >= waiting:
+            return
+        self._searched_ms = now_ms
+        step = job.description.steps[step_id[2]]
+        found = _soonest(
+            dispatcher.run_times,
+            [
+                candidate
+                for candidate in candidates
+                if candidate.reserved_for is None
+                and candidate.is_allowed(job.description.service, step, step_id)
+                and candidate.fits_without_batch(step)
+            ],
+            step,
+        )
+        if found is None:
+            self._retry_ms[step_id] = now_ms + RESERVATION_RETRY_MS
+            return
+        expected_ms, candidate = found
+        candidate.reserved_for = step_id
+        self._by_worker[candidate.worker.name] = Reservation(
+            candidate, step, step_id, now_ms
+        )
+        logs.info(
+            "worker:reserved",
+            worker=candidate.worker.name,
+            job=step_id[0],
+            step=step_id[2],
+            cpu_millis=step.cpu_millis,
+            memory_mb=step.memory_mb,
+            expected_ms=round(expected_ms),
+        )
+
+    async def preempt(self, dispatcher: "dispatcher_lib.Dispatcher") -> None:
+        """Stops batch runs on workers that have been reserved for long."""
+        now_ms = dispatcher.now_ms()
+        for reservation in list(self._by_worker.values()):
+            if now_ms - reservation.reserved_ms < PREEMPTION_DELAY_MS:
+                continue
+            link = dispatcher.links.get(reservation.worker.name)
+            if link is None or link.worker is not reservation.worker:
+                continue
+            for run in _runs_to_stop(reservation):
+                await dispatcher.spawn(
+                    link.stop, run, "makes room for a serving task"
+                )
+
+
+def _waiting_counts(
+    dispatcher: "dispatcher_lib.Dispatcher", step_ids: set[workers_lib.StepId]
+) -> dict[workers_lib.StepId, int]:
+    """Returns the number of waiting tasks of each of some steps."""
+    counts = {}
+    for step_id in step_ids:
+        job = dispatcher.table.open.get(step_id[0])
+        waiting = job.waiting if job is not None else ()
+        counts[step_id] = sum(key[:2] == step_id[1:] for key in waiting)
+    return counts
+
+
+def _may_host(
+    candidate: free_capacity_lib.FreeCapacity, reservation: Reservation
+) -> bool:
+    """Returns whether a reserved worker is the same and still large enough."""
+    return (
+        candidate.worker is reservation.worker
+        and candidate.fits_without_batch(reservation.step)
+    )
+
+
+def _soonest(
+    run_times: run_times_lib.RunTimes,
+    candidates: list[free_capacity_lib.FreeCapacity],
+    step: commands.StepDescription,
+) -> tuple[float, free_capacity_lib.FreeCapacity] | None:
+    """Returns the worker where a task is expected to fit first, and when.
+
+    Examines only the workers that lack the smallest share of their capacity.
+    """
+    nearest = heapq.nsmallest(
+        MAX_EXAMINED_WORKERS,
+        candidates,
+        key=lambda candidate: _missing_share(candidate, step),
+    )
+    if not nearest:
+        return None
+    times = [_time_to_fit_ms(run_times, item.worker, step) for item in nearest]
+    index = min(range(len(times)), key=times.__getitem__)
+    return times[index], nearest[index]
+
+
+def _missing_share(
+    candidate: free_capacity_lib.FreeCapacity, step: commands.StepDescription
+) -> float:
+    """Returns the largest share of its capacity that a worker lacks."""
+    heartbeat = candidate.worker.heartbeat
+    return max(
+        (step.cpu_millis - candidate.cpu_millis) / heartbeat.cpu_millis,
+        (step.memory_mb - candidate.memory_mb) / max(1, heartbeat.memory_mb),
+        (step.gpus - candidate.gpus) / max(1, heartbeat.gpus),
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Shortage:
+    """Capacity that a worker lacks for one more task; negative for a surplus.
+
+    Attributes:
+      cpu_millis: Processors, in thousandths of a core.
+      memory_mb: Memory in megabytes.
+      gpus: Accelerators.
+    """
+
+    cpu_millis: int
+    memory_mb: int
+    gpus: int
+
+    def add(self, step: commands.StepDescription) -> None:
+        """Adds what a task of a step reserves."""
+        self.cpu_millis += 0 if step.uses_idle_cpu else step.cpu_millis
+        self.memory_mb += step.memory_mb
+        self.gpus += step.gpus
+
+    def subtract(self, step: commands.StepDescription) -> None:
+        """Subtracts what a task of a step reserves."""
+        self.cpu_millis -= 0 if step.uses_idle_cpu else step.cpu_millis
+        self.memory_mb -= step.memory_mb
+        self.gpus -= step.gpus
+
+    def is_over(self) -> bool:
+        """Returns whether nothing is lacking."""
+        return max(self.cpu_millis, self.memory_mb, self.gpus) <= 0
+
+    def is_reduced_by(self, step: commands.StepDescription) -> bool:
+        """Returns whether a task of a step reserves something that lacks."""
+        return bool(
+            (self.cpu_millis > 0 and not step.uses_idle_cpu and step.cpu_millis)
+            or (self.memory_mb > 0 and step.memory_mb)
+            or (self.gpus > 0 and step.gpus)
+        )
+
+
+def _shortage(
+    worker: workers_lib.Worker,
+    step: commands.StepDescription,
+    runs: list[workers_lib.LiveRun],
+) -> _Shortage:
+    """Returns what a worker with some runs lacks for a task of a step."""
+    heartbeat = worker.heartbeat
+    shortage = _Shortage(
+        -heartbeat.cpu_millis, -heartbeat.memory_mb, -heartbeat.gpus
+    )
+    shortage.add(step)
+    for run in runs:
+        shortage.add(run.step)
+    return shortage
+
+
+def _time_to_fit_ms(
+    run_times: run_times_lib.RunTimes,
+    worker: workers_lib.Worker,
+    step: commands.StepDescription,
+) -> float:
+    """Returns in which time enough batch runs are expected to have ended."""
+    shortage = _shortage(worker, step, list(worker.runs.values()))
+    ends = sorted(
+        (
+            (_expected_left_ms(run_times, run), run)
+            for run in worker.runs.values()
+            if run.stopping or not run.step.serves
+        ),
+        key=lambda item: item[0],
+    )
+    time_ms = 0.0
+    for end_ms, run in ends:
+        if shortage.is_over():
+            break
+        time_ms = end_ms
+        shortage.subtract(run.step)
+    return time_ms
+
+
+def _expected_left_ms(
+    run_times: run_times_lib.RunTimes, run: workers_lib.LiveRun
+) -> float:
+    if run.stopping:
+        return 0.0
+    whole_ms = run_times.expected_ms(run.job, run.step.estimate_ms)
+    speed = max(run.throttle_percent / 100, MIN_SPEED)
+    return whole_ms * (1 - run.progress_percent / 100) / speed
+
+
+def _runs_to_stop(reservation: Reservation) -> list[workers_lib.LiveRun]:
+    """Returns batch runs whose end makes room for the task, or none.
+
+    Prefers runs that resume from a checkpoint, then those with least progress.
+    """
+    worker = reservation.worker
+    staying = [run for run in worker.runs.values() if not run.stopping]
+    shortage = _shortage(worker, reservation.step, staying)
+    chosen = []
+    for run in sorted(
+        (run for run in staying if not run.step.serves),
+        key=lambda run: (not run.step.saves_checkpoints, run.progress_percent),
+    ):
+        if shortage.is_reduced_by(run.step):
+            chosen.append(run)
+            shortage.subtract(run.step)
+    return chosen if shortage.is_over() else []
--- a/src/galenahook/jobs/waiting.py
+++ b/src/galenahook/jobs/waiting.py
@@ -85,11 +85,14 @@
         return "service"
     if step.required_label and step.required_label not in heartbeat.labels:
         return "label"
+    step_id = (job.description.job, *key[:2])
+    if candidate.reserved_for not in (None, step_id):
+        return "reserved"
     if not candidate.fits(step):
         return _missing_capacity(step, candidate)
     if step.uses_idle_cpu and candidate.idle_cpu_millis < step.cpu_millis:
         return "idle-cpu"
-    count = candidate.task_counts.get((job.description.job, *key[:2]), 0)
+    count = candidate.task_counts.get(step_id, 0)
     if step.max_per_worker and count >= step.max_per_worker:
         return "max-per-worker"
     if step.uses_idle_cpu and not candidate.tolerates(
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -8,6 +8,7 @@
 from galenahook.jobs import free_capacity
 from galenahook.jobs import headroom
 from galenahook.jobs import placement
+from galenahook.jobs import reservations
 from galenahook.jobs import run_times
 from galenahook.jobs import table as table_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
@@ -39,6 +40,7 @@
         links={w.name: types.SimpleNamespace(worker=w) for w in workers},
         tails=tail_latency_lib.TailLatencyControl(),
         run_times=run_times.RunTimes(),
+        reservations=reservations.Reservations(),
     )
 
 
--- /dev/null
+++ b/tests/test_jobs_reservations.py
@@ -0,0 +1,364 @@
+"""Workers reserved for serving tasks that fit no worker."""
+
+import curio
+import eliot
+import pytest
+
+from galenahook import clock as clock_lib
+from galenahook import errors
+from galenahook import job_metrics
+from galenahook import state as state_lib
+from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import link as link_lib
+from galenahook.jobs import worker_api
+import job_builders as build
+
+ROUND_MS = 50
+SERVING_JOB = "00000000000000e1"
+BATCH_JOB = "00000000000000e2"
+SERVING_TASK = f"{SERVING_JOB}.0.0.0"
+# A lasting task that waits for longer counts as lost.
+MAX_WAIT_MS = 3_000
+
+
+class SimulatedClock(clock_lib.Clock):
+    """A clock that only the simulation advances."""
+
+    __slots__ = ("now_ms",)
+
+    def __init__(self):
+        self.now_ms = 1_000
+
+    def monotonic_ms(self):
+        return self.now_ms
+
+    def wall_ms(self):
+        return build.WALL_MS + self.now_ms
+
+
+class LeadingNode:
+    """A replica that leads and commits at once."""
+
+    def __init__(self):
+        self.state = state_lib.State()
+
+    def term(self):
+        return 7
+
+    def has_valid_lease(self):
+        return True
+
+    def is_leader(self):
+        return True
+
+    async def submit(self, command):
+        return self.state.apply(command)
+
+
+class RunningClient(worker_api.WorkerClient):
+    """A worker that starts what it is ordered to start, and records stops."""
+
+    def __init__(self):
+        self.stopped = []
+
+    async def start(self, _order):
+        return worker_api.StartAnswer.RUNNING, ""
+
+    async def stop(self, task, _run, _term):
+        self.stopped.append(task)
+        return True
+
+    async def poll(self, *_arguments):
+        raise errors.ExchangeError("no reply", sent=False)
+
+    async def close(self):
+        pass
+
+
+def check_capacity(worker):
+    runs = worker.runs.values()
+    cpu_millis = sum(
+        run.step.cpu_millis for run in runs if not run.step.uses_idle_cpu
+    )
+    assert cpu_millis <= worker.heartbeat.cpu_millis
+    memory_mb = sum(run.step.memory_mb for run in runs)
+    assert memory_mb <= worker.heartbeat.memory_mb
+
+
+class Simulation:
+    """A leader and workers whose runs end after the estimate of their step.
+
+    Attributes:
+      started: Worker of the first run of each task that was started.
+    """
+
+    def __init__(self, workers, *submits):
+        self.clock = SimulatedClock()
+        self.node = LeadingNode()
+        self.dispatcher = dispatcher_lib.Dispatcher(
+            self.node,
+            self.clock,
+            lambda _heartbeat: RunningClient(),
+            6_000,
+            job_metrics.JobMetrics(),
+        )
+        for worker in workers:
+            self.dispatcher.links[worker.name] = link_lib.Link(
+                worker, RunningClient(), self.dispatcher, 6_000
+            )
+        self.started = {}
+        for command in submits:
+            self.node.state.apply(command)
+
+    def worker(self, name):
+        return self.dispatcher.links[name].worker
+
+    def stopped(self):
+        return [
+            task
+            for link in self.dispatcher.links.values()
+            for task in link.client.stopped
+        ]
+
+    async def advance(self, duration_ms):
+        for _ in range(duration_ms // ROUND_MS):
+            self.clock.now_ms += ROUND_MS
+            for link in self.dispatcher.links.values():
+                await self._end_runs(link)
+            await self.dispatcher._round()
+            await curio.sleep(0)
+            for link in self.dispatcher.links.values():
+                check_capacity(link.worker)
+                for task in link.worker.runs:
+                    self.started.setdefault(task, link.worker.name)
+
+    async def _end_runs(self, link):
+        now_ms = self.clock.now_ms
+        link.worker.last_reply_ms = now_ms
+        link.worker.extend_lease(now_ms, 6_000)
+        for run in list(link.worker.runs.values()):
+            run.seen = True
+            age_ms = now_ms - run.ordered_ms
+            if run.step.serves:
+                run.progress_percent = 100
+                continue
+            run.progress_percent = 100 * age_ms / run.step.estimate_ms
+            is_stopped = run.task in link.client.stopped
+            if is_stopped or age_ms >= run.step.estimate_ms:
+                outcome = "gone" if is_stopped else "done"
+                end = link.end_run(run, outcome, run.checkpoint, "")
+                await self.dispatcher.queue_ends([end])
+
+    async def advance_until_started(self, task, limit_ms=MAX_WAIT_MS):
+        """Advances until a task has started; returns how long that took."""
+        began_ms = self.clock.now_ms
+        while task not in self.started:
+            assert self.clock.now_ms - began_ms < limit_ms, "not started"
+            await self.advance(ROUND_MS)
+        return self.clock.now_ms - began_ms
+
+
+@pytest.fixture
+def lines():
+    """Returns the list to which messages are appended."""
+    messages = []
+    eliot.add_destinations(messages.append)
+    messages.clear()
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def events(lines, message_type):
+    return [line for line in lines if line["message_type"] == message_type]
+
+
+def run(scenario, *arguments):
+    async def main():
+        simulation = Simulation(*arguments)
+        await scenario(simulation)
+        await simulation.dispatcher.close()
+
+    curio.run(main)
+
+
+def small_jobs(**changes):
+    """Submits jobs of different run times that keep every worker full."""
+    changes = {"tasks": 500, "max_per_worker": 1, **changes}
+    return [
+        build.submit(
+            build.step(
+                cpu_millis=1_300,
+                estimate_ms=400 + 100 * number,
+                **changes,
+            ),
+            job=f"00000000000000f{number}",
+        )
+        for number in range(6)
+    ]
+
+
+def large_serving_task(**changes):
+    step = build.serving_step(**{"cpu_millis": 7_000, **changes})
+    return build.submit(step, job=SERVING_JOB)
+
+
+def workers(count):
+    return [build.worker(f"w{number}") for number in range(count)]
+
+
+@pytest.mark.parametrize("count", [1, 4, 20])
+def test_a_large_serving_task_is_not_kept_waiting_by_smaller_tasks(count):
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large_serving_task())
+        await simulation.advance_until_started(SERVING_TASK)
+
+    run(scenario, workers(count), *small_jobs())
+
+
+def long_job(**changes):
+    """Submits a job that fills the memory of a worker for a minute."""
+    values = {"tasks": 3, "memory_mb": 10_000, "estimate_ms": 60_000}
+    step = build.batch_step(**{**values, "cpu_millis": 100, **changes})
+    return build.submit(step, job=BATCH_JOB)
+
+
+def test_runs_that_do_not_end_in_time_make_room_for_a_serving_task():
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large_serving_task(memory_mb=15_000))
+        await simulation.advance_until_started(SERVING_TASK)
+        # A run of 10,000 MB goes on beside the task of 15,000 MB.
+        assert len(simulation.stopped()) == 2
+
+    run(scenario, workers(1), long_job())
+
+
+def test_runs_with_checkpoints_make_room_first():
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large_serving_task(memory_mb=9_000))
+        await simulation.advance_until_started(SERVING_TASK)
+        assert simulation.stopped() == [f"{BATCH_JOB}.0.1.0"]
+
+    step = build.batch_step(
+        memory_mb=10_000, cpu_millis=100, estimate_ms=60_000
+    )
+    steps = (
+        step,
+        build.batch_step(
+            memory_mb=10_000,
+            cpu_millis=100,
+            estimate_ms=60_000,
+            saves_checkpoints=True,
+        ),
+    )
+    run(
+        scenario,
+        workers(1),
+        build.submit(*steps, step, job=BATCH_JOB),
+    )
+
+
+def test_no_run_is_stopped_while_others_end_in_time():
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large_serving_task())
+        await simulation.advance_until_started(SERVING_TASK)
+        assert simulation.stopped() == []
+
+    run(scenario, workers(20), *small_jobs())
+
+
+def test_a_serving_task_that_may_fit_nowhere_reserves_no_worker(lines):
+    async def scenario(simulation):
+        simulation.node.state.apply(large_serving_task(cpu_millis=9_000))
+        await simulation.advance(5_000)
+
+    run(scenario, workers(3), *small_jobs())
+    assert not events(lines, "worker:reserved")
+
+
+def test_a_worker_where_serving_tasks_leave_no_room_is_not_reserved(lines):
+    async def scenario(simulation):
+        await simulation.advance(500)
+        (filled,) = {simulation.started[f"{BATCH_JOB}.0.0.0"]}
+        for command in small_jobs(tasks=20):
+            simulation.node.state.apply(command)
+        await simulation.advance(1_000)
+        simulation.node.state.apply(large_serving_task())
+        await simulation.advance_until_started(SERVING_TASK)
+        assert simulation.started[SERVING_TASK] != filled
+
+    step = build.serving_step(cpu_millis=2_000)
+    run(scenario, workers(2), build.submit(step, job=BATCH_JOB))
+    assert len(events(lines, "worker:reserved")) == 1
+
+
+def test_few_workers_are_reserved_at_a_time(lines):
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large_serving_task(tasks=30))
+        most = 0
+        for _ in range(40):
+            await simulation.advance(ROUND_MS)
+            reserved = len(events(lines, "worker:reserved"))
+            released = len(events(lines, "worker:released"))
+            most = max(most, reserved - released)
+        assert most == 2
+
+    run(scenario, workers(40), *small_jobs())
+
+
+def test_a_worker_is_released_once_its_job_has_ended(lines):
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large_serving_task())
+        await simulation.advance(400)
+        assert len(events(lines, "worker:reserved")) == 1
+        simulation.node.state.apply(
+            build.commands.CancelJob(job=SERVING_JOB, at_ms=1)
+        )
+        await simulation.advance(ROUND_MS)
+        assert len(events(lines, "worker:released")) == 1
+
+    run(scenario, workers(2), *small_jobs())
+
+
+def test_another_worker_is_reserved_once_the_first_is_unusable(lines):
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large_serving_task())
+        await simulation.advance(400)
+        (first,) = events(lines, "worker:reserved")
+        worker = simulation.worker(first["worker"])
+        worker.heartbeat = build.heartbeat(worker.name, draining=True)
+        await simulation.advance_until_started(SERVING_TASK)
+        assert simulation.started[SERVING_TASK] != worker.name
+
+    run(scenario, workers(2), *small_jobs())
+
+
+def test_a_reserved_worker_is_used_although_a_smaller_task_does_not_fit():
+    """The smaller task may not use it, so its failure proves nothing."""
+
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(
+            build.submit(
+                build.serving_step(cpu_millis=7_000),
+                job=SERVING_JOB,
+                priority=1,
+            )
+        )
+        await simulation.advance(400)
+        simulation.node.state.apply(
+            build.submit(
+                build.serving_step(cpu_millis=6_000),
+                job="00000000000000e3",
+                priority=0,
+            )
+        )
+        await simulation.advance_until_started(SERVING_TASK)
+
+    run(scenario, workers(2), *small_jobs())
--- a/tests/test_jobs_waiting.py
+++ b/tests/test_jobs_waiting.py
@@ -57,3 +57,12 @@
     free, queue = lines
     assert (free["cpu_millis"], free["largest_cpu_millis"]) == (16_000, 8_000)
     assert (queue["tasks"], queue["obstacles"]) == (1, {"cpu": 2})
+
+
+def test_a_worker_reserved_for_another_step_is_an_obstacle():
+    dispatcher = dispatcher_of([build.worker()], build.submit(build.step()))
+    (job,) = dispatcher.table.open.values()
+    (candidate,) = placement.usable_capacity(dispatcher)
+    candidate.reserved_for = ("00000000000000e1", 0, 0)
+    key = min(job.waiting)
+    assert waiting.obstacle(dispatcher, job, key, candidate) == "reserved"
