Exclude a worker for several failed tasks, not for one that always fails

Would be seen by callers: while a lasting task fails at each start, jobs that could run wait for up to 12 s with free workers; a lasting one among them counts as lost.

Cause: each failed run counted against its worker until a run there was done. A lasting task has no limit of attempts and goes to another worker each time, and lasting tasks are never done. So one faulty job excludes one worker after the other, twice as long each time, where no batch work ends in between.

Ruled out in the test: capacity, reservations and unresponsive workers; four workers of 8 cores run three tasks of one core, and the waiting task needs one core.

Change: a failure counts once for each task, and not if the task has failed on another worker before. A worker on which several tasks fail is excluded as before.

Test: test_a_task_that_always_fails_keeps_no_other_from_the_workers failed before for a batch and a serving task: not started 3 s after its submission.

--- a/src/galenahook/jobs/health.py
+++ b/src/galenahook/jobs/health.py
@@ -4,7 +4,7 @@
 
 from galenahook.jobs import workers as workers_lib
 
-# Consecutive failed runs that exclude a worker.
+# Tasks that failed with none done since, which exclude a worker.
 EXCLUSION_FAILURES = 2
 # Time of the first exclusion; it doubles with each further failure.
 FIRST_EXCLUSION_MS = 1_500
@@ -15,7 +15,10 @@
 
 @dataclasses.dataclass(slots=True)
 class WorkerHealth:
-    """Excludes workers that fail several runs in a row."""
+    """Excludes workers on which several tasks in a row failed.
+
+    A task that has failed on another worker says nothing about this one.
+    """
 
     def note_end(
         self,
@@ -24,13 +27,12 @@
         outcome: str,
         now_ms: int,
     ) -> None:
-        """Updates the worker's failures after the end of a run."""
-        del run
+        """Updates the failed tasks of a worker after the end of a run."""
         if outcome == "done":
-            worker.failures = 0
-        elif outcome == "failed":
-            worker.failures += 1
-            excess = worker.failures - EXCLUSION_FAILURES
+            worker.failed_tasks.clear()
+        elif outcome == "failed" and not _has_failed_elsewhere(worker, run):
+            worker.failed_tasks.add(run.task)
+            excess = len(worker.failed_tasks) - EXCLUSION_FAILURES
             if excess >= 0:
                 exclusion_ms = min(
                     FIRST_EXCLUSION_MS << excess, MAX_EXCLUSION_MS
@@ -42,3 +44,12 @@
         worker.excluded_until_ms = max(
             worker.excluded_until_ms, now_ms + REFUSAL_EXCLUSION_MS
         )
+
+
+def _has_failed_elsewhere(
+    worker: workers_lib.Worker, run: workers_lib.LiveRun
+) -> bool:
+    """Returns whether the task of a run has failed on another worker before."""
+    # The end of this run is not in the record yet.
+    before = run.job.runs.get(run.key)
+    return before is not None and before.last_worker not in ("", worker.name)
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -88,7 +88,7 @@
       last_processed_end: Number of the last end processed from its list.
       leaving_since_ms: When it announced that it ends; 0 before.
       excluded_until_ms: Until when nothing new starts on it.
-      failures: Number of consecutive failed runs.
+      failed_tasks: Tasks that failed on it since it last completed one.
       has_polled: Whether it has replied to a poll in this term.
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
@@ -100,7 +100,7 @@
         "clock_at_ms",
         "clock_ms",
         "ended_batch_runs",
-        "failures",
+        "failed_tasks",
         "last_reply_ms",
         "heartbeat",
         "inherited_lease_until_ms",
@@ -123,7 +123,7 @@
         self.last_processed_end = 0
         self.leaving_since_ms = 0
         self.excluded_until_ms = 0
-        self.failures = 0
+        self.failed_tasks: set[str] = set()
         self.has_polled = False
         self.ended_batch_runs: list[tuple[int, str, float]] = []
 
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -14,6 +14,7 @@
 import job_builders as build
 
 ROUND_MS = 50
+FAILURE_AGE_MS = 300
 SERVING_JOB = "00000000000000e1"
 BATCH_JOB = "00000000000000e2"
 SERVING_TASK = f"{SERVING_JOB}.0.0.0"
@@ -89,6 +90,7 @@
     """A leader and workers whose runs end after the estimate of their step.
 
     Attributes:
+      failing: Jobs whose runs fail soon after their start.
       started: Worker of the first run of each task that was started.
     """
 
@@ -106,6 +108,7 @@
             self.dispatcher.links[worker.name] = link_lib.Link(
                 worker, RunningClient(), self.dispatcher, 6_000
             )
+        self.failing = set()
         self.started = {}
         for command in submits:
             self.node.state.apply(command)
@@ -139,21 +142,28 @@
         for run in list(link.worker.runs.values()):
             run.seen = True
             age_ms = now_ms - run.ordered_ms
+            if run.job.description.job in self.failing:
+                if age_ms >= FAILURE_AGE_MS:
+                    await self._end(link, run, "failed")
+                continue
             if run.step.serves:
                 run.progress_percent = 100
                 continue
             run.progress_percent = 100 * age_ms / run.step.estimate_ms
             is_stopped = run.task in link.client.stopped
             if is_stopped or age_ms >= run.step.estimate_ms:
-                outcome = "gone" if is_stopped else "done"
-                end = link.end_run(run, outcome, run.checkpoint, "")
-                await self.dispatcher.queue_ends([end])
+                await self._end(link, run, "gone" if is_stopped else "done")
+
+    async def _end(self, link, run, outcome):
+        end = link.end_run(run, outcome, run.checkpoint, "")
+        self.dispatcher.note_end(link.worker, run, outcome)
+        await self.dispatcher.queue_ends([end])
 
-    async def advance_until_started(self, task, limit_ms=MAX_WAIT_MS):
+    async def advance_until_started(self, task):
         """Advances until a task has started; returns how long that took."""
         began_ms = self.clock.now_ms
         while task not in self.started:
-            assert self.clock.now_ms - began_ms < limit_ms, "not started"
+            assert self.clock.now_ms - began_ms < MAX_WAIT_MS, "not started"
             await self.advance(ROUND_MS)
         return self.clock.now_ms - began_ms
 
@@ -362,3 +372,15 @@
         await simulation.advance_until_started(SERVING_TASK)
 
     run(scenario, workers(2), *small_jobs())
+
+
+@pytest.mark.parametrize("step", [build.step, build.serving_step])
+def test_a_task_that_always_fails_keeps_no_other_from_the_workers(step):
+    async def scenario(simulation):
+        simulation.failing.add(BATCH_JOB)
+        await simulation.advance(20_000)
+        simulation.node.state.apply(build.submit(step(), job=SERVING_JOB))
+        await simulation.advance_until_started(SERVING_TASK)
+
+    failing = build.submit(build.serving_step(tasks=3), job=BATCH_JOB)
+    run(scenario, workers(4), failing)
