Extend no lease with a start while polls renew it

Would be seen by callers: a lasting task whose start went to a worker that had just ended without a sign is started elsewhere only 7.6 s after that end, beyond the 7 s after which a waiting task counts as lost; the other tasks of that worker wait as long.

Cause: each start sent a lease of full length. New runs start on a worker for up to 1.5 s after its last reply, also while its polls fail, and its runs are over only when the last lease that it may have received has expired, 6.1 s later.

Change: a start carries the lease that the polls have sent, and extends it only if less than half of it is left. The wait then counts from the last poll before the failed one.

Test: test_a_start_on_a_worker_that_may_have_ended_prolongs_no_wait_for_it failed before with a lease 999 ms later. The times above are computed from the constants; no play has shown such a task lost.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -307,7 +307,9 @@
                 run=run.run,
                 spec=run.job.description.spec,
                 checkpoint=run.job.runs[run.key].checkpoint,
-                lease_until_ms=self.worker.extend_lease(now_ms, self.lease_ms),
+                lease_until_ms=self.worker.lease_for_start(
+                    now_ms, self.lease_ms
+                ),
                 term=self._owner.term,
             )
         )
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -153,6 +153,17 @@
         self.lease_until_ms = max(self.lease_until_ms, end_ms)
         return end_ms
 
+    def lease_for_start(self, now_ms: int, length_ms: int) -> int:
+        """Returns the end of the lease to send with a start.
+
+        Polls renew the lease. A start extends only one that ends soon, as the
+        worker may have ended, and its runs are waited for until then.
+        """
+        left_ms = self.lease_until_ms - self.min_clock_ms(now_ms)
+        if left_ms < length_ms / 2:
+            return self.extend_lease(now_ms, length_ms)
+        return self.lease_until_ms
+
     def note_inherited_lease(self, now_ms: int, length_ms: int) -> None:
         """Records that it may hold a lease that was not sent by its link."""
         # Its clock has restarted, so only the length of the lease is known.
