End runs of an earlier term with the next worker on their VM

Would be seen by callers: after a power failure of a zone that takes the leader with it, lasting tasks of that zone start again only 6.6 s after the next election, although their VMs run new workers by then. With an election of 2.4 s that is 9 s after their last run, when a task counts as lost.

Cause: a heartbeat of a newer worker on a VM proves that all runs of the earlier one have ended, but only if the earlier one sent a heartbeat in the same term. Of runs of earlier terms the state had no VM, so they were held until every lease of earlier leaders had expired.

Change: a start records its worker's VM, and a newer worker on that VM ends such runs.

Test: test_a_run_of_an_earlier_term_ends_with_the_next_worker_on_its_vm failed before: the run stayed active.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -284,6 +284,7 @@
         }
         self.links[worker.name] = link
         self._attach(worker)
+        self._ends += lost_runs.end_replaced(self, heartbeat)
         ends: list[commands.RunEnd] = []
         for other in ended:
             other_link = before[other.name]
@@ -415,4 +416,5 @@
         run=run.run,
         worker=worker.name,
         born_ms=worker.heartbeat.born_ms,
+        machine=worker.heartbeat.machine,
     )
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -4,6 +4,8 @@
 
 from galenahook import commands
 from galenahook import logs
+from galenahook.jobs import calls
+from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import workers as workers_lib
 
 if TYPE_CHECKING:
@@ -60,24 +62,48 @@
     return dispatcher.started_ms + longest_ms + LEASE_MARGIN_MS
 
 
+def end_replaced(
+    dispatcher: "dispatcher_lib.Dispatcher", heartbeat: calls.WorkerHeartbeat
+) -> list[commands.RunEnd]:
+    """Ends runs of earlier terms whose worker's VM runs a newer worker."""
+    replaced = [
+        record
+        for record in dispatcher.unattached.values()
+        if record.machine
+        and record.machine == heartbeat.machine
+        and record.born_ms < heartbeat.born_ms
+    ]
+    return [
+        _end_record(dispatcher, record, "worker restarted")
+        for record in replaced
+    ]
+
+
 def _end_unattached(
     dispatcher: "dispatcher_lib.Dispatcher",
 ) -> list[commands.RunEnd]:
-    ends = []
-    for record in dispatcher.unattached.values():
-        logs.warning(
-            "run:end",
-            task=record.task,
-            run=record.run,
-            worker=record.worker,
-            outcome="gone",
-            detail="worker sent no heartbeat in this term",
-        )
-        ends.append(
-            commands.RunEnd(task=record.task, run=record.run, outcome="gone")
-        )
-    dispatcher.unattached.clear()
-    return ends
+    return [
+        _end_record(dispatcher, record, "worker sent no heartbeat in this term")
+        for record in list(dispatcher.unattached.values())
+    ]
+
+
+def _end_record(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    record: tasks_lib.RunRecord,
+    detail: str,
+) -> commands.RunEnd:
+    """Ends a run of an earlier term."""
+    del dispatcher.unattached[record.task]
+    logs.warning(
+        "run:end",
+        task=record.task,
+        run=record.run,
+        worker=record.worker,
+        outcome="gone",
+        detail=detail,
+    )
+    return commands.RunEnd(task=record.task, run=record.run, outcome="gone")
 
 
 def _end_seen(link: "link_lib.Link") -> list[commands.RunEnd]:
--- a/src/galenahook/jobs/tasks.py
+++ b/src/galenahook/jobs/tasks.py
@@ -42,6 +42,7 @@
       run: Number of the run, from 1.
       worker: Worker that was ordered to run it.
       born_ms: Incarnation of that worker.
+      machine: VM of that worker; empty if not known.
       active: Whether it may be running.
       done: Whether the task is done.
       failures: Runs that failed.
@@ -53,6 +54,7 @@
     run: int
     worker: str
     born_ms: int
+    machine: str = ""
     active: bool = True
     done: bool = False
     failures: int = 0
--- a/tests/test_jobs_dispatcher.py
+++ b/tests/test_jobs_dispatcher.py
@@ -146,3 +146,33 @@
         await dispatcher.close()
 
     curio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("changes", "ended"),
+    [
+        ({}, True),
+        ({"machine": "m-else"}, False),
+        ({"machine": ""}, False),
+        ({"born_ms": 1}, False),
+    ],
+)
+def test_a_run_of_an_earlier_term_ends_with_the_next_worker_on_its_vm(
+    changes, ended
+):
+    """Otherwise its task waits for a whole lease from the new term on."""
+    node = FakeNode()
+    node.state.apply(build.submit(build.serving_step()))
+    worker = build.worker()
+    live = build.live_run(node.state.jobs.jobs[build.JOB])
+    node.state.apply(build.starts(dispatcher_lib._start_of(worker, live)))
+    dispatcher = make(node)
+
+    async def main():
+        values = {"born_ms": 2, "machine": "m-w1", **changes}
+        await dispatcher.handle_heartbeat(build.heartbeat("w2", **values))
+        await dispatcher._round()
+        assert (not node.state.jobs.jobs[build.JOB].active) is ended
+        await dispatcher.close()
+
+    curio.run(main)
