Find the runs of earlier terms by worker and VM

Would be seen by callers: with thousands of workers, a new leader is busy comparing runs while workers wait for their first poll and leases run out.

Cause: the first heartbeat of each worker in a term was compared with every run of earlier terms, so an election cost workers times runs; the search by VM doubled that.

Change: these runs are indexed by worker and VM in a class of their own.

Test: test_a_heartbeat_does_not_compare_the_runs_of_all_workers failed before: 403 reads of 200 records for one heartbeat, where fewer than 20 are allowed.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -24,6 +24,7 @@
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.jobs import tasks as tasks_lib
+from galenahook.jobs import unattached as unattached_lib
 from galenahook.jobs import waiting
 from galenahook.jobs import worker_api
 from galenahook.jobs import workers as workers_lib
@@ -57,8 +58,7 @@
       started_ms: When the term began here.
       pool: Workers that sent a heartbeat.
       links: Link to each worker by its identifier.
-      unattached: Runs of earlier terms whose worker sent no heartbeat yet, by
-        task.
+      unattached: Runs of earlier terms whose worker sent no heartbeat yet.
       health: Excludes workers that fail runs.
       tails: Throttles batch tasks that slow serving tasks.
       run_times: Estimated run times of tasks.
@@ -300,23 +300,15 @@
             await self.queue_ends(ends)
 
     def _attach(self, worker: workers_lib.Worker) -> None:
-        """Attaches runs of earlier terms to the worker that was to run them.
-
-        A delayed heartbeat may be of an earlier incarnation than the run.
-        """
-        for task, record in list(self.unattached.items()):
-            if record.worker != worker.name:
-                continue
-            if record.born_ms > worker.heartbeat.born_ms:
-                continue
-            del self.unattached[task]
+        """Attaches runs of earlier terms to the worker that was to run them."""
+        for record in self.unattached.take_runs_of(worker.heartbeat):
             run = live_run(self, record.task, record.run)
             if run is not None:
                 run.checkpoint = record.checkpoint
                 # The throttle that an earlier leader set is not known.
                 run.throttle_percent = 0 if run.step.uses_idle_cpu else 100
                 run.slowed_ms = self.now_ms()
-                worker.runs[task] = run
+                worker.runs[record.task] = run
 
     async def leave(self, message: calls.WorkerLeft) -> None:
         """Records that a worker announced its end.
@@ -400,12 +392,12 @@
     return workers_lib.LiveRun(task, run, job, key, job.step(key))
 
 
-def _active_runs(node: node_lib.Node) -> dict[str, tasks_lib.RunRecord]:
-    return {
-        job.runs[key].task: job.runs[key]
+def _active_runs(node: node_lib.Node) -> unattached_lib.UnattachedRuns:
+    return unattached_lib.UnattachedRuns(
+        job.runs[key]
         for job in node.state.jobs.open.values()
         for key in job.active
-    }
+    )
 
 
 def _start_of(
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -33,7 +33,7 @@
     now_ms = dispatcher.now_ms()
     is_settled = now_ms > _earlier_leaders_leases_end_ms(dispatcher)
     ends = []
-    if is_settled and dispatcher.unattached:
+    if is_settled:
         ends += _end_unattached(dispatcher)
     for name, link in list(dispatcher.links.items()):
         worker = link.worker
@@ -66,16 +66,9 @@
     dispatcher: "dispatcher_lib.Dispatcher", heartbeat: calls.WorkerHeartbeat
 ) -> list[commands.RunEnd]:
     """Ends runs of earlier terms whose worker's VM runs a newer worker."""
-    replaced = [
-        record
-        for record in dispatcher.unattached.values()
-        if record.machine
-        and record.machine == heartbeat.machine
-        and record.born_ms < heartbeat.born_ms
-    ]
     return [
-        _end_record(dispatcher, record, "worker restarted")
-        for record in replaced
+        _end_record(record, "worker restarted")
+        for record in dispatcher.unattached.take_replaced_by(heartbeat)
     ]
 
 
@@ -83,18 +76,13 @@
     dispatcher: "dispatcher_lib.Dispatcher",
 ) -> list[commands.RunEnd]:
     return [
-        _end_record(dispatcher, record, "worker sent no heartbeat in this term")
-        for record in list(dispatcher.unattached.values())
+        _end_record(record, "worker sent no heartbeat in this term")
+        for record in dispatcher.unattached.take_all()
     ]
 
 
-def _end_record(
-    dispatcher: "dispatcher_lib.Dispatcher",
-    record: tasks_lib.RunRecord,
-    detail: str,
-) -> commands.RunEnd:
+def _end_record(record: tasks_lib.RunRecord, detail: str) -> commands.RunEnd:
     """Ends a run of an earlier term."""
-    del dispatcher.unattached[record.task]
     logs.warning(
         "run:end",
         task=record.task,
