--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -20,9 +20,11 @@
 from galenahook.jobs import link_owner
 from galenahook.jobs import lost_runs
 from galenahook.jobs import placement
+from galenahook.jobs import reservations as reservations_lib
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.jobs import tasks as tasks_lib
+from galenahook.jobs import unattached as unattached_lib
 from galenahook.jobs import waiting
 from galenahook.jobs import worker_api
 from galenahook.jobs import workers as workers_lib
@@ -56,11 +58,11 @@
       started_ms: When the term began here.
       pool: Workers that sent a heartbeat.
       links: Link to each worker by its identifier.
-      unattached: Runs of earlier terms whose worker sent no heartbeat yet, by
-        task.
+      unattached: Runs of earlier terms whose worker sent no heartbeat yet.
       health: Excludes workers that fail runs.
       tails: Throttles batch tasks that slow serving tasks.
       run_times: Estimated run times of tasks.
+      reservations: Workers reserved for serving tasks that fit no worker.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.health = health_lib.WorkerHealth()
         self.tails = tail_latency_lib.TailLatencyControl()
         self.run_times = run_times_lib.RunTimes()
+        self.reservations = reservations_lib.Reservations()
         self.now_ms = clock.monotonic_ms
         self.started_ms = self.now_ms()
         self.unattached = _active_runs(node)
@@ -156,6 +159,7 @@
         await self._commit_ends()
         await self.tails.control(self)
         await self._start_waiting()
+        await self.reservations.preempt(self)
         self._waiting_report.log(self)
         if self.now_ms() - self._model_stored_ms >= MODEL_STORE_PERIOD_MS:
             self._model_stored_ms = self.now_ms()
@@ -280,6 +284,7 @@
         }
         self.links[worker.name] = link
         self._attach(worker)
+        self._ends += lost_runs.end_replaced(self, heartbeat)
         ends: list[commands.RunEnd] = []
         for other in ended:
             other_link = before[other.name]
@@ -295,23 +300,15 @@
             await self.queue_ends(ends)
 
     def _attach(self, worker: workers_lib.Worker) -> None:
-        """Attaches runs of earlier terms to the worker that was to run them.
-
-        A delayed heartbeat may be of an earlier incarnation than the run.
-        """
-        for task, record in list(self.unattached.items()):
-            if record.worker != worker.name:
-                continue
-            if record.born_ms > worker.heartbeat.born_ms:
-                continue
-            del self.unattached[task]
+        """Attaches runs of earlier terms to the worker that was to run them."""
+        for record in self.unattached.take_runs_of(worker.heartbeat):
             run = live_run(self, record.task, record.run)
             if run is not None:
                 run.checkpoint = record.checkpoint
                 # The throttle that an earlier leader set is not known.
                 run.throttle_percent = 0 if run.step.uses_idle_cpu else 100
                 run.slowed_ms = self.now_ms()
-                worker.runs[task] = run
+                worker.runs[record.task] = run
 
     async def leave(self, message: calls.WorkerLeft) -> None:
         """Records that a worker announced its end.
@@ -395,12 +392,12 @@
     return workers_lib.LiveRun(task, run, job, key, job.step(key))
 
 
-def _active_runs(node: node_lib.Node) -> dict[str, tasks_lib.RunRecord]:
-    return {
-        job.runs[key].task: job.runs[key]
+def _active_runs(node: node_lib.Node) -> unattached_lib.UnattachedRuns:
+    return unattached_lib.UnattachedRuns(
+        job.runs[key]
         for job in node.state.jobs.open.values()
         for key in job.active
-    }
+    )
 
 
 def _start_of(
@@ -411,4 +408,5 @@
         run=run.run,
         worker=worker.name,
         born_ms=worker.heartbeat.born_ms,
+        machine=worker.heartbeat.machine,
     )
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -90,7 +90,7 @@
       last_processed_end: Number of the last end processed from its list.
       leaving_since_ms: When it announced that it ends; 0 before.
       excluded_until_ms: Until when nothing new starts on it.
-      failures: Number of consecutive failed runs.
+      failed_tasks: Tasks that failed on it since it last completed one.
       has_polled: Whether it has replied to a poll in this term.
       has_stray_runs: Whether it last listed runs that the replicated state does
         not contain, and whose needs may not be known.
@@ -105,7 +105,7 @@
         "clock_at_ms",
         "clock_ms",
         "ended_batch_runs",
-        "failures",
+        "failed_tasks",
         "last_reply_ms",
         "heartbeat",
         "inherited_lease_until_ms",
@@ -130,7 +130,7 @@
         self.last_processed_end = 0
         self.leaving_since_ms = 0
         self.excluded_until_ms = 0
-        self.failures = 0
+        self.failed_tasks: set[str] = set()
         self.has_polled = False
         self.has_stray_runs = False
         self.ended_batch_runs: list[tuple[int, str, float]] = []
@@ -162,6 +162,17 @@
         self.lease_until_ms = max(self.lease_until_ms, end_ms)
         return end_ms
 
+    def lease_for_start(self, now_ms: int, length_ms: int) -> int:
+        """Returns the end of the lease to send with a start.
+
+        Polls renew the lease. A start extends only one that ends soon, as the
+        worker may have ended, and its runs are waited for until then.
+        """
+        left_ms = self.lease_until_ms - self.min_clock_ms(now_ms)
+        if left_ms < length_ms / 2:
+            return self.extend_lease(now_ms, length_ms)
+        return self.lease_until_ms
+
     def note_inherited_lease(self, now_ms: int, length_ms: int) -> None:
         """Records that it may hold a lease that was not sent by its link."""
         # Its clock has restarted, so only the length of the lease is known.
