Derive the age at which a heartbeat is outdated from its period

Nothing starts on a worker whose heartbeat is older than 4 s. With a period of heartbeats of 4 s or more no worker would be usable between two of them. The period is now a setting, which the platform fills in; a heartbeat counts for it and 2.5 s more, which is 4 s at 1.5 s as before. A heartbeat that does not contain its worker's clock is not outdated.

test_a_worker_with_rare_heartbeats_stays_usable_between_them needs the setting.

--- a/src/galenahook/job_replica.py
+++ b/src/galenahook/job_replica.py
@@ -145,6 +145,7 @@
                 self._create_worker_client,
                 self.settings.worker_lease_ms,
                 self.metrics,
+                self.settings.worker_heartbeat_ms,
             )
             self.leader = leader_lib.JobLeader(
                 self.node, self.clock, dispatcher
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -72,13 +72,14 @@
         make_client: ClientFactory,
         lease_ms: int,
         metrics: job_metrics.JobMetrics,
+        heartbeat_period_ms: int | None = None,
     ) -> None:
         self.node = node
         self.clock = clock
         self.term = node.term()
         self.lease_ms = lease_ms
         self.metrics = metrics
-        self.pool = workers_lib.WorkerPool(clock)
+        self.pool = workers_lib.WorkerPool(clock, heartbeat_period_ms)
         self.links: dict[str, link_lib.Link] = {}
         self.health = health_lib.WorkerHealth()
         self.tails = tail_latency_lib.TailLatencyControl()
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -13,8 +13,10 @@
 MAX_ORDER_DELAY_MS = 12_000
 # Time without a response after which nothing new starts on a worker.
 UNRESPONSIVE_AFTER_MS = 1_500
-# Age from which a heartbeat no longer tells the capacity of its worker.
-MAX_HEARTBEAT_AGE_MS = 4_000
+# Period of heartbeats if the settings don't contain it.
+HEARTBEAT_PERIOD_MS = 1_500
+# Time after which an overdue heartbeat leaves the worker's capacity unknown.
+MAX_HEARTBEAT_DELAY_MS = 2_500
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
 
@@ -94,6 +96,7 @@
       has_polled: Whether it has replied to a poll in this term.
       has_stray_runs: Whether it last listed runs that the replicated state does
         not contain, and whose needs may not be known.
+      heartbeat_period_ms: Time between two of its heartbeats.
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
       throttles_changed_ms: When a throttle of its runs last changed; 0 before.
@@ -113,6 +116,7 @@
         "leaving_since_ms",
         "has_polled",
         "has_stray_runs",
+        "heartbeat_period_ms",
         "runs",
         "last_processed_end",
         "throttles_changed_ms",
@@ -133,6 +137,7 @@
         self.failed_tasks: set[str] = set()
         self.has_polled = False
         self.has_stray_runs = False
+        self.heartbeat_period_ms = HEARTBEAT_PERIOD_MS
         self.ended_batch_runs: list[tuple[int, str, float]] = []
         self.throttles_changed_ms = 0
 
@@ -220,10 +225,13 @@
     def is_heartbeat_outdated(self, now_ms: int) -> bool:
         """Returns whether its capacity may have changed unnoticed.
 
-        A delayed heartbeat is as old as it is by the worker's clock.
+        A delayed heartbeat is as old as it is by the worker's clock, if it
+        contains that clock.
         """
+        if not self.heartbeat.clock_ms:
+            return False
         age_ms = self.min_clock_ms(now_ms) - self.heartbeat.clock_ms
-        return age_ms > MAX_HEARTBEAT_AGE_MS
+        return age_ms > self.heartbeat_period_ms + MAX_HEARTBEAT_DELAY_MS
 
     def is_over_capacity(self) -> bool:
         """Returns whether its runs reserve more than its capacity."""
@@ -257,10 +265,15 @@
       workers: Current incarnation of each worker by identifier.
     """
 
-    __slots__ = ("_clock", "workers")
+    __slots__ = ("_clock", "_heartbeat_period_ms", "workers")
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        heartbeat_period_ms: int | None = None,
+    ) -> None:
         self._clock = clock
+        self._heartbeat_period_ms = heartbeat_period_ms
         self.workers: dict[str, Worker] = {}
 
     def handle_heartbeat(
@@ -290,6 +303,8 @@
             or _replaces(heartbeat, worker.heartbeat)
         ]
         worker = Worker(heartbeat, now_ms)
+        if self._heartbeat_period_ms is not None:
+            worker.heartbeat_period_ms = self._heartbeat_period_ms
         self.workers[heartbeat.worker] = worker
         return worker, ended
 
--- a/src/galenahook/settings.py
+++ b/src/galenahook/settings.py
@@ -143,6 +143,7 @@
         bootstrapping a cluster.
       worker_lease_ms: Duration of a worker's lease; must not exceed the
         maximum that workers accept.
+      worker_heartbeat_ms: Time between two heartbeats of a worker.
       stop_ms: Maximum time from SIGTERM to the exit of the process.
       timing: Periods of the consensus protocol.
     """
@@ -157,6 +158,7 @@
     data_folder: str
     may_found: bool
     worker_lease_ms: int
+    worker_heartbeat_ms: int = 1_500
     stop_ms: int
     timing: Timing = Timing()
 
--- a/src/galenahook/settings_checks.py
+++ b/src/galenahook/settings_checks.py
@@ -83,6 +83,8 @@
     _check_data_folder(replica.data_folder, findings)
     if replica.worker_lease_ms <= 0:
         findings.add("$.worker_lease_ms", "must be above 0 ms")
+    if replica.worker_heartbeat_ms <= 0:
+        findings.add("$.worker_heartbeat_ms", "must be above 0 ms")
     _check_timing(replica.timing, findings)
 
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -24,6 +24,7 @@
     "internal_ports": [7720, 7735],
     "seeds": ["127.0.0.1:8166", "127.0.0.2:8166"],
     "bootstrap": True,
+    "heartbeat_ms": 1500,
     "bounds": {"grace_s": 6, "max_hold_ms": 10000},
 }
 
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -15,6 +15,9 @@
 
 TASK = f"{build.JOB}.0.0.0"
 OTHER_JOB = "00000000000000a2"
+MAX_HEARTBEAT_AGE_MS = (
+    workers_lib.HEARTBEAT_PERIOD_MS + workers_lib.MAX_HEARTBEAT_DELAY_MS
+)
 
 
 class FakeNode:
@@ -275,7 +278,7 @@
     async def scenario(leader):
         worker = leader.workers["w1"]
         await leader.announce()
-        worker.clock_ms += workers_lib.MAX_HEARTBEAT_AGE_MS + 100
+        worker.clock_ms += MAX_HEARTBEAT_AGE_MS + 100
         await curio.sleep(0.02)
         assert not leader.dispatcher.links["w1"].is_gone
         await leader.place()
@@ -293,7 +296,7 @@
         await leader.announce()
 
         async def wait():
-            worker.clock_ms += workers_lib.MAX_HEARTBEAT_AGE_MS + 100
+            worker.clock_ms += MAX_HEARTBEAT_AGE_MS + 100
             await curio.sleep(0.02)
 
         leader.node.during_commit = wait
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -2,6 +2,7 @@
 
 import curio
 import eliot
+import msgspec
 import pytest
 
 from galenahook import clock as clock_lib
@@ -141,6 +142,9 @@
         now_ms = self.clock.now_ms
         link.worker.last_reply_ms = now_ms
         link.worker.extend_lease(now_ms, 6_000)
+        link.worker.heartbeat = msgspec.structs.replace(
+            link.worker.heartbeat, clock_ms=link.worker.min_clock_ms(now_ms)
+        )
         for run in list(link.worker.runs.values()):
             run.seen = True
             age_ms = now_ms - run.ordered_ms
--- a/tests/test_jobs_workers.py
+++ b/tests/test_jobs_workers.py
@@ -121,3 +121,12 @@
     worker.note_inherited_lease(1_000, 6_000)
     worker.record_clock(90_000, 2_000)
     assert not worker.is_lease_expired(1_000 + 6_122)
+
+
+def test_a_worker_with_rare_heartbeats_stays_usable_between_them():
+    pool = workers_lib.WorkerPool(ManualClock(), heartbeat_period_ms=10_000)
+    worker, _ = pool.handle_heartbeat(build.heartbeat(clock_ms=1_000))
+    worker.record_clock(13_000, 1_000)
+    assert not worker.is_heartbeat_outdated(1_000)
+    worker.record_clock(14_000, 1_000)
+    assert worker.is_heartbeat_outdated(1_000)
