Log a change of a worker's capacity

Without it the log does not tell whether a task waited, or a start was withheld, because a worker's capacity shrank: the leader logged neither the capacity nor its changes.

A line `worker:capacity` with the capacity before and after it is written when a newer heartbeat of the same incarnation announces another one, so never more often than that. Late heartbeats and unchanged capacities write none.

Test: it failed on the code before, without a line.

--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -4,6 +4,7 @@
 
 from galenahook import clock as clock_lib
 from galenahook import commands
+from galenahook import logs
 from galenahook.jobs import calls
 from galenahook.jobs import tasks as tasks_lib
 
@@ -262,6 +263,7 @@
         known = self.workers.get(heartbeat.worker)
         if known is not None and known.heartbeat.born_ms == heartbeat.born_ms:
             if heartbeat.sequence > known.heartbeat.sequence:
+                _log_capacity_change(known.heartbeat, heartbeat)
                 known.heartbeat = heartbeat
                 known.record_clock(heartbeat.clock_ms, now_ms)
             return None, []
@@ -293,6 +295,27 @@
             del self.workers[worker.name]
 
 
+def _log_capacity_change(
+    before: calls.WorkerHeartbeat, after: calls.WorkerHeartbeat
+) -> None:
+    """Logs the new capacity of a worker if it has changed."""
+    if (before.cpu_millis, before.memory_mb, before.gpus) != (
+        after.cpu_millis,
+        after.memory_mb,
+        after.gpus,
+    ):
+        logs.info(
+            "worker:capacity",
+            worker=after.worker,
+            cpu_millis=after.cpu_millis,
+            memory_mb=after.memory_mb,
+            gpus=after.gpus,
+            cpu_millis_before=before.cpu_millis,
+            memory_mb_before=before.memory_mb,
+            gpus_before=before.gpus,
+        )
+
+
 def _replaces(
     newer: calls.WorkerHeartbeat, older: calls.WorkerHeartbeat
 ) -> bool:
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -1,6 +1,7 @@
 """Capacity of workers that shrinks and grows while they run."""
 
 import curio
+import eliot
 import pytest
 
 from galenahook import clock as clock_lib
@@ -492,3 +493,32 @@
         await rounds.cancel()
 
     lead(scenario, build.submit())
+
+
+@pytest.fixture
+def changes():
+    """Returns the list of logged capacities."""
+    messages = []
+
+    def record(message):
+        if message.get("message_type") == "worker:capacity":
+            values = (message["cpu_millis"], message["memory_mb"])
+            messages.append((message["worker"], *values, message["gpus"]))
+
+    eliot.add_destinations(record)
+    # The first destination receives messages of earlier tests.
+    messages.clear()
+    yield messages
+    eliot.remove_destination(record)
+
+
+def test_a_change_of_the_capacity_is_logged_once(changes):
+    async def scenario(leader):
+        await leader.announce(sequence=1)
+        await leader.announce(sequence=2)
+        await leader.announce(sequence=4, cpu_millis=0, gpus=1)
+        await leader.announce(sequence=3)
+        await leader.announce(sequence=5, cpu_millis=0, gpus=1)
+
+    lead(scenario)
+    assert changes == [("w1", 0, 32_000, 1)]
