--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -68,7 +68,9 @@
         return worker_api.StartAnswer.RUNNING, ""
 
     async def stop(self, task, _run, _term):
-        self.stopped.append(task)
+        # Stops are sent again until the run has ended.
+        if task not in self.stopped:
+            self.stopped.append(task)
         return True
 
     async def poll(self, *_arguments):
