Send no replica its own removal

Nobody could be elected any more: a live replica that received its removal before the leader was lost, with its disk, refuses its vote to the voters without that entry, whose logs are older, and never campaigns itself.

Cause: the task that replicates to a peer went on after the peer had been removed from the leader's list, until the next heartbeat period.

The task now ends with its peer. A batch is read after that check without a suspension, and the peer leaves the list before the removal is in the log, so no batch to it contains the removal.

--- a/src/galenahook/replicas/replication.py
+++ b/src/galenahook/replicas/replication.py
@@ -62,7 +62,9 @@
 ) -> None:
     """Replicates to one peer while this replica leads the given term."""
     try:
-        while core.leads(term):
+        # A removed replica must not receive its removal: until that is
+        # committed, its vote may be needed.
+        while core.leads(term) and core.peers.get(peer.member.name) is peer:
             sent_ms = core.now_ms()
             was_connected = peer.connection is not None
             try:
--- a/tests/test_replicas_recovery.py
+++ b/tests/test_replicas_recovery.py
@@ -24,6 +24,11 @@
     assert (await leader.remove(name)).is_ok()
     address = group.replicas[name].address
     assert (await leader.add_learner(name, address)).is_ok()
+    await promote(group, leader, name)
+
+
+async def promote(group, leader, name):
+    """Promotes a learner once it has caught up."""
     end_ms = group.clock.monotonic_ms() + 5_000
     while not (await leader.promote(name)).is_ok():
         assert group.clock.monotonic_ms() < end_ms
@@ -382,3 +387,27 @@
             await group.start("b")
 
     replica_group.run(main)
+
+
+def test_replica_does_not_receive_its_own_removal(tmp_path):
+    """It would refuse its vote to voters without the removal, and have none."""
+    group = replica_group.ReplicaGroup(tmp_path, "abcde")
+
+    async def main():
+        await group.start()
+        for _ in range(5):
+            removed = await follower_except(group)
+            leader = await group.wait_for_leader()
+            assert (await leader.remove(removed)).is_ok()
+            await curio.sleep(2 * group.timing.heartbeat_period_ms / 1000)
+            node = group.node(removed)
+            assert removed in node.core.members.by_name
+            address = group.replicas[removed].address
+            assert (await leader.add_learner(removed, address)).is_ok()
+            await group.wait_until(
+                lambda node=node: node.status().role == "learner"
+            )
+            await promote(group, leader, removed)
+        await group.close()
+
+    replica_group.run(main)
