Show that an entry follows a group whose replicas are all replaced

Evidence that holds on the present code, no fault: each of three replicas is replaced in turn, the leader each time, and the entry then knows the present members only. Removed addresses are searched no longer.

--- a/tests/test_jobs_gateway.py
+++ b/tests/test_jobs_gateway.py
@@ -241,3 +241,29 @@
     server = web.Server(web.listen("127.0.0.1:0"), lead, web.Limits())
     address = server.address
     run(main)
+
+
+def test_an_entry_follows_the_group_while_every_replica_is_replaced(
+    monkeypatch,
+):
+    monkeypatch.setattr(gateway_lib, "POLL_PERIOD_MS", 5)
+
+    async def main():
+        replicas = FakeReplicas("a", "b", "c")
+        replicas.leader = "a"
+        gateway = gateway_of(replicas, "a", "b", "c")
+        await curio.spawn(gateway.track_leader, daemon=True)
+        for gone, new in (("a", "d"), ("b", "e"), ("c", "f")):
+            await gateway.call(STATE, 2_000)
+            replicas.unresponsive.add(gone)
+            del replicas.members[gone]
+            replicas.members[new] = f"at-{new}"
+            replicas.leader = new
+            assert (await gateway.call(STATE, 2_000)).outcome == "done"
+            async with curio.ignore_after(2):
+                while set(gateway.replicas) != set(replicas.members):
+                    await curio.sleep(0.005)
+            assert set(gateway.replicas) == set(replicas.members)
+        assert gateway.leader == "f"
+
+    run(main)
