Show that a worker that never returns is removed with its link

Evidence that holds on the present code, no fault: its runs end with its lease, and after the retention time the leader keeps nothing of the worker.

--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -12,6 +12,7 @@
 from galenahook.jobs import lost_runs
 from galenahook.jobs import worker_api
 import job_builders as build
+import scheduling_model
 
 TASK = f"{build.JOB}.0.0.0"
 GRACE_MS = 60
@@ -235,3 +236,33 @@
         assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
 
     run_with_worker(scenario)
+
+
+def test_a_worker_that_never_returns_is_removed_with_its_link():
+    async def main():
+        node = FakeNode()
+        node.state.apply(build.submit())
+        node.state.apply(build.starts(build.start(TASK)))
+        clock = scheduling_model.ManualClock()
+        client = FakeClient()
+        client.failure = TimeoutError("no power")
+        dispatcher = dispatcher_lib.Dispatcher(
+            node,
+            clock,
+            lambda _heartbeat: client,
+            3_000,
+            job_metrics.JobMetrics(),
+        )
+        await dispatcher.handle_heartbeat(build.heartbeat())
+        link = dispatcher.links["w1"]
+        await curio.sleep(0.02)
+        clock.now_ms += 10_000
+        (end,) = await lost_runs.end_lost_runs(dispatcher)
+        assert (end.task, end.outcome) == (TASK, "gone")
+        assert dispatcher.pool.workers.keys() == {"w1"}
+        clock.now_ms += lost_runs.WORKER_RETENTION_MS
+        assert await lost_runs.end_lost_runs(dispatcher) == []
+        assert link.ended
+        assert dispatcher.links == dispatcher.pool.workers == {}
+
+    curio.run(main)
