Spare a dead voter only where the quorum falls with it

A group of nine that was cut into five and four shrank to five voters within 2.3 s: three lost disks could then take every copy of an entry, where nine voters had kept four. And a group of five with a dead voter, in which another replica returned with an empty folder, could shrink to three while that one caught up.

Cause: a group of more than five voters gave up every dead one, and learners were not looked at. A dead voter is now removed without a successor only if the number of voters is even, so once, and while no learner is there.

Tests before the fix: 4 of 9 cases of the two tests failed (seven voters of which three are down; a learner beside four voters; seven and nine voters).

--- a/src/galenahook/replicas/membership_changes.py
+++ b/src/galenahook/replicas/membership_changes.py
@@ -24,8 +24,6 @@
 # Longest election timeouts without an acknowledgement after which a member is
 # dead. Crashed processes are back sooner.
 _DEAD_ELECTION_TIMEOUTS = 2
-# With fewer voters, two lost disks could take every copy of an entry.
-_MIN_VOTERS_WITHOUT_DEAD = 5
 
 Outcome = expression.Result[membership.Members, wire.MemberChangeRefused]
 
@@ -127,15 +125,14 @@
 def can_spare(core: core_lib.Core, member: membership.Member) -> bool:
     """Returns whether a dead member may be removed without a successor.
 
-    A learner has no vote. Without one of an even number of voters, the quorum
-    is smaller.
+    Without one of an even number of voters, the quorum is smaller. Of an odd
+    number, each vote may be needed once its replica is back: copies of an entry
+    must outlast as many lost disks as before. A learner has no vote, and one
+    that lives may still replace the member.
     """
     voters = len(core.members.voters)
-    return (
-        not member.voter
-        or voters > _MIN_VOTERS_WITHOUT_DEAD
-        or (voters % 2 == 0 and voters > 2)
-    )
+    is_even = voters % 2 == 0 and voters > 2
+    return not member.voter or (is_even and not core.members.learners)
 
 
 def _may_change(core: core_lib.Core) -> bool:
--- a/tests/test_replicas_joining.py
+++ b/tests/test_replicas_joining.py
@@ -1,11 +1,14 @@
 """Replicas join, leave and are replaced without an operator."""
 
 import random
+import types
 
 import curio
 import pytest
 
 from fakes import replica_group
+from galenahook.replicas import membership
+from galenahook.replicas import membership_changes
 
 RANDOM_STEPS = 6
 MAX_DOWN_S = 1.5
@@ -74,23 +77,56 @@
     replica_group.run(main)
 
 
-def test_replicas_that_are_down_keep_their_votes_without_a_successor(tmp_path):
+@pytest.mark.parametrize(
+    ("names", "down"), [("abcde", "ab"), ("abcdefg", "abc")]
+)
+def test_replicas_that_are_down_keep_their_votes_without_a_successor(
+    tmp_path, names, down
+):
     """An availability zone that is lost for a while comes back with disks."""
     group = replica_group.SelfJoiningGroup(tmp_path)
 
     async def main():
         await start_five(group)
-        await group.kill("a", "b")
+        for name in names[5:]:
+            await group.start_and_join(name)
+        await group.kill(*down)
         await group.wait_for_leader()
         await curio.sleep(dead_ms(group) / 1000)
-        assert group.voters() == set("abcde")
-        await group.start("a", "b")
+        assert group.voters() == set(names)
+        await group.start(*down)
         assert await group.claim("key")
         await group.close()
 
     replica_group.run(main)
 
 
+@pytest.mark.parametrize(
+    ("voters", "learners", "is_spared"),
+    [
+        ("ab", "", False),
+        ("abc", "", False),
+        ("abcd", "", True),
+        ("abcd", "e", False),
+        ("abcdef", "", True),
+        ("abcdefg", "", False),
+        ("abcdefghi", "", False),
+    ],
+)
+def test_dead_voter_is_removed_only_if_the_quorum_falls_with_it(
+    voters, learners, is_spared
+):
+    """A learner on an empty folder is about to make the number odd again."""
+    members = [
+        membership.Member(name, "127.0.0.1:1", name, voter=name in voters)
+        for name in voters + learners
+    ]
+    core = types.SimpleNamespace(
+        members=membership.Members(1, {m.name: m for m in members})
+    )
+    assert membership_changes.can_spare(core, members[0]) is is_spared
+
+
 def test_replica_that_is_restarted_while_another_joins_keeps_its_vote(tmp_path):
     group = replica_group.SelfJoiningGroup(tmp_path)
 
