Reject a message of the platform that is not UTF-8

A configuration with bytes that are no text in a field that is not read here raised UnicodeDecodeError when it was stored as a document. The operator got 500 and not the 4xx that ends the call for an invalid configuration, so it would send it again and again. A heartbeat with such bytes in an unread field was taken as sound.

Cause: the decoder skips the fields that a message does not use without checking their text.

Ruled out by cases that passed before: lone surrogates in escapes, and undecodable bytes in fields that are used.

Fix: the whole body must be UTF-8, for configurations, heartbeats and jobs.

Test before the fix: 6 of 11 cases failed, the configurations with "'utf-8' codec can't decode byte 0xff in position 246", the heartbeats with "assert 200 == 400".

--- a/src/galenahook/platform/wire.py
+++ b/src/galenahook/platform/wire.py
@@ -78,6 +78,8 @@
       errors.InvalidInputError: The message is malformed.
     """
     try:
+        # Fields that are ignored are not decoded otherwise.
+        data.decode("utf-8")
         return msgspec.json.decode(data, type=wire_type)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise input_error("$", str(error)) from error
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -36,6 +36,25 @@
     return json.dumps(document).encode().replace(b'"<odd>"', fragment)
 
 
+SITE = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "quotes",
+            "host": "desk.example",
+            "path_prefix": "/quotes/",
+            "timeout_ms": 3000,
+            "slo_ms": 250,
+            "priority": 0,
+            "backend": "desk",
+            "max_attempts": 2,
+            "stretch": 2.0,
+        }
+    ],
+    "services": [{"name": "desk"}],
+}
+
+
 def heartbeat(name, **changes):
     return {
         "backend": "desk",
@@ -148,6 +167,11 @@
         request = web.Request("POST", target, [], body)
         return (await self.control.handle(request)).status
 
+    async def put_site(self, body):
+        """Puts a configuration; returns the response."""
+        target = "/galenahook/config/put"
+        return await self.control.handle(web.Request("POST", target, [], body))
+
     async def ask(self, method, job=build.JOB, body=b"", headers=()):
         """Sends a caller's request; returns the response."""
         headers = [(b"host", b"desk.example"), *headers]
@@ -398,3 +422,26 @@
         assert status == 400
 
     run_leader(scenario)
+
+
+@pytest.mark.parametrize("path", [("unknown",), ("version",), ("zone",)])
+@pytest.mark.parametrize("odd", [b'"\xff"', b'"\xed\xa0\x80"', b'"\\ud800"'])
+def test_a_heartbeat_that_is_not_text_is_rejected(run_leader, path, odd):
+    async def scenario(leader):
+        assert await leader.start_worker("odd", path, odd) == 400
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+
+    run_leader(scenario)
+
+
+@pytest.mark.parametrize("odd", [b'"\xff"', b'"\xed\xa0\x80"'])
+def test_a_configuration_that_is_not_text_is_rejected(run_leader, odd):
+    async def scenario(leader):
+        body = {**SITE, "version": 2, "unknown": 0}
+        document = insert(body, ("unknown",), odd)
+        assert (await leader.put_site(document)).status == 400
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+
+    run_leader(scenario)
