Reject a configuration with a number out of range

A configuration with `slo_ms` of 10^400 was acknowledged, stored and in force; the next job on its queue ended the leader's dispatcher with OverflowError ("int too large to convert to float"), and every later leader with it. One with the version 2^64 or 10^400 took effect for good: the operator's next versions were acknowledged and ignored.

Cause: as for heartbeats and jobs, only the sign of `timeout_ms` was checked.

Fix: version, times, attempts and stretch lie in 0 to 2^53 - 1 and priorities within 2^53 - 1 of 0, or the configuration is refused with 400 as one that can't be read.

Test before the fix: 16 of 24 cases failed: the 10^400 in `slo_ms` with the OverflowError, the two versions as version 3 was not in force afterwards, the others as they were acknowledged with 200.

--- a/src/galenahook/platform/wire_site.py
+++ b/src/galenahook/platform/wire_site.py
@@ -4,6 +4,7 @@
 misleading. Unknown fields are ignored, since the platform may add some.
 """
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -11,8 +12,13 @@
 from galenahook import commands
 from galenahook import errors
 from galenahook import findings as findings_lib
+from galenahook import messages
 from galenahook.platform import wire
 
+_Priority = Annotated[
+    int, msgspec.Meta(ge=-messages.MAX_NUMBER, le=messages.MAX_NUMBER)
+]
+
 
 class _Queue(msgspec.Struct):
     """A queue of the configuration, which the platform calls a route."""
@@ -20,12 +26,12 @@
     name: str
     host: str
     path_prefix: str
-    timeout_ms: int
+    timeout_ms: messages.Count
     backend: str  # Name of the service whose workers run the jobs.
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slo_ms: int = 0  # Added to the stretched run time.
+    priority: _Priority = 0
+    max_attempts: messages.Count = 1
+    stretch: messages.Amount = 1.0
+    slo_ms: messages.Count = 0  # Added to the stretched run time.
 
 
 class _Service(msgspec.Struct):
@@ -36,7 +42,7 @@
 class _Site(msgspec.Struct):
     """The site's configuration."""
 
-    version: int
+    version: messages.Count
     routes: tuple[_Queue, ...]
     services: tuple[_Service, ...]
     limits: dict[str, Any] = {}
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -445,3 +445,37 @@
         await leader.complete_job()
 
     run_leader(scenario)
+
+
+SITE_NUMBERS = [
+    ("version",),
+    ("routes", 0, "timeout_ms"),
+    ("routes", 0, "slo_ms"),
+    ("routes", 0, "priority"),
+    ("routes", 0, "max_attempts"),
+    ("routes", 0, "stretch"),
+]
+
+
+@pytest.mark.parametrize("path", SITE_NUMBERS, ids=lambda path: path[-1])
+@pytest.mark.parametrize(
+    "number", [HUGE, 2**64, -1, 1e308], ids=["huge", "2^64", "-1", "1e308"]
+)
+def test_a_configuration_with_a_number_out_of_range_ends_no_leader(
+    run_leader, path, number
+):
+    async def scenario(leader):
+        fragment = json.dumps(number).encode()
+        response = await leader.put_site(
+            insert({**SITE, "version": 2}, path, fragment)
+        )
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+        sound = json.dumps({**SITE, "version": 3}).encode()
+        assert (await leader.put_site(sound)).status == 200
+        assert leader.node.state.site.current.version == 3
+        # A priority below 0 comes before the others.
+        is_valid = (path[-1], number) == ("priority", -1)
+        assert response.status == (200 if is_valid else 400)
+
+    run_leader(scenario)
