Ignore a caller's deadline of too many digits

A request with 5,000 digits in `x-deadline-ms` was answered with 500 and a traceback in the log; one with 400 was waited for without an end, or failed as its seconds are no float. Other callers were not affected.

Cause: any run of digits was converted. Python refuses over 4,300 of them.

Test before the fix: 2 of 8 cases failed, with "ValueError: Exceeds the limit (4300 digits) for integer string conversion" and "assert 99999... < (2 ** 53)".

--- a/src/galenahook/platform/callers.py
+++ b/src/galenahook/platform/callers.py
@@ -13,6 +13,7 @@
 
 # Used for a request without a valid `x-deadline-ms` header.
 DEFAULT_TIMEOUT_MS = 3_000
+MAX_TIMEOUT_DIGITS = 9
 # Part of the timeout reserved for sending the response to the caller.
 RESPONSE_MARGIN_MS = 60
 
@@ -82,7 +83,8 @@
 
     def _timeout_ms(self, request: web.Request) -> int:
         text = request.header(b"x-deadline-ms")
-        timeout_ms = int(text) if text.isdigit() else DEFAULT_TIMEOUT_MS
+        is_valid = text.isdigit() and len(text) <= MAX_TIMEOUT_DIGITS
+        timeout_ms = int(text) if is_valid else DEFAULT_TIMEOUT_MS
         timeout_ms -= RESPONSE_MARGIN_MS
         if self.response_deadline_ms is not None:
             timeout_ms = min(
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -129,7 +129,8 @@
     def __init__(self, leader):
         self.leader = leader
 
-    async def call(self, call, _timeout_ms):
+    async def call(self, call, timeout_ms):
+        assert 0 <= timeout_ms < 2**53
         return await self.leader.handle_call(call)
 
 
@@ -479,3 +480,19 @@
         assert response.status == (200 if is_valid else 400)
 
     run_leader(scenario)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"9" * 400, b"9" * 5_000, b"-1", b"\xb2", b"1e9", b"NaN", b"", b"\xff"],
+    ids=lambda value: repr(value[:5]),
+)
+def test_a_request_with_an_odd_deadline_is_answered(run_leader, value):
+    async def scenario(leader):
+        headers = [(b"x-deadline-ms", value)]
+        response = await leader.ask("GET", headers=headers)
+        assert response.status == 410
+        await leader.start_worker("sound")
+        await leader.complete_job()
+
+    run_leader(scenario)
