Count an unreadable reply to a gateway as a failed exchange

A reply with status 200 that is no reply of a replica, for example from another program that listens at a replica's former address, ended the search for the leader with InvalidInputError, and the entry or replica with it, as a failed background task does. A caller's request that met such a reply got 500.

Cause: only exchanges that fail are handled; the reply was decoded outside of that.

Fix: a reply that can't be decoded counts as an exchange that failed after sending, so the gateway goes on to other replicas, and a call is reported as one that may have run.

Test before the fix: all 6 cases failed with InvalidInputError, for example "$: Input data was truncated".

--- a/src/galenahook/jobs/gateway.py
+++ b/src/galenahook/jobs/gateway.py
@@ -109,13 +109,13 @@
                 response = await self._post(
                     self.replicas[name], body, min(left_ms, ATTEMPT_MS)
                 )
+                reply = _decode_reply(name, response)
             except errors.ExchangeError as error:
                 may_have_run = may_have_run or error.sent
                 reason = str(error)
                 await self._drop_leader(name, reason)
                 continue
-            if response.status == 200:
-                reply = messages.decode(response.body, calls.JobReply)
+            if reply is not None:
                 if (
                     may_have_run
                     and reply.outcome in _UNCERTAIN_REFUSALS
@@ -177,11 +177,11 @@
         address = self.replicas.get(name, "")
         try:
             response = await self._post(address, body, timeout_ms)
+            reply = _decode_reply(name, response)
         except errors.ExchangeError as error:
             return str(error)
-        if response.status != 200:
+        if reply is None:
             return f"status {response.status}"
-        reply = messages.decode(response.body, calls.JobReply)
         if reply.outcome != "done":
             self.replicas.update(reply.replicas)
             return "it does not lead"
@@ -202,6 +202,20 @@
         self.replicas.setdefault(leader, address)
 
 
+def _decode_reply(name: str, response: web.Response) -> calls.JobReply | None:
+    """Decodes a reply; returns None for another status than 200.
+
+    Raises:
+      errors.ExchangeError: The reply is malformed.
+    """
+    if response.status != 200:
+        return None
+    try:
+        return messages.decode(response.body, calls.JobReply)
+    except errors.InvalidInputError as error:
+        raise errors.ExchangeError(f"{name}: {error}", sent=True) from error
+
+
 def reload_seeds(gateway: Gateway, read: SettingsReader) -> None:
     """Adds the seeds of reloaded settings; ignores invalid settings.
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -10,8 +10,11 @@
 from galenahook import commands
 from galenahook import errors
 from galenahook import job_metrics
+from galenahook import messages
 from galenahook import web
+from galenahook.jobs import calls
 from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import gateway as gateway_lib
 from galenahook.jobs import headroom as headroom_lib
 from galenahook.jobs import leader as leader_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
@@ -496,3 +499,57 @@
         await leader.complete_job()
 
     run_leader(scenario)
+
+
+class ScriptedClient:
+    """Replies to the posts of a gateway by address."""
+
+    def __init__(self, **replies):
+        self.replies = replies
+
+    async def send(self, address, _request, _timeout_ms):
+        await curio.sleep(0.005)
+        return web.Response(200, [], self.replies[address])
+
+
+SOUND_REPLY = messages.encode(
+    calls.JobReply(outcome="done", version=7, replicas={"b": "sound"})
+)
+ODD_REPLIES = {
+    "empty": b"",
+    "not JSON": b"<html>",
+    "deep": ODD_FRAGMENTS["deep"],
+    "another type": b"[1]",
+    "number": b'{"outcome":"done","version":"7"}',
+    "bytes": b'{"outcome":"\xff"}',
+}
+
+
+@pytest.mark.parametrize(
+    "reply", ODD_REPLIES.values(), ids=list(ODD_REPLIES.keys())
+)
+def test_a_gateway_finds_the_leader_beside_an_odd_reply(reply):
+    async def main():
+        gateway = gateway_lib.Gateway(
+            "entry",
+            {"a": "odd"},
+            ScriptedClient(odd=reply, sound=SOUND_REPLY),
+            clock_lib.Clock(),
+            job_metrics.JobMetrics(),
+        )
+        task = await curio.spawn(gateway.track_leader, daemon=True)
+        await curio.sleep(0.05)
+        assert not task.terminated, task.exception
+        gateway.replicas["b"] = "sound"
+        async with curio.timeout_after(3):
+            while not gateway.leader:
+                await curio.sleep(0.02)
+        assert gateway.leader == "b"
+        # A known leader whose address now gives such replies is replaced.
+        gateway.replicas["b"] = "odd"
+        call = calls.JobStateCall(host="desk.example", path="/quotes/")
+        with pytest.raises(gateway_lib.UnansweredError):
+            await gateway.call(call, 300)
+        assert not task.terminated, task.exception
+
+    curio.run(main)
