Write random odd values into each reader of the platform's messages

Heartbeats, leave notices, poll replies, order replies, jobs and configurations are given one value out of place, from a list (very deep nesting, numbers out of range, NaN, Infinity, a lone surrogate, undecodable bytes) or at random, and some are cut or have bytes inserted. A reader either rejects the message or returns finite numbers below 2^53 and a message that can be sent on and read again.

--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -3,6 +3,8 @@
 import json
 
 import curio
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from fakes import platform_worker
@@ -20,6 +22,9 @@
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.platform import callers as callers_lib
 from galenahook.platform import control as control_lib
+from galenahook.platform import wire
+from galenahook.platform import wire_site
+from galenahook.platform import wire_workers
 from galenahook.platform import workers as platform_workers
 import job_builders as build
 import test_jobs_leader as leaders
@@ -553,3 +558,116 @@
         assert not task.terminated, task.exception
 
     curio.run(main)
+
+
+def paths_of(document, path=()):
+    """Returns the path of each value in a document."""
+    children = []
+    if isinstance(document, dict):
+        children = list(document.items())
+    elif isinstance(document, list):
+        children = list(enumerate(document))
+    paths = [path] if path else []
+    for key, value in children:
+        paths += paths_of(value, (*path, key))
+    return paths
+
+
+JOB_BODY = {
+    "spec": "1",
+    "steps": [
+        {
+            "count": 2,
+            "cpu": 500,
+            "mem_mb": 10,
+            "gpu": 0,
+            "estimate_ms": 50,
+            "image": "i",
+            "target_ms": 90,
+            "fills": False,
+            "long_running": False,
+            "anti_affinity": 1,
+            "may_miss": 1,
+            "requirements": "a",
+        },
+        {"count": 1, "depends_on": [0]},
+    ],
+    "repeat_count": 2,
+    "start_at_ms": 1_800_000_000_000,
+    "interval_ms": 100,
+}
+POLL_REPLY = {
+    "clock_ms": 5,
+    "born": 5,
+    "running": [["a.0.0.0", 1, "c", 40, 12]],
+    "finished": [[1, "a.0.0.1", 1, "done", ""]],
+}
+READERS = {
+    "heartbeat": (
+        heartbeat("w"),
+        lambda data: wire_workers.decode_heartbeat("w", data),
+    ),
+    "left": (
+        {"born": 5},
+        lambda data: wire_workers.decode_deregistration("w", data),
+    ),
+    "poll": (POLL_REPLY, wire_workers.decode_lists),
+    "start": (
+        {"clock_ms": 5, "reason": "room"},
+        lambda data: wire_workers.decode_start_response(409, data),
+    ),
+    "job": (JOB_BODY, wire.decode_job),
+    "site": (SITE, lambda data: wire_site.decode_site(data, 0)),
+}
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(2**53, 2**70)
+    | st.floats()
+    | st.text(),
+    lambda items: (
+        st.lists(items, max_size=3)
+        | st.dictionaries(st.text(max_size=3), items, max_size=3)
+    ),
+    max_leaves=5,
+)
+# `json.dumps` writes NaN, infinities and lone surrogates as well.
+fragments = st.sampled_from(list(ODD_FRAGMENTS.values())) | json_values.map(
+    lambda value: json.dumps(value).encode()
+)
+
+
+def numbers_in(value):
+    """Returns every number in a decoded message."""
+    if isinstance(value, (int, float)):
+        return [value]
+    if isinstance(value, (list, tuple)):
+        return [number for item in value for number in numbers_in(item)]
+    fields = getattr(value, "__struct_fields__", ()) or getattr(
+        value, "__slots__", ()
+    )
+    return numbers_in([getattr(value, name) for name in fields])
+
+
+@pytest.mark.parametrize("reader", READERS)
+@hypothesis.given(data=st.data())
+@hypothesis.settings(max_examples=300)
+def test_a_reader_accepts_only_finite_numbers_or_rejects(reader, data):
+    document, decode = READERS[reader]
+    path = data.draw(st.sampled_from(paths_of(document)))
+    body = insert(document, path, data.draw(fragments))
+    if data.draw(st.booleans()):
+        start = data.draw(st.integers(0, len(body)))
+        body = body[:start] + data.draw(st.binary(max_size=3)) + body[start:]
+    if data.draw(st.booleans()):
+        body = body[: data.draw(st.integers(0, len(body)))]
+    try:
+        message = decode(body)
+    except errors.InvalidInputError:
+        return
+    for number in numbers_in(message):
+        assert abs(number) < 2**53
+    if isinstance(message, messages.Message):
+        encoded = messages.encode(message)
+        assert messages.decode(encoded, type(message)) == message
