Reject announcements and reports with a number out of range

A worker's report of a run time of 10^400 ms was committed as the end of its attempt. Applying it raises OverflowError ("integer division result too large for a float") where the run time is divided by the declared one: in every replica, and again at each start, as the command stays in the log. Numbers of any size in announcements were recorded and used in the leader's arithmetic.

Cause: messages of workers and executors had integers without bounds, as the platform's.

Fix: the numbers of announcements, reports and amounts of resources lie within 2^53 - 1 of 0, run times and latencies not below it. A message with another is refused with 400, before it reaches the leader. Negative amounts of free resources are still sent. The reader of operators' files heeds the bounds, so that such an amount in a sheet is a finding there.

--- a/src/galenahook/json_input.py
+++ b/src/galenahook/json_input.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from typing import Annotated
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -198,7 +199,7 @@
         case msgspec.inspect.StrType():
             return str
         case msgspec.inspect.IntType():
-            return int
+            return Annotated[int, msgspec.Meta(ge=info.ge, le=info.le)]
         case msgspec.inspect.FloatType():
             return float
         case msgspec.inspect.BoolType():
--- a/src/galenahook/messages/__init__.py
+++ b/src/galenahook/messages/__init__.py
@@ -7,6 +7,7 @@
 from galenahook.messages.codec import MAX_NUMBER as MAX_NUMBER
 from galenahook.messages.codec import Amount as Amount
 from galenahook.messages.codec import Count as Count
+from galenahook.messages.codec import Integer as Integer
 from galenahook.messages.codec import Message as Message
 from galenahook.messages.codec import decode as decode
 from galenahook.messages.codec import encode as encode
--- a/src/galenahook/messages/codec.py
+++ b/src/galenahook/messages/codec.py
@@ -16,6 +16,7 @@
 # A larger one can't be converted in mixed arithmetic.
 MAX_NUMBER = 2**53 - 1
 # Numbers in messages from other programs.
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
--- a/src/galenahook/messages/upstreams.py
+++ b/src/galenahook/messages/upstreams.py
@@ -16,9 +16,9 @@
       accelerators: Whole accelerators.
     """
 
-    cores_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cores_milli: codec.Integer = 0
+    memory_mb: codec.Integer = 0
+    accelerators: codec.Integer = 0
 
 
 class AttemptStatus(codec.Message, frozen=True, kw_only=True, gc=False):
@@ -36,12 +36,12 @@
     """
 
     task: str
-    attempt: int
+    attempt: codec.Integer
     phase: str = "running"
     usage: Resources | None = None
-    sample_age_ms: int = 0
-    throttle_percent: int = 100
-    progress_percent: int = 0
+    sample_age_ms: codec.Integer = 0
+    throttle_percent: codec.Integer = 100
+    progress_percent: codec.Integer = 0
 
 
 class TailSample(codec.Message, frozen=True, kw_only=True):
@@ -54,10 +54,10 @@
       sample_age_ms: Age of the middle of the window at the announcement.
     """
 
-    count: int
-    p50_ms: float
-    p99_ms: float
-    sample_age_ms: int = 0
+    count: codec.Integer
+    p50_ms: codec.Amount
+    p99_ms: codec.Amount
+    sample_age_ms: codec.Integer = 0
 
 
 class Announcement(codec.Message, frozen=True, kw_only=True, tag_field="kind"):
@@ -83,14 +83,14 @@
 
     name: str
     incarnation: str
-    sequence: int
-    sent_at_ms: int
+    sequence: codec.Integer
+    sent_at_ms: codec.Integer
     address: str
     availability_zone: str
     rack: str = ""
     vm: str = ""
     leaving: bool = False
-    answered: int = 0
+    answered: codec.Integer = 0
 
 
 class WorkerAnnouncement(Announcement, frozen=True, kw_only=True, tag="worker"):
@@ -106,7 +106,7 @@
 
     capacity: Resources
     attempts: tuple[AttemptStatus, ...] = ()
-    attempts_as_of: int = 0
+    attempts_as_of: codec.Integer = 0
 
 
 class ExecutorAnnouncement(
@@ -123,9 +123,9 @@
     """
 
     service: str
-    slots: int = 8
-    connections: int = 64
-    busy_slots: int = 0
+    slots: codec.Integer = 8
+    connections: codec.Integer = 64
+    busy_slots: codec.Integer = 0
     tail: TailSample | None = None
 
 
@@ -236,13 +236,13 @@
 class Completed(codec.Message, frozen=True, kw_only=True, tag="completed"):
     """The attempt finished its work."""
 
-    run_ms: int
+    run_ms: codec.Count
 
 
 class Failed(codec.Message, frozen=True, kw_only=True, tag="failed"):
     """The attempt ended without finishing its work."""
 
-    run_ms: int
+    run_ms: codec.Count
     reason: str
 
 
@@ -255,7 +255,7 @@
     worker: str
     incarnation: str
     task: str
-    attempt: int
+    attempt: codec.Integer
     outcome: Outcome
 
 
--- a/src/galenahook/platform/wire_site.py
+++ b/src/galenahook/platform/wire_site.py
@@ -4,7 +4,6 @@
 misleading. Unknown fields are ignored, since the platform may add some.
 """
 
-from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -15,10 +14,6 @@
 from galenahook import messages
 from galenahook.platform import wire
 
-_Priority = Annotated[
-    int, msgspec.Meta(ge=-messages.MAX_NUMBER, le=messages.MAX_NUMBER)
-]
-
 
 class _Queue(msgspec.Struct):
     """A queue of the configuration, which the platform calls a route."""
@@ -28,7 +23,7 @@
     path_prefix: str
     timeout_ms: messages.Count
     backend: str  # Name of the service whose workers run the jobs.
-    priority: _Priority = 0
+    priority: messages.Integer = 0
     max_attempts: messages.Count = 1
     stretch: messages.Amount = 1.0
     slo_ms: messages.Count = 0  # Added to the stretched run time.
