Report odd numbers and surrogates in operators' files

A sheet or settings file with an integer of 5,000 digits raised ValueError in its reader, and one with a lone surrogate UnicodeEncodeError, there or when the sheet was sent. The command line showed a traceback without the place; a daemon that reloads such settings on SIGHUP would lose its watcher of signals, and with it SIGTERM (not run).

Cause: Python's JSON reader reports these as other errors than malformed JSON, and takes surrogates.

Fix: both are findings, as other faults of a file are.

--- a/src/galenahook/json_input.py
+++ b/src/galenahook/json_input.py
@@ -94,6 +94,11 @@
             data.decode("utf-8-sig"),
             object_pairs_hook=repeated_fields.build_object,
         )
+        # Strings may hold lone surrogates, which can't be sent on.
+        msgspec.json.encode(document)
+    except UnicodeEncodeError as error:
+        findings.add(place, f"not JSON: text with {error.reason}")
+        return PartialDocument(None, findings)
     except UnicodeDecodeError as error:
         findings.add(
             place, f"not UTF-8 text: invalid byte at offset {error.start}"
@@ -106,6 +111,9 @@
     except RecursionError:
         findings.add(place, "not JSON: nested too deeply")
         return PartialDocument(None, findings)
+    except ValueError as error:
+        findings.add(place, f"not JSON: {error}")
+        return PartialDocument(None, findings)
     info = msgspec.inspect.type_info(target)
     valid = _replace_invalid(document, info, place, findings)
     _check_repeated_fields(document, repeated_fields, place, findings)
