--- a/src/galenahook/json_input.py
+++ b/src/galenahook/json_input.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from typing import Annotated
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -93,6 +94,11 @@
             data.decode("utf-8-sig"),
             object_pairs_hook=repeated_fields.build_object,
         )
+        # Strings may hold lone surrogates, which can't be sent on.
+        msgspec.json.encode(document)
+    except UnicodeEncodeError as error:
+        findings.add(place, f"not JSON: text with {error.reason}")
+        return PartialDocument(None, findings)
     except UnicodeDecodeError as error:
         findings.add(
             place, f"not UTF-8 text: invalid byte at offset {error.start}"
@@ -105,6 +111,9 @@
     except RecursionError:
         findings.add(place, "not JSON: nested too deeply")
         return PartialDocument(None, findings)
+    except ValueError as error:
+        findings.add(place, f"not JSON: {error}")
+        return PartialDocument(None, findings)
     info = msgspec.inspect.type_info(target)
     valid = _replace_invalid(document, info, place, findings)
     _check_repeated_fields(document, repeated_fields, place, findings)
@@ -198,7 +207,7 @@
         case msgspec.inspect.StrType():
             return str
         case msgspec.inspect.IntType():
-            return int
+            return Annotated[int, msgspec.Meta(ge=info.ge, le=info.le)]
         case msgspec.inspect.FloatType():
             return float
         case msgspec.inspect.BoolType():
--- a/src/galenahook/platform/wire_site.py
+++ b/src/galenahook/platform/wire_site.py
@@ -11,6 +11,7 @@
 from galenahook import commands
 from galenahook import errors
 from galenahook import findings as findings_lib
+from galenahook import messages
 from galenahook.platform import wire
 
 
@@ -20,12 +21,12 @@
     name: str
     host: str
     path_prefix: str
-    timeout_ms: int
+    timeout_ms: messages.Count
     backend: str  # Name of the service whose workers run the jobs.
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slo_ms: int = 0  # Added to the stretched run time.
+    priority: messages.Integer = 0
+    max_attempts: messages.Count = 1
+    stretch: messages.Amount = 1.0
+    slo_ms: messages.Count = 0  # Added to the stretched run time.
 
 
 class _Service(msgspec.Struct):
@@ -36,7 +37,7 @@
 class _Site(msgspec.Struct):
     """The site's configuration."""
 
-    version: int
+    version: messages.Count
     routes: tuple[_Queue, ...]
     services: tuple[_Service, ...]
     limits: dict[str, Any] = {}
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -3,6 +3,8 @@
 import json
 
 import curio
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from fakes import platform_worker
@@ -10,13 +12,19 @@
 from galenahook import commands
 from galenahook import errors
 from galenahook import job_metrics
+from galenahook import messages
 from galenahook import web
+from galenahook.jobs import calls
 from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import gateway as gateway_lib
 from galenahook.jobs import headroom as headroom_lib
 from galenahook.jobs import leader as leader_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.platform import callers as callers_lib
 from galenahook.platform import control as control_lib
+from galenahook.platform import wire
+from galenahook.platform import wire_site
+from galenahook.platform import wire_workers
 from galenahook.platform import workers as platform_workers
 import job_builders as build
 import test_jobs_leader as leaders
@@ -36,6 +44,25 @@
     return json.dumps(document).encode().replace(b'"<odd>"', fragment)
 
 
+SITE = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "quotes",
+            "host": "desk.example",
+            "path_prefix": "/quotes/",
+            "timeout_ms": 3000,
+            "slo_ms": 250,
+            "priority": 0,
+            "backend": "desk",
+            "max_attempts": 2,
+            "stretch": 2.0,
+        }
+    ],
+    "services": [{"name": "desk"}],
+}
+
+
 def heartbeat(name, **changes):
     return {
         "backend": "desk",
@@ -110,7 +137,8 @@
     def __init__(self, leader):
         self.leader = leader
 
-    async def call(self, call, _timeout_ms):
+    async def call(self, call, timeout_ms):
+        assert 0 <= timeout_ms < 2**53
         return await self.leader.handle_call(call)
 
 
@@ -148,6 +176,11 @@
         request = web.Request("POST", target, [], body)
         return (await self.control.handle(request)).status
 
+    async def put_site(self, body):
+        """Puts a configuration; returns the response."""
+        target = "/galenahook/config/put"
+        return await self.control.handle(web.Request("POST", target, [], body))
+
     async def ask(self, method, job=build.JOB, body=b"", headers=()):
         """Sends a caller's request; returns the response."""
         headers = [(b"host", b"desk.example"), *headers]
@@ -398,3 +431,243 @@
         assert status == 400
 
     run_leader(scenario)
+
+
+@pytest.mark.parametrize("path", [("unknown",), ("version",), ("zone",)])
+@pytest.mark.parametrize("odd", [b'"\xff"', b'"\xed\xa0\x80"', b'"\\ud800"'])
+def test_a_heartbeat_that_is_not_text_is_rejected(run_leader, path, odd):
+    async def scenario(leader):
+        assert await leader.start_worker("odd", path, odd) == 400
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+
+    run_leader(scenario)
+
+
+@pytest.mark.parametrize("odd", [b'"\xff"', b'"\xed\xa0\x80"'])
+def test_a_configuration_that_is_not_text_is_rejected(run_leader, odd):
+    async def scenario(leader):
+        body = {**SITE, "version": 2, "unknown": 0}
+        document = insert(body, ("unknown",), odd)
+        assert (await leader.put_site(document)).status == 400
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+
+    run_leader(scenario)
+
+
+SITE_NUMBERS = [
+    ("version",),
+    ("routes", 0, "timeout_ms"),
+    ("routes", 0, "slo_ms"),
+    ("routes", 0, "priority"),
+    ("routes", 0, "max_attempts"),
+    ("routes", 0, "stretch"),
+]
+
+
+@pytest.mark.parametrize("path", SITE_NUMBERS, ids=lambda path: path[-1])
+@pytest.mark.parametrize(
+    "number", [HUGE, 2**64, -1, 1e308], ids=["huge", "2^64", "-1", "1e308"]
+)
+def test_a_configuration_with_a_number_out_of_range_ends_no_leader(
+    run_leader, path, number
+):
+    async def scenario(leader):
+        fragment = json.dumps(number).encode()
+        response = await leader.put_site(
+            insert({**SITE, "version": 2}, path, fragment)
+        )
+        assert await leader.start_worker("sound") == 200
+        await leader.complete_job()
+        sound = json.dumps({**SITE, "version": 3}).encode()
+        assert (await leader.put_site(sound)).status == 200
+        assert leader.node.state.site.current.version == 3
+        # A priority below 0 comes before the others.
+        is_valid = (path[-1], number) == ("priority", -1)
+        assert response.status == (200 if is_valid else 400)
+
+    run_leader(scenario)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"9" * 400, b"9" * 5_000, b"-1", b"\xb2", b"1e9", b"NaN", b"", b"\xff"],
+    ids=lambda value: repr(value[:5]),
+)
+def test_a_request_with_an_odd_deadline_is_answered(run_leader, value):
+    async def scenario(leader):
+        headers = [(b"x-deadline-ms", value)]
+        response = await leader.ask("GET", headers=headers)
+        assert response.status == 410
+        await leader.start_worker("sound")
+        await leader.complete_job()
+
+    run_leader(scenario)
+
+
+class ScriptedClient:
+    """Replies to the posts of a gateway by address."""
+
+    def __init__(self, **replies):
+        self.replies = replies
+
+    async def send(self, address, _request, _timeout_ms):
+        await curio.sleep(0.005)
+        return web.Response(200, [], self.replies[address])
+
+
+SOUND_REPLY = messages.encode(
+    calls.JobReply(outcome="done", version=7, replicas={"b": "sound"})
+)
+ODD_REPLIES = {
+    "empty": b"",
+    "not JSON": b"<html>",
+    "deep": ODD_FRAGMENTS["deep"],
+    "another type": b"[1]",
+    "number": b'{"outcome":"done","version":"7"}',
+    "bytes": b'{"outcome":"\xff"}',
+}
+
+
+@pytest.mark.parametrize(
+    "reply", ODD_REPLIES.values(), ids=list(ODD_REPLIES.keys())
+)
+def test_a_gateway_finds_the_leader_beside_an_odd_reply(reply):
+    async def main():
+        gateway = gateway_lib.Gateway(
+            "entry",
+            {"a": "odd"},
+            ScriptedClient(odd=reply, sound=SOUND_REPLY),
+            clock_lib.Clock(),
+            job_metrics.JobMetrics(),
+        )
+        task = await curio.spawn(gateway.track_leader, daemon=True)
+        await curio.sleep(0.05)
+        assert not task.terminated, task.exception
+        gateway.replicas["b"] = "sound"
+        async with curio.timeout_after(3):
+            while not gateway.leader:
+                await curio.sleep(0.02)
+        assert gateway.leader == "b"
+        # A known leader whose address now gives such replies is replaced.
+        gateway.replicas["b"] = "odd"
+        call = calls.JobStateCall(host="desk.example", path="/quotes/")
+        with pytest.raises(gateway_lib.UnansweredError):
+            await gateway.call(call, 300)
+        assert not task.terminated, task.exception
+
+    curio.run(main)
+
+
+def paths_of(document, path=()):
+    """Returns the path of each value in a document."""
+    children = []
+    if isinstance(document, dict):
+        children = list(document.items())
+    elif isinstance(document, list):
+        children = list(enumerate(document))
+    paths = [path] if path else []
+    for key, value in children:
+        paths += paths_of(value, (*path, key))
+    return paths
+
+
+JOB_BODY = {
+    "spec": "1",
+    "steps": [
+        {
+            "count": 2,
+            "cpu": 500,
+            "mem_mb": 10,
+            "gpu": 0,
+            "estimate_ms": 50,
+            "image": "i",
+            "target_ms": 90,
+            "fills": False,
+            "long_running": False,
+            "anti_affinity": 1,
+            "may_miss": 1,
+            "requirements": "a",
+        },
+        {"count": 1, "depends_on": [0]},
+    ],
+    "repeat_count": 2,
+    "start_at_ms": 1_800_000_000_000,
+    "interval_ms": 100,
+}
+POLL_REPLY = {
+    "clock_ms": 5,
+    "born": 5,
+    "running": [["a.0.0.0", 1, "c", 40, 12]],
+    "finished": [[1, "a.0.0.1", 1, "done", ""]],
+}
+READERS = {
+    "heartbeat": (
+        heartbeat("w"),
+        lambda data: wire_workers.decode_heartbeat("w", data),
+    ),
+    "left": (
+        {"born": 5},
+        lambda data: wire_workers.decode_deregistration("w", data),
+    ),
+    "poll": (POLL_REPLY, wire_workers.decode_lists),
+    "start": (
+        {"clock_ms": 5, "reason": "room"},
+        lambda data: wire_workers.decode_start_response(409, data),
+    ),
+    "job": (JOB_BODY, wire.decode_job),
+    "site": (SITE, lambda data: wire_site.decode_site(data, 0)),
+}
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(2**53, 2**70)
+    | st.floats()
+    | st.text(),
+    lambda items: (
+        st.lists(items, max_size=3)
+        | st.dictionaries(st.text(max_size=3), items, max_size=3)
+    ),
+    max_leaves=5,
+)
+# `json.dumps` writes NaN, infinities and lone surrogates as well.
+fragments = st.sampled_from(list(ODD_FRAGMENTS.values())) | json_values.map(
+    lambda value: json.dumps(value).encode()
+)
+
+
+def numbers_in(value):
+    """Returns every number in a decoded message."""
+    if isinstance(value, (int, float)):
+        return [value]
+    if isinstance(value, (list, tuple)):
+        return [number for item in value for number in numbers_in(item)]
+    fields = getattr(value, "__struct_fields__", ()) or getattr(
+        value, "__slots__", ()
+    )
+    return numbers_in([getattr(value, name) for name in fields])
+
+
+@pytest.mark.parametrize("reader", READERS)
+@hypothesis.given(data=st.data())
+@hypothesis.settings(max_examples=300)
+def test_a_reader_accepts_only_finite_numbers_or_rejects(reader, data):
+    document, decode = READERS[reader]
+    path = data.draw(st.sampled_from(paths_of(document)))
+    body = insert(document, path, data.draw(fragments))
+    if data.draw(st.booleans()):
+        start = data.draw(st.integers(0, len(body)))
+        body = body[:start] + data.draw(st.binary(max_size=3)) + body[start:]
+    if data.draw(st.booleans()):
+        body = body[: data.draw(st.integers(0, len(body)))]
+    try:
+        message = decode(body)
+    except errors.InvalidInputError:
+        return
+    for number in numbers_in(message):
+        assert abs(number) < 2**53
+    if isinstance(message, messages.Message):
+        encoded = messages.encode(message)
+        assert messages.decode(encoded, type(message)) == message
