Give up tasks that crash the workers that start them

Cause: the run of a worker that restarted ends as gone, which counts as nothing, so the task was placed again within 30 ms, for ever.

Ruled out: ends by an expired lease (the runs end with the restart, the lease is 10 s) and starts that were refused (these are not executed).

Change: when an incarnation ends without notice, the leader blames the runs that may have been there, and the end carries the blame into the replicated record. The worker confirms a deadly start and crashes about 10 ms later, so the only start that it had just begun is the likely cause; runs that it had listed before are unlikely ones; if it had begun none, each is possible. The blame adds up to a suspicion against the task, and at 5 its job has failed: after two crashes at its start, after at most five in any case. A drain, a leave and a lease that expires while the worker is merely silent are no crashes. A serving task that was up for 10 s is cleared. While a suspected task starts, nothing else starts on its worker, so that the next crash shows which task it was.

The test of a start whose connection closes without a reply wants the new answer for this case instead of "unknown"; it still wants a single request.

--- a/src/galenahook/commands/__init__.py
+++ b/src/galenahook/commands/__init__.py
@@ -16,6 +16,7 @@
 from galenahook.commands.changes import PutService as PutService
 from galenahook.commands.changes import RemoveService as RemoveService
 from galenahook.commands.changes import UndrainUpstream as UndrainUpstream
+from galenahook.commands.jobs import Blame as Blame
 from galenahook.commands.jobs import CancelJob as CancelJob
 from galenahook.commands.jobs import JobDescription as JobDescription
 from galenahook.commands.jobs import LearnedBaseline as LearnedBaseline
--- a/src/galenahook/commands/jobs.py
+++ b/src/galenahook/commands/jobs.py
@@ -1,5 +1,7 @@
 """Commands for jobs submitted by callers, and for the site's configuration."""
 
+import enum
+
 from galenahook import messages
 
 
@@ -119,6 +121,20 @@
     born_ms: int
 
 
+class Blame(enum.Enum):
+    """How likely a run has caused the crash of its worker.
+
+    `NONE` means that there was no crash. A run that is `CLEARED` shows that its
+    task does not crash its workers.
+    """
+
+    NONE = ""
+    UNLIKELY = "unlikely"
+    POSSIBLE = "possible"
+    LIKELY = "likely"
+    CLEARED = "cleared"
+
+
 class RunEnd(messages.Message, frozen=True, kw_only=True):
     """A run that is proven to have ended.
 
@@ -129,12 +145,14 @@
         expired or never started.
       checkpoint: Checkpoint from which the next run resumes; empty to keep the
         known one.
+      blame: How likely it has caused the crash of its worker.
     """
 
     task: str
     run: int
     outcome: str
     checkpoint: str = ""
+    blame: Blame = Blame.NONE
 
 
 class RecordRuns(
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -299,18 +299,22 @@
 
         A delayed heartbeat may be of an earlier incarnation than the run.
         """
+        born_ms = worker.heartbeat.born_ms
         for task, record in list(self.unattached.items()):
             if record.worker != worker.name:
                 continue
-            if record.born_ms > worker.heartbeat.born_ms:
+            if record.born_ms > born_ms:
                 continue
             del self.unattached[task]
             run = live_run(self, record.task, record.run)
             if run is not None:
+                if record.born_ms < born_ms:
+                    run.blame = commands.Blame.UNLIKELY
                 run.checkpoint = record.checkpoint
                 # The throttle that an earlier leader set is not known.
                 run.throttle_percent = 0 if run.step.uses_idle_cpu else 100
                 run.slowed_ms = self.now_ms()
+                run.sent = True
                 worker.runs[task] = run
 
     async def leave(self, message: calls.WorkerLeft) -> None:
--- a/src/galenahook/jobs/free_capacity.py
+++ b/src/galenahook/jobs/free_capacity.py
@@ -33,6 +33,9 @@
       serving_steps: Serving steps on the worker, with their forecast baselines.
       shares: Share of the worker that each colocated image is expected to use.
       task_counts: Number of tasks on the worker by job, occurrence and step.
+      starting: Number of runs that are starting.
+      has_suspect_start: Whether one of these is of a task that may have crashed
+        earlier workers.
     """
 
     worker: workers_lib.Worker
@@ -47,6 +50,13 @@
     task_counts: dict[workers_lib.StepId, int] = dataclasses.field(
         default_factory=dict
     )
+    starting: int = 0
+    has_suspect_start: bool = False
+
+    def note_start(self, run: workers_lib.LiveRun) -> None:
+        """Records a run that is starting."""
+        self.starting += 1
+        self.has_suspect_start = self.has_suspect_start or run.is_suspect
 
     def reserve(
         self,
@@ -134,6 +144,8 @@
     )
     for run in worker.runs.values():
         capacity.reserve(run.step, run.step_id, _used_cpu_millis(run, now_ms))
+        if run.is_starting(now_ms):
+            capacity.note_start(run)
     capacity.shares = tail_latency_lib.expected_shares(worker, unthrottled=True)
     capacity.serving_steps = tails.serving_steps(
         worker, now_ms, tail_latency_lib.PLACEMENT_HORIZON_MS
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -12,6 +12,7 @@
 from galenahook import commands
 from galenahook import errors
 from galenahook import logs
+from galenahook.jobs import crashes
 from galenahook.jobs import link_owner
 from galenahook.jobs import worker_api
 from galenahook.jobs import workers as workers_lib
@@ -104,8 +105,7 @@
             self.is_gone = self._is_unresponsive = True
             return False
         except errors.ExchangeError as error:
-            self.is_gone = isinstance(error.__cause__, ConnectionRefusedError)
-            self._is_unresponsive = True
+            self._note_failure(error.__cause__)
             self._log_unresponsive(str(error))
             return False
         except Exception:
@@ -118,6 +118,16 @@
         await self._apply_reply(reply, sent_ms)
         return True
 
+    def _note_failure(self, cause: BaseException | None) -> None:
+        """Records that a poll got no reply."""
+        self.is_gone = isinstance(cause, ConnectionRefusedError)
+        is_closed = cause is not None and not isinstance(
+            cause, curio.TaskTimeout
+        )
+        if is_closed and not self._is_unresponsive:
+            self.worker.broken_off_ms = self._owner.now_ms()
+        self._is_unresponsive = True
+
     def _end_to_acknowledge(self) -> int:
         """Returns the number of the end to acknowledge with a poll.
 
@@ -159,6 +169,7 @@
         now_ms = self._owner.now_ms()
         worker.record_clock(reply.clock_ms, now_ms)
         worker.last_reply_ms = now_ms
+        worker.broken_off_ms = 0
         is_first = not worker.has_polled
         worker.has_polled = True
         ends: list[commands.RunEnd] = []
@@ -211,12 +222,14 @@
             worker=self.worker.name,
             outcome=outcome,
             detail=run.stop_reason or detail,
+            blame=run.blame.value,
         )
         return commands.RunEnd(
             task=run.task,
             run=run.run,
             outcome=outcome,
             checkpoint=checkpoint or run.checkpoint,
+            blame=run.blame,
         )
 
     async def _process_running(self, rows: list[worker_api.RunningRow]) -> None:
@@ -226,6 +239,7 @@
                 await self._stop_stray(row)
                 continue
             run.seen = True
+            run.seen_ms = run.seen_ms or self.worker.last_reply_ms
             run.checkpoint = row.checkpoint or run.checkpoint
             run.progress_percent = row.percent
             run.measurement = row.measurement
@@ -301,6 +315,7 @@
         self, run: workers_lib.LiveRun
     ) -> tuple[worker_api.StartAnswer, str]:
         now_ms = self._owner.now_ms()
+        run.sent = True
         return await self.client.start(
             worker_api.StartOrder(
                 task=run.task,
@@ -321,6 +336,9 @@
         match answer:
             case worker_api.StartAnswer.RUNNING:
                 run.confirmed_ms = self._owner.now_ms()
+            case worker_api.StartAnswer.BROKEN_OFF:
+                run.broken_off = True
+                await self._resolve_start(run, reason)
             case worker_api.StartAnswer.UNKNOWN:
                 await self._resolve_start(run, reason)
             case worker_api.StartAnswer.DEPOSED:
@@ -399,6 +417,7 @@
         the same identifier, so the successor adopts it.
         """
         self.ended = True
+        crashes.blame_runs(self.worker)
         ends = []
         for run in list(self.worker.runs.values()):
             if successor is not None and not run.seen:
@@ -411,7 +430,7 @@
     async def adopt(self, run: workers_lib.LiveRun) -> None:
         """Stops a start that may have reached this incarnation instead."""
         run.confirmed_ms = run.stop_confirmed_ms = 0
-        run.stopping = False
+        run.stopping = run.broken_off = False
         # The start may be carried out late, and its lease begins only then.
         self.worker.note_inherited_lease(
             self._owner.now_ms() + workers_lib.MAX_ORDER_DELAY_MS, self.lease_ms
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -4,6 +4,7 @@
 
 from galenahook import commands
 from galenahook import logs
+from galenahook.jobs import crashes
 from galenahook.jobs import workers as workers_lib
 
 if TYPE_CHECKING:
@@ -94,6 +95,13 @@
 
 
 def _end_expired(link: "link_lib.Link") -> list[commands.RunEnd]:
+    """Ends the runs of a worker whose lease has expired.
+
+    A worker that merely does not reply may be partitioned. If its address
+    refuses connections, it has crashed.
+    """
+    if link.is_gone:
+        crashes.blame_runs(link.worker)
     return [
         link.end_run(run, "gone", "", "worker lease expired")
         for run in list(link.worker.runs.values())
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -108,7 +108,6 @@
         that requires no more.
         """
         step = job.step(keys[0])
-        step_id = (job.description.job, *_step_key(keys[0]))
         placement_class = (
             job.description.service,
             step.image,
@@ -117,23 +116,49 @@
         failed = self._failed.setdefault(placement_class, [])
         if any(_requires_at_least(step, other) for other in failed):
             return
+        suspects = [key for key in keys if tasks_lib.is_suspect(job, key)]
+        others = [key for key in keys if not tasks_lib.is_suspect(job, key)]
+        is_placed = self._place_tasks(job, others, is_isolated=False)
+        is_placed = is_placed and self._place_tasks(
+            job, suspects, is_isolated=True
+        )
+        if not is_placed and not step.max_per_worker:
+            failed.append(step)
+
+    def _place_tasks(
+        self,
+        job: tasks_lib.Job,
+        keys: list[tasks_lib.TaskKey],
+        is_isolated: bool,
+    ) -> bool:
+        """Places tasks of one step; returns whether all of them fit.
+
+        Args:
+          job: Their job.
+          keys: The tasks.
+          is_isolated: Whether to prefer workers on which nothing else is about
+            to start.
+        """
+        if not keys:
+            return True
+        step = job.step(keys[0])
+        step_id = (job.description.job, *_step_key(keys[0]))
         is_delayed = _is_delayed(job, step, self._now_wall_ms)
-        ranking = _Ranking(self._dispatcher, job, step, step_id)
+        ranking = _Ranking(self._dispatcher, job, step, step_id, is_isolated)
         for candidate in self.candidates:
             ranking.add(candidate)
         for key in keys:
             before = job.runs.get(key)
             chosen = ranking.pop(before.last_worker if before else "")
             if chosen is None:
-                if not step.max_per_worker:
-                    failed.append(step)
-                return
+                return False
             if is_delayed:
                 # Reserve the capacity so that no other task uses it meanwhile.
                 chosen.reserve(step, step_id)
             else:
                 self._assign(job, key, step, chosen)
             ranking.add(chosen)
+        return True
 
     def _assign(
         self,
@@ -155,6 +180,7 @@
         candidate.reserve(step, run.step_id)
         if step.uses_idle_cpu:
             candidate.add_colocated(step)
+        candidate.note_start(run)
         candidate.worker.runs[run.task] = run
         self.placed.append((candidate.worker, run))
 
@@ -207,7 +233,9 @@
         job: tasks_lib.Job,
         step: commands.StepDescription,
         step_id: workers_lib.StepId,
+        is_isolated: bool,
     ) -> None:
+        self._is_isolated = is_isolated
         self._dispatcher = dispatcher
         self._service = job.description.service
         self._step = step
@@ -225,9 +253,13 @@
             return
         cost = _cost(self._dispatcher, self._step, candidate)
         if cost is not None:
+            if self._is_isolated:
+                cost = (float(candidate.starting > 0), *cost)
             heapq.heappush(self._heap, (cost, number, candidate))
 
     def _is_allowed(self, candidate: free_capacity_lib.FreeCapacity) -> bool:
+        if candidate.has_suspect_start:
+            return False
         step = self._step
         heartbeat = candidate.worker.heartbeat
         if heartbeat.service != self._service:
--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -10,6 +10,15 @@
 # Limit of retained cancellations of unknown jobs; the oldest is discarded
 # first. A submission that is delayed or sent again arrives within seconds.
 MAX_EARLY_CANCELLATIONS = 10_000
+# Suspicion that one crash of a worker adds to a task under which it crashed.
+SUSPICION = {
+    commands.Blame.UNLIKELY: 1,
+    commands.Blame.POSSIBLE: 2,
+    commands.Blame.LIKELY: 3,
+}
+# Suspicion with which a task is given up, and its job has failed: after two to
+# five crashes.
+MAX_SUSPICION = 5
 
 
 class JobTable:
@@ -112,6 +121,7 @@
                 failures=before.failures,
                 checkpoint=before.checkpoint,
                 last_worker=before.last_worker,
+                suspicion=before.suspicion,
             )
         job.runs[key] = run
         job.waiting.discard(key)
@@ -135,9 +145,13 @@
             failures=run.failures + failed,
             checkpoint=end.checkpoint or run.checkpoint,
             last_worker=run.worker if failed else run.last_worker,
+            suspicion=_suspicion_after(run.suspicion, end.blame),
         )
         job.runs[key] = run
         job.active.discard(key)
+        is_given_up = not run.done and run.suspicion >= MAX_SUSPICION
+        if is_given_up and not job.ended:
+            self._end(job, tasks_lib.Outcome.FAILED, at_ms)
         self._advance_job(job, key, run, at_ms)
 
     def _advance_job(
@@ -219,3 +233,10 @@
             job.done[key[:2]] = job.done.get(key[:2], 0) + 1
             if job.is_step_done(*key[:2]):
                 job.refresh_waiting()
+
+
+def _suspicion_after(suspicion: int, blame: commands.Blame) -> int:
+    """Returns the suspicion against a task after one more end of a run."""
+    if blame is commands.Blame.CLEARED:
+        return 0
+    return suspicion + SUSPICION.get(blame, 0)
--- a/src/galenahook/jobs/tasks.py
+++ b/src/galenahook/jobs/tasks.py
@@ -47,6 +47,7 @@
       failures: Runs that failed.
       checkpoint: Checkpoint from which the next run resumes; empty for none.
       last_worker: Worker of the last run that failed; empty if none did.
+      suspicion: Sum of the blame for crashes of workers under the task.
     """
 
     task: str
@@ -58,6 +59,7 @@
     failures: int = 0
     checkpoint: str = ""
     last_worker: str = ""
+    suspicion: int = 0
 
 
 class CancellationRecord(
@@ -92,6 +94,12 @@
     return job, (int(occurrence), int(step), int(index))
 
 
+def is_suspect(job: "Job", key: TaskKey) -> bool:
+    """Returns whether runs of a task may have crashed their workers."""
+    run = job.runs.get(key)
+    return run is not None and run.suspicion > 0
+
+
 class Job:
     """A job with the state that is derived from its records.
 
--- a/src/galenahook/jobs/waiting.py
+++ b/src/galenahook/jobs/waiting.py
@@ -85,6 +85,8 @@
         return "service"
     if step.required_label and step.required_label not in heartbeat.labels:
         return "label"
+    if candidate.has_suspect_start:
+        return "suspect-start"
     if not candidate.fits(step):
         return _missing_capacity(step, candidate)
     if step.uses_idle_cpu and candidate.idle_cpu_millis < step.cpu_millis:
--- a/src/galenahook/jobs/worker_api.py
+++ b/src/galenahook/jobs/worker_api.py
@@ -8,8 +8,9 @@
 class StartAnswer(enum.Enum):
     """Reply to an order to start a run.
 
-    Only after `RUNNING` or `UNKNOWN` may this order have started the run, or
-    start it later.
+    Only after `RUNNING`, `BROKEN_OFF` or `UNKNOWN` may this order have started
+    the run, or start it later. `BROKEN_OFF` means that the connection closed
+    without a reply.
     """
 
     RUNNING = "running"
@@ -17,6 +18,7 @@
     DEPOSED = "deposed"
     NO_CAPACITY = "no-room"
     UNHEALTHY = "unhealthy"
+    BROKEN_OFF = "broken-off"
     UNKNOWN = "unknown"
 
 
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -15,6 +15,8 @@
 UNRESPONSIVE_AFTER_MS = 1_500
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
+# Time after the confirmation of a start in which it still counts as starting.
+START_SETTLE_MS = 50
 
 StepId = tuple[str, int, int]
 
@@ -32,11 +34,15 @@
       ordered_ms: When the start was ordered in this term; 0 for a run of an
         earlier term.
       confirmed_ms: When the worker confirmed that it runs; 0 before.
+      sent: Whether the order to start it may have been sent.
+      broken_off: Whether the connection of that order closed without a reply.
       seen: Whether the worker has listed it as running.
+      seen_ms: When the worker first listed it; 0 before.
       stop_confirmed_ms: When the worker confirmed a stop, after which this run
         can't start there; 0 before.
       stopping: Whether a stop was ordered.
       stop_reason: Why it was stopped.
+      blame: How likely it has caused the crash of a worker.
       checkpoint: Latest reported checkpoint.
       progress_percent: Latest reported progress.
       measurement: Latest report: tail latency in milliseconds of a serving run,
@@ -55,10 +61,14 @@
     step: commands.StepDescription
     ordered_ms: int = 0
     confirmed_ms: int = 0
+    sent: bool = False
+    broken_off: bool = False
     seen: bool = False
+    seen_ms: int = 0
     stop_confirmed_ms: int = 0
     stopping: bool = False
     stop_reason: str = ""
+    blame: commands.Blame = commands.Blame.NONE
     checkpoint: str = ""
     progress_percent: float = 0.0
     measurement: float | None = None
@@ -70,6 +80,20 @@
     def __post_init__(self) -> None:
         self.step_id = (self.job.description.job, self.key[0], self.key[1])
 
+    def is_starting(self, now_ms: int) -> bool:
+        """Returns whether its start was ordered in this term just now."""
+        if not self.ordered_ms or self.seen or self.stopping:
+            return False
+        return (
+            not self.confirmed_ms
+            or now_ms - self.confirmed_ms < START_SETTLE_MS
+        )
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether earlier runs of the task may have crashed their workers."""
+        return tasks_lib.is_suspect(self.job, self.key)
+
 
 class Worker:
     """One incarnation of a worker.
@@ -90,12 +114,15 @@
       excluded_until_ms: Until when nothing new starts on it.
       failures: Number of consecutive failed runs.
       has_polled: Whether it has replied to a poll in this term.
+      broken_off_ms: When its connection closed during a poll, since its last
+        reply; 0 if it did not.
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
     """
 
     __slots__ = (
         "acknowledged",
+        "broken_off_ms",
         "excluded_until_ms",
         "clock_at_ms",
         "clock_ms",
@@ -125,6 +152,7 @@
         self.excluded_until_ms = 0
         self.failures = 0
         self.has_polled = False
+        self.broken_off_ms = 0
         self.ended_batch_runs: list[tuple[int, str, float]] = []
 
     @property
@@ -132,6 +160,11 @@
         """Identifier of the worker."""
         return self.heartbeat.worker
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has announced its end."""
+        return self.heartbeat.draining or self.leaving_since_ms > 0
+
     @property
     def rack(self) -> str:
         """Rack of the worker, the last of its labels."""
--- a/src/galenahook/platform/workers.py
+++ b/src/galenahook/platform/workers.py
@@ -1,5 +1,7 @@
 """Client for one worker, in the platform's protocol."""
 
+import curio
+
 from galenahook import errors
 from galenahook import logs
 from galenahook import web
@@ -52,6 +54,8 @@
         except errors.ExchangeError as error:
             if not error.sent:
                 return worker_api.StartAnswer.UNHEALTHY, str(error)
+            if not isinstance(error.__cause__, curio.TaskTimeout):
+                return worker_api.StartAnswer.BROKEN_OFF, str(error)
             return worker_api.StartAnswer.UNKNOWN, str(error)
         try:
             return wire_workers.decode_start_response(
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -5,16 +5,19 @@
 import msgspec
 import pytest
 
+from galenahook import commands
 from galenahook.jobs import free_capacity
 from galenahook.jobs import headroom
 from galenahook.jobs import placement
 from galenahook.jobs import run_times
 from galenahook.jobs import table as table_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
+from galenahook.jobs import workers as workers_lib
 import job_builders as build
 
 # Jobs of these tests were submitted a second ago.
 NOW_MS = build.WALL_MS + 1_000
+OTHER_JOB = "00000000000000e2"
 
 
 class FakeClock:
@@ -289,3 +292,45 @@
             build.ends(build.end(f"{build.JOB}.0.0.0", outcome="failed"))
         )
         assert placements_of(dispatcher) == [(expected, "0.0.0")]
+
+
+def submit_with_suspect(table):
+    """Submits a job whose only task may have crashed its worker."""
+    table.submit(build.submit())
+    task = f"{build.JOB}.0.0.0"
+    table.record(build.starts(build.start(task, worker="w0")))
+    end = build.end(task, outcome="gone")
+    table.record(
+        build.ends(msgspec.structs.replace(end, blame=commands.Blame.UNLIKELY))
+    )
+
+
+def test_nothing_starts_beside_a_suspected_task_that_is_starting():
+    dispatcher = dispatcher_of([build.worker()])
+    submit_with_suspect(dispatcher.table)
+    dispatcher.table.submit(build.submit(job=OTHER_JOB))
+    ((_, suspect),) = placement.place_waiting(dispatcher, 100)
+    assert suspect.job.description.job == build.JOB
+    dispatcher.table.record(build.starts(build.start(suspect.task, run=2)))
+    suspect.ordered_ms = suspect.confirmed_ms = 1
+    dispatcher.now_ms = lambda: workers_lib.START_SETTLE_MS
+    assert placements_of(dispatcher) == []
+    dispatcher.now_ms = lambda: workers_lib.START_SETTLE_MS + 1
+    ((_, run),) = placement.place_waiting(dispatcher, 100)
+    assert run.job.description.job == OTHER_JOB
+
+
+def test_a_suspected_task_starts_where_nothing_else_is_starting():
+    def dispatcher_with(seen):
+        idle, busy = build.worker("w1"), build.worker("w2")
+        for worker, cpu_millis in ((idle, 1_000), (busy, 6_000)):
+            job = build.job(build.step(cpu_millis=cpu_millis), job=OTHER_JOB)
+            run = build.live_run(job, seen=worker is busy or seen)
+            run.confirmed_ms = 0
+            worker.runs[run.task] = run
+        dispatcher = dispatcher_of([idle, busy])
+        submit_with_suspect(dispatcher.table)
+        return dispatcher
+
+    assert placements_of(dispatcher_with(seen=True)) == [("w1", "0.0.0")]
+    assert placements_of(dispatcher_with(seen=False)) == [("w2", "0.0.0")]
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -61,10 +61,10 @@
 
 @pytest.mark.parametrize("status", [404, 429])
 @pytest.mark.parametrize("replies", [[b""], [ACCEPTED, b""]])
-def test_a_start_without_a_reply_is_unknown_and_not_sent_again(replies, status):
+def test_a_start_that_is_broken_off_is_not_sent_again(replies, status):
     worker = ScriptedWorker(*replies, REJECTED % status)
     answers = send_starts(worker, len(replies))
-    assert answers[-1] is worker_api.StartAnswer.UNKNOWN
+    assert answers[-1] is worker_api.StartAnswer.BROKEN_OFF
     assert worker.requests == len(replies)
 
 
