End runs of an earlier term when their worker was replaced on its VM

Cause: the record of a run names its worker but not the VM, so only the leader that had seen the old worker's heartbeats could tell that the new one had replaced it.

Ruled out: a late heartbeat of an earlier worker on the VM; only one that was born later than the run's worker proves its end.

Change: a start records the VM, and the heartbeat of a later worker on it ends the runs of earlier terms there, as unlikely causes of the crash, since what else was starting there isn't known.

Evidence: test_a_new_leader_ends_the_runs_of_a_worker_that_was_replaced_before failed on the code before (the task is not waiting).

--- a/src/galenahook/commands/jobs.py
+++ b/src/galenahook/commands/jobs.py
@@ -113,12 +113,14 @@
       run: One more than the task's last run.
       worker: Identifier of the worker.
       born_ms: Start of the worker's incarnation in Unix milliseconds.
+      machine: VM of the worker; empty if not known.
     """
 
     task: str
     run: int
     worker: str
     born_ms: int
+    machine: str = ""
 
 
 class Blame(enum.Enum):
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -279,8 +279,7 @@
             other.name: self.links.pop(other.name, None) for other in ended
         }
         self.links[worker.name] = link
-        self._attach(worker)
-        ends: list[commands.RunEnd] = []
+        ends = self._attach(worker)
         for other in ended:
             other_link = before[other.name]
             if other.name != worker.name:
@@ -294,17 +293,24 @@
         if ends:
             await self.queue_ends(ends)
 
-    def _attach(self, worker: workers_lib.Worker) -> None:
+    def _attach(self, worker: workers_lib.Worker) -> list[commands.RunEnd]:
         """Attaches runs of earlier terms to the worker that was to run them.
 
         A delayed heartbeat may be of an earlier incarnation than the run.
+
+        Returns:
+          The ends of runs whose worker was replaced on its VM by this one.
         """
+        ends = []
         born_ms = worker.heartbeat.born_ms
         for task, record in list(self.unattached.items()):
-            if record.worker != worker.name:
-                continue
             if record.born_ms > born_ms:
                 continue
+            if record.worker != worker.name:
+                if _was_replaced(record, worker):
+                    del self.unattached[task]
+                    ends.append(_end_replaced(record))
+                continue
             del self.unattached[task]
             run = live_run(self, record.task, record.run)
             if run is not None:
@@ -316,6 +322,7 @@
                 run.slowed_ms = self.now_ms()
                 run.sent = True
                 worker.runs[task] = run
+        return ends
 
     async def leave(self, message: calls.WorkerLeft) -> None:
         """Records that a worker announced its end.
@@ -415,4 +422,32 @@
         run=run.run,
         worker=worker.name,
         born_ms=worker.heartbeat.born_ms,
+        machine=worker.heartbeat.machine,
+    )
+
+
+def _was_replaced(
+    record: tasks_lib.RunRecord, worker: workers_lib.Worker
+) -> bool:
+    """Returns whether a worker was started on the VM of an earlier run."""
+    return bool(
+        record.machine
+        and record.machine == worker.heartbeat.machine
+        and record.born_ms < worker.heartbeat.born_ms
+    )
+
+
+def _end_replaced(record: tasks_lib.RunRecord) -> commands.RunEnd:
+    blame = commands.Blame.UNLIKELY
+    logs.info(
+        "run:end",
+        task=record.task,
+        run=record.run,
+        worker=record.worker,
+        outcome="gone",
+        detail="worker restarted before this term",
+        blame=blame.value,
+    )
+    return commands.RunEnd(
+        task=record.task, run=record.run, outcome="gone", blame=blame
     )
--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -114,6 +114,7 @@
             run=start.run,
             worker=start.worker,
             born_ms=start.born_ms,
+            machine=start.machine,
         )
         if before is not None:
             run = msgspec.structs.replace(
--- a/src/galenahook/jobs/tasks.py
+++ b/src/galenahook/jobs/tasks.py
@@ -47,6 +47,7 @@
       failures: Runs that failed.
       checkpoint: Checkpoint from which the next run resumes; empty for none.
       last_worker: Worker of the last run that failed; empty if none did.
+      machine: VM of the worker; empty if not known.
       suspicion: Sum of the blame for crashes of workers under the task.
     """
 
@@ -59,6 +60,7 @@
     failures: int = 0
     checkpoint: str = ""
     last_worker: str = ""
+    machine: str = ""
     suspicion: int = 0
 
 
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -292,6 +292,40 @@
     curio.run(main)
 
 
+def test_a_new_leader_ends_the_runs_of_a_worker_that_was_replaced_before():
+    async def scenario(site):
+        await site.round()
+        later = Site(node=site.node)
+        assert later.dispatcher.unattached.keys() == {TASK}
+        await later.dispatcher.handle_heartbeat(
+            build.heartbeat("w2", born_ms=2, machine="m-1")
+        )
+        await later.dispatcher._commit_ends()
+        assert site.jobs[build.JOB].waiting == {(0, 0, 0)}
+        assert site.suspicion_of(build.JOB) == 1
+        assert later.dispatcher.unattached == {}
+        await later.dispatcher.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"machine": "m-2"}, {"born_ms": 1}, {"machine": ""}],
+)
+def test_a_run_may_go_on_beside_workers_that_do_not_replace_its_own(changes):
+    async def scenario(site):
+        await site.round()
+        later = Site(node=site.node)
+        values = {"born_ms": 2, "machine": "m-1", **changes}
+        await later.dispatcher.handle_heartbeat(build.heartbeat("w2", **values))
+        await later.dispatcher._commit_ends()
+        assert site.jobs[build.JOB].active == {(0, 0, 0)}
+        await later.dispatcher.close()
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     ("listed_for_ms", "blame"),
     [
@@ -365,10 +399,11 @@
         % TASK.encode(),
         type=tasks_lib.SnapshotRecord,
     )
-    assert record.suspicion == 0
+    assert (record.suspicion, record.machine) == (0, "")
     command = commands.decode_command(
         b'{"type":"record-runs","at_ms":1,'
         b'"ends":[{"task":"a.0.0.0","run":1,"outcome":"gone"}],'
         b'"starts":[{"task":"a.0.0.0","run":2,"worker":"w","born_ms":1}]}'
     )
     assert command.ends[0].blame is commands.Blame.NONE
+    assert command.starts[0].machine == ""
