Blame the latest starts most for the crash of a worker

Ruled out: a wrong proof of the crash; these workers had been replaced.

Change: starts in progress or confirmed at most 50 ms before the connection broke are blamed before other unlisted runs, which are blamed before listed ones. 50 ms is also the time for which a suspected task keeps its worker to itself. Listed serving tasks are unlikely causes, and cleared after 5 s.

--- a/src/galenahook/jobs/crashes.py
+++ b/src/galenahook/jobs/crashes.py
@@ -3,19 +3,17 @@
 from galenahook import commands
 from galenahook.jobs import workers as workers_lib
 
-# A start that was confirmed at most this long before the crash is more likely
-# its cause than earlier ones.
-CRASH_AT_START_MS = 200
 # Time after which a serving run that the worker lists is not the cause of a
 # later crash. Serving tasks run for so long that they see crashes of any cause.
-STABLE_MS = 10_000
+STABLE_MS = 5_000
 
 
 def blame_runs(worker: workers_lib.Worker) -> None:
     """Sets the blame of each run on an incarnation that has ended.
 
-    An announced end is no crash. Runs that the worker has begun, or may have
-    begun, but never listed are more likely the cause of a crash than others.
+    An announced end is no crash. Else the most likely causes are the runs that
+    were just starting, then those that the worker has begun but never listed,
+    then the others. If one of these groups is empty the next one is blamed.
     """
     if worker.is_leaving:
         return
@@ -29,25 +27,33 @@
         for run in runs
         if not run.seen and (run.confirmed_ms or run.broken_off)
     ]
-    latest = [run for run in begun if _is_latest(worker, run)] or begun
+    starting = [run for run in begun if _was_starting(worker, run)]
     for run in runs:
-        if run.blame is not commands.Blame.NONE:
-            continue
-        if latest == [run]:
-            run.blame = commands.Blame.LIKELY
-        elif _is_stable(worker, run):
-            run.blame = commands.Blame.CLEARED
-        elif begun and run.seen:
-            run.blame = commands.Blame.UNLIKELY
-        else:
-            run.blame = commands.Blame.POSSIBLE
-
-
-def _is_latest(worker: workers_lib.Worker, run: workers_lib.LiveRun) -> bool:
+        if run.blame is commands.Blame.NONE:
+            run.blame = _blame_of(worker, run, starting or begun)
+
+
+def _blame_of(
+    worker: workers_lib.Worker,
+    run: workers_lib.LiveRun,
+    suspects: list[workers_lib.LiveRun],
+) -> commands.Blame:
+    if any(run is suspect for suspect in suspects):
+        is_only = len(suspects) == 1
+        return commands.Blame.LIKELY if is_only else commands.Blame.POSSIBLE
+    if _is_stable(worker, run):
+        return commands.Blame.CLEARED
+    if suspects or (run.step.serves and run.seen):
+        return commands.Blame.UNLIKELY
+    return commands.Blame.POSSIBLE
+
+
+def _was_starting(worker: workers_lib.Worker, run: workers_lib.LiveRun) -> bool:
+    """Returns whether a start was in progress when the worker crashed."""
     if run.broken_off:
         return True
     age_ms = worker.broken_off_ms - run.confirmed_ms
-    return worker.broken_off_ms > 0 and age_ms <= CRASH_AT_START_MS
+    return worker.broken_off_ms > 0 and age_ms <= workers_lib.START_SETTLE_MS
 
 
 def _is_stable(worker: workers_lib.Worker, run: workers_lib.LiveRun) -> bool:
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -15,7 +15,8 @@
 UNRESPONSIVE_AFTER_MS = 1_500
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
-# Time after the confirmation of a start in which it still counts as starting.
+# Time after the confirmation of a start in which it still counts as starting,
+# since a task that crashes its worker may do so only then.
 START_SETTLE_MS = 50
 
 StepId = tuple[str, int, int]
