Take only starts in progress as the likely cause of a crash

Cause: if no start was in progress at a crash, the only run that the worker had not listed yet was its likely cause, though it had been confirmed up to 0.34 s before.

Ruled out: deadly tasks; neither start was less than 88 ms before its crash.

Change: without a start in progress, an unlisted run is a possible cause, so that it takes three crashes to give it up.

Evidence: a case of test_the_latest_starts_before_a_crash_are_blamed_most failed on the code before.

--- a/src/galenahook/jobs/crashes.py
+++ b/src/galenahook/jobs/crashes.py
@@ -13,7 +13,8 @@
 
     An announced end is no crash. Else the most likely causes are the runs that
     were just starting, then those that the worker has begun but never listed,
-    then the others. If one of these groups is empty the next one is blamed.
+    then the others. If one of these groups is empty the next one is blamed, but
+    only a start in progress is likely to be the cause.
     """
     if worker.is_leaving:
         return
@@ -29,7 +30,11 @@
     ]
     starting = [run for run in begun if _was_starting(worker, run)]
     for run in runs:
-        if run.blame is commands.Blame.NONE:
+        if run.blame is not commands.Blame.NONE:
+            continue
+        if len(starting) == 1 and run is starting[0]:
+            run.blame = commands.Blame.LIKELY
+        else:
             run.blame = _blame_of(worker, run, starting or begun)
 
 
@@ -39,8 +44,7 @@
     suspects: list[workers_lib.LiveRun],
 ) -> commands.Blame:
     if any(run is suspect for suspect in suspects):
-        is_only = len(suspects) == 1
-        return commands.Blame.LIKELY if is_only else commands.Blame.POSSIBLE
+        return commands.Blame.POSSIBLE
     if _is_stable(worker, run):
         return commands.Blame.CLEARED
     if suspects or (run.step.serves and run.seen):
