--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -305,10 +305,13 @@
         for record in self.unattached.take_runs_of(worker.heartbeat):
             run = live_run(self, record.task, record.run)
             if run is not None:
+                if record.born_ms < worker.heartbeat.born_ms:
+                    run.blame = commands.Blame.UNLIKELY
                 run.checkpoint = record.checkpoint
                 # The throttle that an earlier leader set is not known.
                 run.throttle_percent = 0 if run.step.uses_idle_cpu else 100
                 run.slowed_ms = self.now_ms()
+                run.sent = True
                 worker.runs[record.task] = run
 
     async def leave(self, message: calls.WorkerLeft) -> None:
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -5,6 +5,7 @@
 from galenahook import commands
 from galenahook import logs
 from galenahook.jobs import calls
+from galenahook.jobs import crashes
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import workers as workers_lib
 
@@ -67,7 +68,7 @@
 ) -> list[commands.RunEnd]:
     """Ends runs of earlier terms whose worker's VM runs a newer worker."""
     return [
-        _end_record(record, "worker restarted")
+        _end_record(record, "worker restarted", commands.Blame.UNLIKELY)
         for record in dispatcher.unattached.take_replaced_by(heartbeat)
     ]
 
@@ -81,7 +82,11 @@
     ]
 
 
-def _end_record(record: tasks_lib.RunRecord, detail: str) -> commands.RunEnd:
+def _end_record(
+    record: tasks_lib.RunRecord,
+    detail: str,
+    blame: commands.Blame = commands.Blame.NONE,
+) -> commands.RunEnd:
     """Ends a run of an earlier term."""
     logs.warning(
         "run:end",
@@ -90,8 +95,11 @@
         worker=record.worker,
         outcome="gone",
         detail=detail,
+        blame=blame.value,
+    )
+    return commands.RunEnd(
+        task=record.task, run=record.run, outcome="gone", blame=blame
     )
-    return commands.RunEnd(task=record.task, run=record.run, outcome="gone")
 
 
 def _end_seen(link: "link_lib.Link") -> list[commands.RunEnd]:
@@ -108,6 +116,13 @@
 
 
 def _end_expired(link: "link_lib.Link") -> list[commands.RunEnd]:
+    """Ends the runs of a worker whose lease has expired.
+
+    A worker that merely does not reply may be partitioned. If its address
+    refuses connections, it has crashed.
+    """
+    if link.is_gone:
+        crashes.blame_runs(link.worker)
     return [
         link.end_run(run, "gone", "", "worker lease expired")
         for run in list(link.worker.runs.values())
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -125,27 +125,59 @@
                 return
             # The other task could not use the workers reserved for this step.
             candidates = self._reservations.candidates_of(step_id)
+        suspects = [key for key in keys if tasks_lib.is_suspect(job, key)]
+        others = [key for key in keys if not tasks_lib.is_suspect(job, key)]
+        is_placed = self._place_tasks(
+            job, others, candidates, is_isolated=False
+        )
+        is_placed = is_placed and self._place_tasks(
+            job, suspects, candidates, is_isolated=True
+        )
+        if is_placed:
+            return
+        if not (step.max_per_worker or is_larger):
+            failed.append(step)
+        if step.serves:
+            self._reservations.request(
+                self._dispatcher, self.candidates, job, step_id
+            )
+
+    def _place_tasks(
+        self,
+        job: tasks_lib.Job,
+        keys: list[tasks_lib.TaskKey],
+        candidates: list[free_capacity_lib.FreeCapacity],
+        is_isolated: bool,
+    ) -> bool:
+        """Places tasks of one step; returns whether all of them fit.
+
+        Args:
+          job: Their job.
+          keys: The tasks.
+          candidates: Free capacity of the workers to choose from.
+          is_isolated: Whether to prefer workers on which nothing else is about
+            to start.
+        """
+        if not keys:
+            return True
+        step = job.step(keys[0])
+        step_id = (job.description.job, *_step_key(keys[0]))
         is_delayed = _is_delayed(job, step, self._now_wall_ms)
-        ranking = _Ranking(self._dispatcher, job, step, step_id)
+        ranking = _Ranking(self._dispatcher, job, step, step_id, is_isolated)
         for candidate in candidates:
             ranking.add(candidate)
         for key in keys:
             before = job.runs.get(key)
             chosen = ranking.pop(before.last_worker if before else "")
             if chosen is None:
-                if not (step.max_per_worker or is_larger):
-                    failed.append(step)
-                if step.serves:
-                    self._reservations.request(
-                        self._dispatcher, self.candidates, job, step_id
-                    )
-                return
+                return False
             if is_delayed:
                 # Reserve the capacity so that no other task uses it meanwhile.
                 chosen.reserve(step, step_id)
             else:
                 self._assign(job, key, step, chosen)
             ranking.add(chosen)
+        return True
 
     def _assign(
         self,
@@ -167,6 +199,7 @@
         candidate.reserve(step, run.step_id)
         if step.uses_idle_cpu:
             candidate.add_colocated(step)
+        candidate.note_start(run)
         candidate.worker.runs[run.task] = run
         if candidate.reserved_for is not None:
             self._reservations.note_placed(candidate, self._dispatcher.now_ms())
@@ -221,7 +254,9 @@
         job: tasks_lib.Job,
         step: commands.StepDescription,
         step_id: workers_lib.StepId,
+        is_isolated: bool,
     ) -> None:
+        self._is_isolated = is_isolated
         self._dispatcher = dispatcher
         self._service = job.description.service
         self._step = step
@@ -239,9 +274,13 @@
             return
         cost = _cost(self._dispatcher, self._step, candidate)
         if cost is not None:
+            if self._is_isolated:
+                cost = (float(candidate.starting > 0), *cost)
             heapq.heappush(self._heap, (cost, number, candidate))
 
     def _is_allowed(self, candidate: free_capacity_lib.FreeCapacity) -> bool:
+        if candidate.has_suspect_start:
+            return False
         step = self._step
         if step.uses_idle_cpu and candidate.idle_cpu_millis < step.cpu_millis:
             return False
--- a/src/galenahook/jobs/waiting.py
+++ b/src/galenahook/jobs/waiting.py
@@ -88,6 +88,8 @@
     step_id = (job.description.job, *key[:2])
     if candidate.reserved_for not in (None, step_id):
         return "reserved"
+    if candidate.has_suspect_start:
+        return "suspect-start"
     if not candidate.fits(step):
         return _missing_capacity(step, candidate)
     if step.uses_idle_cpu and candidate.idle_cpu_millis < step.cpu_millis:
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -20,6 +20,9 @@
 MAX_HEARTBEAT_DELAY_MS = 2_500
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
+# Time after the confirmation of a start in which it still counts as starting,
+# since a task that crashes its worker may do so only then.
+START_SETTLE_MS = 50
 
 StepId = tuple[str, int, int]
 
@@ -37,11 +40,15 @@
       ordered_ms: When the start was ordered in this term; 0 for a run of an
         earlier term.
       confirmed_ms: When the worker confirmed that it runs; 0 before.
+      sent: Whether the order to start it may have been sent.
+      broken_off: Whether the connection of that order closed without a reply.
       seen: Whether the worker has listed it as running.
+      seen_ms: When the worker first listed it; 0 before.
       stop_confirmed_ms: When the worker confirmed a stop, after which this run
         can't start there; 0 before.
       stopping: Whether a stop was ordered.
       stop_reason: Why it was stopped.
+      blame: How likely it has caused the crash of a worker.
       checkpoint: Latest reported checkpoint.
       progress_percent: Latest reported progress.
       measurement: Latest report: tail latency in milliseconds of a serving run,
@@ -60,10 +67,14 @@
     step: commands.StepDescription
     ordered_ms: int = 0
     confirmed_ms: int = 0
+    sent: bool = False
+    broken_off: bool = False
     seen: bool = False
+    seen_ms: int = 0
     stop_confirmed_ms: int = 0
     stopping: bool = False
     stop_reason: str = ""
+    blame: commands.Blame = commands.Blame.NONE
     checkpoint: str = ""
     progress_percent: float = 0.0
     measurement: float | None = None
@@ -75,6 +86,20 @@
     def __post_init__(self) -> None:
         self.step_id = (self.job.description.job, self.key[0], self.key[1])
 
+    def is_starting(self, now_ms: int) -> bool:
+        """Returns whether its start was ordered in this term just now."""
+        if not self.ordered_ms or self.seen or self.stopping:
+            return False
+        return (
+            not self.confirmed_ms
+            or now_ms - self.confirmed_ms < START_SETTLE_MS
+        )
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether earlier runs of the task may have crashed their workers."""
+        return tasks_lib.is_suspect(self.job, self.key)
+
 
 class Worker:
     """One incarnation of a worker.
@@ -98,6 +123,8 @@
       has_stray_runs: Whether it last listed runs that the replicated state does
         not contain, and whose needs may not be known.
       heartbeat_period_ms: Time between two of its heartbeats.
+      broken_off_ms: When its connection closed during a poll, since its last
+        reply; 0 if it did not.
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
       throttles_changed_ms: When a throttle of its runs last changed; 0 before.
@@ -105,6 +132,7 @@
 
     __slots__ = (
         "acknowledged",
+        "broken_off_ms",
         "excluded_until_ms",
         "clock_at_ms",
         "clock_ms",
@@ -139,6 +167,7 @@
         self.has_polled = False
         self.has_stray_runs = False
         self.heartbeat_period_ms = HEARTBEAT_PERIOD_MS
+        self.broken_off_ms = 0
         self.ended_batch_runs: list[tuple[int, str, float]] = []
         self.throttles_changed_ms = 0
 
@@ -147,6 +176,11 @@
         """Identifier of the worker."""
         return self.heartbeat.worker
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has announced its end."""
+        return self.heartbeat.draining or self.leaving_since_ms > 0
+
     @property
     def rack(self) -> str:
         """Rack of the worker, the last of its labels."""
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -3,6 +3,7 @@
 import json
 
 import curio
+import expression
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -541,6 +542,7 @@
             ScriptedClient(odd=reply, sound=SOUND_REPLY),
             clock_lib.Clock(),
             job_metrics.JobMetrics(),
+            lambda: expression.Error([]),
         )
         task = await curio.spawn(gateway.track_leader, daemon=True)
         await curio.sleep(0.05)
