Accept a draining worker whose stated time is over

The bound of heartbeats' numbers refused a negative `drain_remaining_ms`, which was accepted before. A worker that drains for longer than it said may send one, and its state must still be seen. It is only compared, so it lies within 2^53 - 1 of 0 now.

The case of -1 in the test of odd heartbeats expects 200 again; the others are unchanged.

--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+from typing import Annotated
 
 import msgspec
 
@@ -40,7 +41,10 @@
     machine: str = ""
     born: messages.Count = 0  # Start of the incarnation, Unix milliseconds.
     clock_ms: messages.Count = 0  # Monotonic clock of the worker.
-    drain_remaining_ms: messages.Amount = 0
+    # Below 0 once the time is over.
+    drain_remaining_ms: Annotated[
+        float, msgspec.Meta(ge=-messages.MAX_NUMBER, le=messages.MAX_NUMBER)
+    ] = 0
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
