--- a/tests/test_replicas_joining.py
+++ b/tests/test_replicas_joining.py
@@ -9,6 +9,7 @@
 from fakes import replica_group
 from galenahook.replicas import membership
 from galenahook.replicas import membership_changes
+from galenahook.replicas import snapshot
 
 RANDOM_STEPS = 6
 MAX_DOWN_S = 1.5
@@ -77,6 +78,36 @@
     replica_group.run(main)
 
 
+def test_removed_replica_that_needs_a_snapshot_joins_again(
+    tmp_path, monkeypatch
+):
+    """Its own log still lists it as a voter of an earlier membership."""
+    monkeypatch.setattr(snapshot, "MIN_ENTRIES", 100)
+    monkeypatch.setattr(snapshot, "RETAINED_ENTRIES", 20)
+    monkeypatch.setattr(snapshot, "CHECK_PERIOD_MS", 50)
+    group = replica_group.SelfJoiningGroup(tmp_path)
+
+    async def main():
+        await start_five(group)
+        await group.kill("a")
+        await group.start_and_join("f")
+        await group.wait_until(lambda: group.voters() == set("bcdef"))
+        leader = await group.wait_for_leader()
+        await group.claim_many(0, 400)
+        await group.wait_until(lambda: leader.status().first_index > 100)
+        await group.start_and_join("a")
+        assert group.node("a").core.snapshot_index > 0
+        await group.kill(*"abcdef")
+        group.delete_data_folder("b")
+        group.delete_data_folder("c")
+        await group.start(*"abcdef")
+        for key in ("key-0", "key-399"):
+            assert not await group.claim(key)
+        await group.close()
+
+    replica_group.run(main)
+
+
 @pytest.mark.parametrize(
     ("names", "down"), [("abcde", "ab"), ("abcdefg", "abc")]
 )
