--- a/src/galenahook/replicas/joining.py
+++ b/src/galenahook/replicas/joining.py
@@ -121,6 +121,11 @@
 
 
 async def _promote_next(node: "node_lib.Node") -> bool:
+    """Promotes a learner, or first removes the dead voter that it replaces.
+
+    Returns:
+      Whether a change was made or refused, so that the next one has to wait.
+    """
     core = node.core
     for learner in core.members.learners:
         if membership_changes.plan_promotion(core, learner.name).is_error():
@@ -138,6 +143,11 @@
 
 
 async def _admit_requested(node: "node_lib.Node") -> bool:
+    """Admits a replica, or first removes its earlier folder.
+
+    Returns:
+      Whether a change was made or refused, so that the next one has to wait.
+    """
     core = node.core
     for name, request in list(core.join_requests.items()):
         member = core.members.by_name.get(name)
--- a/src/galenahook/replicas/membership_changes.py
+++ b/src/galenahook/replicas/membership_changes.py
@@ -113,9 +113,10 @@
 
 
 def should_replace_first(core: core_lib.Core) -> bool:
-    """Returns whether a silent voter is removed before a learner is promoted.
+    """Returns whether a learner waits to replace a voter that is silent.
 
-    Another voter would raise the quorum of an odd number of voters.
+    Another voter would raise the quorum of an odd number of voters. The silent
+    one may still reply, or will be dead soon.
     """
     voters = core.members.voters
     is_odd = len(voters) % 2 == 1
