--- a/bench/leader_cost.py
+++ b/bench/leader_cost.py
@@ -42,6 +42,7 @@
 BATCH_RATE = 0.043
 SERVING_JOBS = 0.3
 COMMIT_S = 0.008
+HEARTBEAT_PERIOD_S = 1.0
 BASELINE = 3.0
 SWING = 0.6
 SWING_PERIOD_MS = 14_000
@@ -273,7 +274,7 @@
         )
 
     def heartbeat(self, index: int) -> calls.WorkerHeartbeat:
-        """Returns the first heartbeat of a worker."""
+        """Returns the next heartbeat of a worker."""
         return calls.WorkerHeartbeat(
             worker=f"w{index}",
             born_ms=1,
@@ -283,7 +284,7 @@
             service="desk",
             draining=False,
             drain_remaining_ms=0,
-            sequence=1,
+            sequence=self.clock.monotonic_ms(),
             clock_ms=self.clock.monotonic_ms(),
             cpu_millis=CPU_MILLIS,
             memory_mb=MEMORY_MB,
@@ -367,6 +368,13 @@
             ),
         )
 
+    async def send_heartbeats(self) -> None:
+        """Sends heartbeats of all workers until cancelled."""
+        while True:
+            for index in range(self.workers):
+                await self.dispatcher.handle_heartbeat(self.heartbeat(index))
+            await curio.sleep(HEARTBEAT_PERIOD_S)
+
     async def submit_jobs(self, rate: float, submit: object) -> None:
         """Submits jobs at random times until cancelled."""
         while True:
@@ -378,12 +386,11 @@
         self, warm_up_s: float, seconds: float, profile: cProfile.Profile | None
     ) -> dict[str, float]:
         """Runs the fleet; returns the figures after the warm-up."""
-        for index in range(self.workers):
-            await self.dispatcher.handle_heartbeat(self.heartbeat(index))
         for _ in range(round(SERVING_JOBS * self.workers)):
             self.submit_serving()
         tasks = [
             await curio.spawn(self.dispatcher.run),
+            await curio.spawn(self.send_heartbeats),
             await curio.spawn(
                 self.submit_jobs, QUERY_RATE * self.workers, self.submit_query
             ),
