Log and count the ends of jobs by queue, size and zone

Nothing showed how the larger jobs of a queue are served: job:stored held no size, the end of a job left no line, and no metric counted jobs by result.

--- /dev/null
+++ b/bench/job_service.py
@@ -0,0 +1,302 @@
+"""Measures how callers' jobs are served, by queue and by size.
+
+    python -m job_service [--workers N] [--seconds N] [--seed N] [--fill SHARE]
+
+Runs the leader of `leader_cost` with stand-in workers in simulated time. Task
+counts, processors and run times of jobs scatter widely, and serving tasks,
+which come and go, reserve most processors. Prints for each queue the share of
+jobs that ended in time, of the largest tenth by work, the fifth below it, the
+others and all of them, and the share of the owed work that was done in time.
+"""
+
+import argparse
+import dataclasses
+import math
+import random
+import types
+
+import curio
+import curio.kernel
+import msgspec
+
+from galenahook import clock as clock_lib
+from galenahook import commands
+from galenahook.jobs import calls
+from galenahook.jobs import tasks as tasks_lib
+import leader_cost
+
+# Sizes of the VMs, relative to the smallest.
+WORKER_SIZES = (1.0, 1.0, 1.5)
+SERVING_STAY_S = 70.0
+QUERY_RATE = 0.0288
+BATCH_RATE = 0.0435
+# Largest shares of the jobs by work, and their names.
+SIZE_CLASSES = (("largest 10%", 0.9), ("next 20%", 0.7), ("others", 0.0))
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Queue:
+    """Priority and latency objective of a queue's jobs."""
+
+    priority: int
+    stretch: float
+    objective_ms: int
+
+
+QUEUES = {
+    "table": Queue(priority=0, stretch=1.5, objective_ms=300),
+    "rota": Queue(priority=2, stretch=2.0, objective_ms=1_000),
+    "board": Queue(priority=0, stretch=2.2, objective_ms=2_500),
+}
+
+
+def work_of(job: tasks_lib.Job) -> float:
+    """Returns the core milliseconds that a job takes."""
+    return sum(
+        step.tasks * step.cpu_millis / 1_000 * step.estimate_ms
+        for step in job.description.steps
+    )
+
+
+def target_ms(job: tasks_lib.Job) -> float:
+    """Returns the time in which a job of consecutive steps should end."""
+    chain_ms = sum(step.estimate_ms for step in job.description.steps)
+    return job.description.stretch * chain_ms + job.description.objective_ms
+
+
+class Site(leader_cost.Fleet):
+    """A fleet whose workers and jobs differ widely in size.
+
+    Attributes:
+      fill: Share of all processors that the first serving jobs reserve.
+    """
+
+    def __init__(
+        self, workers: int, seed: int, clock: clock_lib.Clock, fill: float
+    ) -> None:
+        super().__init__(workers, seed, clock)
+        self.fill = fill
+        self.draws = random.Random(seed)
+
+    def heartbeat(self, index: int) -> calls.WorkerHeartbeat:
+        """Returns the next heartbeat of a worker."""
+        size = WORKER_SIZES[index % len(WORKER_SIZES)]
+        beat = super().heartbeat(index)
+        return msgspec.structs.replace(
+            beat,
+            cpu_millis=round(size * beat.cpu_millis),
+            memory_mb=round(size * beat.memory_mb),
+        )
+
+    def total_cpu_millis(self) -> int:
+        """Returns the processors of all workers."""
+        return sum(
+            self.heartbeat(index).cpu_millis for index in range(self.workers)
+        )
+
+    def submit(self, queue: str, *steps: commands.StepDescription) -> None:
+        """Stores a job with the parameters of its queue."""
+        self.jobs += 1
+        row = QUEUES[queue]
+        self.node.state.apply(
+            commands.SubmitJob(
+                description=commands.JobDescription(
+                    job=f"{self.jobs:016x}",
+                    queue=queue,
+                    service="desk",
+                    spec="spec",
+                    steps=steps,
+                    priority=row.priority,
+                    max_attempts=3,
+                    stretch=row.stretch,
+                    objective_ms=row.objective_ms,
+                ),
+                at_ms=self.clock.wall_ms(),
+            )
+        )
+
+    def _lognormal(self, mean: float, spread: float, largest: float) -> float:
+        variance = math.log(1 + spread * spread)
+        value = self.draws.lognormvariate(
+            math.log(mean) - variance / 2, math.sqrt(variance)
+        )
+        return min(value, largest)
+
+    def submit_serving(self) -> None:
+        """Stores a job whose tasks serve until they are stopped."""
+        image = f"s{self.draws.randrange(leader_cost.SERVING_IMAGES)}"
+        self.submit(
+            "board",
+            commands.StepDescription(
+                tasks=max(1, round(self._lognormal(14, 0.4, 28))),
+                cpu_millis=round(self._lognormal(6_400, 0.25, 10_000)),
+                memory_mb=round(self._lognormal(13_000, 0.3, 26_000)),
+                estimate_ms=320,
+                serves=True,
+                image=image,
+                tail_target_ms=45,
+                max_per_worker=int(self.draws.random() < 0.5),
+            ),
+        )
+
+    def submit_query(self) -> None:
+        """Stores a short job that reserves processors."""
+        spread = int(self.draws.random() < 0.15)
+        tasks = max(1, round(self._lognormal(9.5, 0.8, 57)))
+        cpu_millis = round(self._lognormal(5_300, 0.45, 16_000))
+        memory_mb = round(self._lognormal(11_000, 0.3, 21_000))
+        self.submit(
+            "table",
+            *(
+                commands.StepDescription(
+                    tasks=tasks,
+                    cpu_millis=cpu_millis,
+                    memory_mb=memory_mb,
+                    estimate_ms=round(self._lognormal(800, 0.5, 2_000)),
+                    max_per_worker=spread,
+                    after=(number - 1,) if number else (),
+                )
+                for number in range(self.draws.choice((1, 1, 2, 2, 2)))
+            ),
+        )
+
+    def submit_batch(self) -> None:
+        """Stores a job whose tasks use idle processors."""
+        image = f"b{self.draws.randrange(leader_cost.BATCH_IMAGES)}"
+        tasks = max(1, round(self._lognormal(20, 0.6, 80)))
+        cpu_millis = round(self._lognormal(3_500, 0.3, 7_000))
+        self.submit(
+            "rota",
+            *(
+                commands.StepDescription(
+                    tasks=tasks,
+                    cpu_millis=cpu_millis,
+                    memory_mb=6_400,
+                    estimate_ms=round(self._lognormal(2_200, 0.5, 5_400)),
+                    uses_idle_cpu=True,
+                    saves_checkpoints=True,
+                    image=image,
+                    after=(number - 1,) if number else (),
+                )
+                for number in range(2)
+            ),
+        )
+
+    def fill_up(self) -> None:
+        """Stores serving jobs until they reserve their share."""
+        left = self.fill * self.total_cpu_millis()
+        while left > 0:
+            self.submit_serving()
+            job = self.node.state.jobs.jobs[f"{self.jobs:016x}"]
+            step = job.description.steps[0]
+            left -= step.tasks * step.cpu_millis
+
+    async def replace_serving(self) -> None:
+        """Replaces a serving job by a new one from time to time."""
+        while True:
+            serving = [
+                job
+                for job in self.node.state.jobs.open.values()
+                if job.description.queue == "board" and not job.ended
+            ]
+            await curio.sleep(
+                self.draws.expovariate(len(serving) / SERVING_STAY_S)
+            )
+            self.node.state.apply(
+                commands.CancelJob(
+                    job=self.draws.choice(serving).description.job,
+                    at_ms=self.clock.wall_ms(),
+                )
+            )
+            self.submit_serving()
+            await self.dispatcher.wake()
+
+    async def play(self, warm_up_s: float, seconds: float) -> list[str]:
+        """Plays the site; returns the lines of the report."""
+        self.fill_up()
+        tasks = [
+            await curio.spawn(self.dispatcher.run),
+            await curio.spawn(self.send_heartbeats),
+            await curio.spawn(self.replace_serving),
+            await curio.spawn(
+                self.submit_jobs, QUERY_RATE * self.workers, self.submit_query
+            ),
+            await curio.spawn(
+                self.submit_jobs, BATCH_RATE * self.workers, self.submit_batch
+            ),
+        ]
+        await curio.sleep(warm_up_s)
+        began_ms = self.clock.wall_ms()
+        await curio.sleep(seconds)
+        lines = self.report(began_ms)
+        for task in tasks:
+            await task.cancel()
+        await self.dispatcher.close()
+        return lines
+
+    def report(self, began_ms: int) -> list[str]:
+        """Returns the shares of jobs and of work in time, by queue and size."""
+        now_ms = self.clock.wall_ms()
+        lines = []
+        for queue in ("table", "rota"):
+            due = sorted(
+                (
+                    job
+                    for job in self.node.state.jobs.jobs.values()
+                    if job.description.queue == queue
+                    and began_ms <= job.record.submitted_ms
+                    and job.record.submitted_ms + target_ms(job) <= now_ms
+                ),
+                key=work_of,
+            )
+            before = len(due)
+            groups = [("all", due)]
+            for name, share in SIZE_CLASSES:
+                first = round(share * len(due))
+                groups.append((name, due[first:before]))
+                before = first
+            for name, jobs in groups:
+                in_time = [job for job in jobs if _is_in_time(job)]
+                owed = sum(map(work_of, jobs))
+                lines.append(
+                    f"{queue:6} {name:12} jobs {len(jobs):4}"
+                    f"  in time {len(in_time) / max(1, len(jobs)):.2f}"
+                    f"  work {sum(map(work_of, in_time)) / max(1, owed):.2f}"
+                )
+        return lines
+
+
+def _is_in_time(job: tasks_lib.Job) -> bool:
+    """Returns whether a job was completed within its target duration."""
+    if job.record.outcome is not tasks_lib.Outcome.COMPLETED:
+        return False
+    return job.record.ended_ms - job.record.submitted_ms <= target_ms(job)
+
+
+def main() -> None:
+    """Prints the report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--workers", type=int, default=246)
+    parser.add_argument("--warm-up", type=float, default=8.0)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--fill", type=float, default=0.9)
+    arguments = parser.parse_args()
+    simulated = leader_cost.SimulatedTime()
+    curio.kernel.time = types.SimpleNamespace(  # type: ignore[assignment]
+        monotonic=simulated.monotonic
+    )
+    site = Site(
+        arguments.workers,
+        arguments.seed,
+        leader_cost.SimulatedClock(simulated),
+        arguments.fill,
+    )
+    lines = curio.run(
+        site.play, arguments.warm_up, arguments.seconds, selector=simulated
+    )
+    print(*lines, sep="\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/galenahook/commands/jobs.py
+++ b/src/galenahook/commands/jobs.py
@@ -75,6 +75,8 @@
       first_start_ms: Wall time at which the first occurrence is due; 0 for at
         once.
       interval_ms: Time from one occurrence to the next.
+      availability_zone: Availability zone of the entry that received it; empty
+        if not known.
     """
 
     job: str
@@ -89,6 +91,7 @@
     occurrences: int = 1
     first_start_ms: int = 0
     interval_ms: int = 0
+    availability_zone: str = ""
 
 
 class SubmitJob(messages.Message, frozen=True, kw_only=True, tag="submit-job"):
--- a/src/galenahook/job_entry.py
+++ b/src/galenahook/job_entry.py
@@ -54,7 +54,7 @@
             read_settings,
         )
         self.callers = callers_lib.CallerListener(
-            self.gateway, clock, self.metrics
+            self.gateway, clock, self.metrics, settings.availability_zone
         )
         self.health = health_lib.Health(self._is_ready)
         self.callers_server = web.Server(
--- a/src/galenahook/job_metrics.py
+++ b/src/galenahook/job_metrics.py
@@ -30,6 +30,9 @@
       run_starts: Starts of runs, counted once committed.
       run_ends: Runs confirmed to have ended, by outcome.
       run_refusals: Starts that a worker refused, by its reply.
+      jobs_ended: Jobs that ended without being cancelled, by queue, size among
+        the latest jobs of the queue, and result: `in-time`, `late` (up to three
+        times the target duration), `expired` or `failed`.
       throttles: Changes of a run's throttle percentage.
     """
 
@@ -58,6 +61,9 @@
         self.run_refusals = self._counter(
             "run_refusals", "Starts that workers refused.", "answer"
         )
+        self.jobs_ended = self._counter(
+            "jobs_ended", "Jobs ended.", "queue", "size", "result"
+        )
         self.throttles = self._counter("throttles", "Changes of throttles.")
 
     def _counter(
--- a/src/galenahook/jobs/calls.py
+++ b/src/galenahook/jobs/calls.py
@@ -29,11 +29,13 @@
       host: Host of the caller's request.
       path: Path of the caller's request.
       order: The job: spec, steps and times.
+      availability_zone: Availability zone of the entry; empty if not known.
     """
 
     host: str
     path: str
     order: JobOrder
+    availability_zone: str = ""
 
 
 class JobStateCall(messages.Message, frozen=True, kw_only=True, tag="state"):
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -22,6 +22,7 @@
 from galenahook.jobs import placement
 from galenahook.jobs import reservations as reservations_lib
 from galenahook.jobs import run_times as run_times_lib
+from galenahook.jobs import service_levels as service_levels_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import unattached as unattached_lib
@@ -63,6 +64,7 @@
       tails: Throttles batch tasks that slow serving tasks.
       run_times: Estimated run times of tasks.
       reservations: Workers reserved for serving tasks that fit no worker.
+      service_levels: Reports ended jobs.
     """
 
     def __init__(
@@ -85,6 +87,9 @@
         self.tails = tail_latency_lib.TailLatencyControl()
         self.run_times = run_times_lib.RunTimes()
         self.reservations = reservations_lib.Reservations()
+        self.service_levels = service_levels_lib.ServiceLevels(
+            metrics, self.run_times, node.state.jobs.jobs.values()
+        )
         self.now_ms = clock.monotonic_ms
         self.started_ms = self.now_ms()
         self.unattached = _active_runs(node)
@@ -195,6 +200,10 @@
         ends, self._ends = self._ends, []
         marks = [(link, link.queued_end) for link in self.links.values()]
         if ends:
+            for end in ends:
+                job = self.table.jobs.get(end.task.partition(".")[0])
+                if job is not None:
+                    self.service_levels.expect_end(job)
             command = commands.RecordRuns(
                 ends=tuple(ends), at_ms=self.clock.wall_ms()
             )
@@ -203,6 +212,7 @@
             except errors.GalenahookError:
                 self._ends = ends + self._ends
                 raise
+            self.service_levels.report_ended()
         for end in ends:
             self.metrics.run_ends.labels(end.outcome).inc()
         for link, mark in marks:
--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -8,6 +8,7 @@
 from galenahook import logs
 from galenahook.jobs import calls
 from galenahook.jobs import dispatcher as dispatcher_lib
+from galenahook.jobs import service_levels
 from galenahook.replicas import node as node_lib
 
 _JOB_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
@@ -179,6 +180,7 @@
             occurrences=order.occurrences,
             first_start_ms=order.first_start_ms,
             interval_ms=order.interval_ms,
+            availability_zone=call.availability_zone,
         )
         try:
             await self.dispatcher.commit(
@@ -188,13 +190,17 @@
             )
         except errors.OverloadedError as error:
             return calls.JobReply(outcome="overloaded", reason=str(error))
+        job = self.node.state.jobs.jobs[identifier]
+        self.dispatcher.service_levels.ranks.add(job)
         logs.info(
             "job:stored",
             job=identifier,
             queue=queue.name,
+            zone=call.availability_zone,
             version=self.node.state.site.current.version,
             steps=len(order.steps),
-            state=self.node.state.jobs.jobs[identifier].state(),
+            state=job.state(),
+            **service_levels.measures(job),
         )
         await self.dispatcher.wake()
         return calls.JobReply(outcome="stored")
--- a/src/galenahook/platform/callers.py
+++ b/src/galenahook/platform/callers.py
@@ -44,11 +44,13 @@
         gateway: gateway_lib.Gateway,
         clock: clock_lib.Clock,
         metrics: job_metrics.JobMetrics,
+        availability_zone: str,
     ) -> None:
         self.response_deadline_ms: int | None = None
         self._gateway = gateway
         self._clock = clock
         self._metrics = metrics
+        self._availability_zone = availability_zone
 
     async def handle(self, request: web.Request) -> web.Response:
         """Handles one request of a caller."""
@@ -106,7 +108,12 @@
                     order = wire.decode_job(request.body)
                 except errors.InvalidInputError as error:
                     return web.refusal(400, "invalid job", error.findings)
-                return calls.SubmitJobCall(host=host, path=path, order=order)
+                return calls.SubmitJobCall(
+                    host=host,
+                    path=path,
+                    order=order,
+                    availability_zone=self._availability_zone,
+                )
         return web.refusal(405, "expected GET, POST or DELETE")
 
 
--- a/tests/test_jobs_leader.py
+++ b/tests/test_jobs_leader.py
@@ -136,6 +136,7 @@
         LocalGateway(make_leader(OverloadedNode())),
         clock_lib.Clock(),
         job_metrics.JobMetrics(),
+        "zone-a",
     )
     request = web.Request(
         method,
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -161,7 +161,7 @@
         self.leader = leader_lib.JobLeader(node, clock, self.dispatcher)
         self.control = control_lib.ControlListener(self._call, clock)
         self.callers = callers_lib.CallerListener(
-            LocalGateway(self.leader), clock, metrics
+            LocalGateway(self.leader), clock, metrics, "zone-a"
         )
         self.task = None
 
