Expect larger jobs to take as long as their longest tasks

Cause, one of several: the expected time of a step was the mean run time of a task, of its whole job as soon as one run had ended, and before that 0.8 of the mean of its queue and 0.2 of the declared time. So the target duration of jobs with many tasks or long ones was underestimated; they counted as late, and then as expired, long before they were, and went behind every job that was not.

A step now takes as long as the longest of its tasks is expected to, from the scatter within steps, which is learned by queue. Run times are learned by step, and declared times weigh as much as they have proved accurate.

Ruled out: a lack of processors alone, as jobs of as many cores in narrow steps were served more often.

test_wide_and_long_jobs_are_not_taken_for_late_too_early failed before: the narrow job went first.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -372,7 +372,7 @@
         self.health.note_end(worker, run, outcome, now_ms)
         is_full_speed = run.run == 1 and run.ordered_ms and not run.slowed_ms
         if outcome == "done" and is_full_speed and not run.step.serves:
-            self.run_times.learn(run.job, now_ms - run.ordered_ms)
+            self.run_times.learn(run.job, now_ms - run.ordered_ms, run.key[1])
 
     def note_refusal(
         self,
--- a/src/galenahook/jobs/reservations.py
+++ b/src/galenahook/jobs/reservations.py
@@ -352,7 +352,7 @@
 ) -> float:
     if run.stopping:
         return 0.0
-    whole_ms = run_times.expected_ms(run.job, run.step.estimate_ms)
+    whole_ms = run_times.expected_ms(run.job, run.step.estimate_ms, run.key[1])
     speed = max(run.throttle_percent / 100, MIN_SPEED)
     return whole_ms * (1 - run.progress_percent / 100) / speed
 
--- a/tests/test_jobs_ordering.py
+++ b/tests/test_jobs_ordering.py
@@ -1,5 +1,8 @@
 """Order of jobs for placement, and estimated run times."""
 
+import math
+import random
+
 import pytest
 
 from galenahook.jobs import ordering
@@ -98,13 +101,71 @@
     assert times.expected_ms(stored, 500) == pytest.approx(4_000)
 
 
+def learn_steps(times, sigma, declared_error=1):
+    """Learns steps of 200 to 3,200 ms with four runs each."""
+    draws = random.Random(1)
+    for number in range(100):
+        mean_ms = 200 * 2 ** (number % 5)
+        other, _ = job(
+            f"{number:02x}", build.step(estimate_ms=mean_ms * declared_error)
+        )
+        for _ in range(4):
+            times.learn(other, round(mean_ms * draws.lognormvariate(0, sigma)))
+
+
+def test_declared_run_times_that_prove_accurate_outweigh_the_queue():
+    times = run_times_lib.RunTimes()
+    learn_steps(times, sigma=0.1)
+    stored, _ = job("a1")
+    assert times.expected_ms(stored, 3_200) == pytest.approx(3_200, rel=0.1)
+
+
+def test_declared_run_times_that_are_far_off_are_hardly_used():
+    times = run_times_lib.RunTimes()
+    learn_steps(times, sigma=0.1, declared_error=20)
+    stored, _ = job("a1")
+    assert times.expected_ms(stored, 20 * 800) < 1_600
+
+
+def test_run_times_are_learned_by_step():
+    times = run_times_lib.RunTimes()
+    steps = (build.step(estimate_ms=500), build.step(estimate_ms=900))
+    stored, _ = job("a1", *steps)
+    times.learn(stored, 4_000, 0)
+    assert times.expected_ms(stored, 900, 1) == 900
+
+
+def test_a_step_takes_as_long_as_its_longest_task():
+    times = run_times_lib.RunTimes()
+    learn_steps(times, sigma=0.3)
+    narrow, _ = job("a1", build.step(estimate_ms=800))
+    wide, _ = job("a2", build.step(estimate_ms=800, tasks=40))
+    assert times.longest_ms(narrow, 0) == pytest.approx(800, rel=0.1)
+    # The expected maximum of 40 standard normal values is 2.16.
+    longest_ms = 800 * math.exp(2.16 * 0.3)
+    assert times.longest_ms(wide, 0) == pytest.approx(longest_ms, rel=0.1)
+
+
+def test_wide_and_long_jobs_are_not_taken_for_late_too_early():
+    times = run_times_lib.RunTimes()
+    learn_steps(times, sigma=0.3)
+    # With the mean run time of the queue, all would be late by now.
+    narrow, _ = job("a1", build.step(estimate_ms=400), age_ms=900)
+    wide, _ = job("a2", build.step(estimate_ms=400, tasks=40), age_ms=900)
+    long, _ = job("a3", build.step(estimate_ms=3_200), age_ms=900)
+    ranked = sorted(
+        (narrow, wide, long), key=lambda j: ordering.rank(j, times, NOW_MS)
+    )
+    assert [j.description.job[-2:] for j in ranked] == ["a2", "a3", "a1"]
+
+
 def test_number_of_jobs_with_run_times_is_bounded():
     times = run_times_lib.RunTimes()
-    for number in range(run_times_lib.MAX_TRACKED_JOBS + 10):
+    for number in range(run_times_lib.MAX_TRACKED_STEPS + 10):
         stored, _ = job(f"{number % 256:02x}", queue=f"q{number}")
         stored.record = build.job(job=f"{number:016x}").record
         times.learn(stored, 1_000)
-    assert len(times._by_job) == run_times_lib.MAX_TRACKED_JOBS
+    assert len(times._by_step) == run_times_lib.MAX_TRACKED_STEPS
 
 
 def test_the_critical_path_adds_up_dependent_steps():
