Place tasks that reserve processors where the fewest are free

Cause, one of several: such a task went to the worker with the most free processors, so that each small task broke up the largest piece.

It goes to the smallest piece now that holds it. Two tests relied on the old preference to say which worker comes first; their capacities are exchanged.

test_small_tasks_leave_large_free_pieces_to_large_tasks failed before.

--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -310,8 +310,8 @@
     A serving task prefers the worker with the fewest serving tasks of other
     images, then one that already runs its image, then the one with the least
     unreserved processors. A task that reserves processors and does not serve
-    prefers the worker with the most. None if serving tasks do not tolerate a
-    colocated batch task.
+    prefers the worker with the fewest unreserved ones, as larger tasks need the
+    others. None if serving tasks do not tolerate a colocated batch task.
     """
     worker = candidate.worker
     if step.uses_idle_cpu:
@@ -324,7 +324,7 @@
         is_first = step.image not in images
         free_share = worker.share_of(candidate.cpu_millis)
         return (float(others), float(is_first), free_share)
-    return (-worker.share_of(candidate.cpu_millis),)
+    return (float(candidate.cpu_millis),)
 
 
 def _colocation_cost(
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -463,7 +463,7 @@
         full = leader.workers["w1"]
         full.answer = worker_api.StartAnswer.NO_CAPACITY
         await leader.announce("w1")
-        await leader.announce("w2", cpu_millis=7_000)
+        await leader.announce("w2", cpu_millis=9_000)
         await leader.place()
         assert full.started == [TASK]
         await leader.place()
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -104,6 +104,19 @@
     assert sorted(name for name, _ in placed) == ["w1", "w1", "w2", "w2"]
 
 
+def test_small_tasks_leave_large_free_pieces_to_large_tasks():
+    workers = [
+        build.worker("w1", cpu_millis=8_000),
+        build.worker("w2", cpu_millis=3_500),
+    ]
+    small = build.submit(build.step(cpu_millis=3_000), priority=0)
+    large = build.submit(
+        build.step(cpu_millis=7_000), job=OTHER_JOB, priority=1
+    )
+    placed = placements_of(dispatcher_of(workers, small, large))
+    assert sorted(name for name, _ in placed) == ["w1", "w2"]
+
+
 def test_serving_jobs_are_placed_before_others():
     submitted = (
         build.submit(build.step(cpu_millis=6_000), job="00000000000000e0"),
@@ -325,7 +338,7 @@
 def test_a_suspected_task_starts_where_nothing_else_is_starting():
     def dispatcher_with(seen):
         idle, busy = build.worker("w1"), build.worker("w2")
-        for worker, cpu_millis in ((idle, 1_000), (busy, 6_000)):
+        for worker, cpu_millis in ((idle, 6_000), (busy, 1_000)):
             job = build.job(build.step(cpu_millis=cpu_millis), job=OTHER_JOB)
             run = build.live_run(job, seen=worker is busy or seen)
             run.confirmed_ms = 0
