Forecast headrooms for a placement only where a batch task is considered

The leader computed the forecasts of every serving step on every worker in each round, also where a waiting task does not fit or no batch task waits.

The starts differ a little, as a serving task that was placed in the same round counts now.

--- a/src/galenahook/jobs/free_capacity.py
+++ b/src/galenahook/jobs/free_capacity.py
@@ -24,8 +24,13 @@
 class FreeCapacity:
     """Free capacity of one worker during a placement round.
 
+    What is known of the tail latencies there is computed when a batch task is
+    first considered, as most rounds consider one on few workers.
+
     Attributes:
       worker: The worker.
+      tails: Forecasts of tail latencies.
+      now_ms: When the round began.
       cpu_millis: Processors that no task reserves.
       memory_mb: Memory that no task reserves.
       gpus: Accelerators that no task reserves.
@@ -34,8 +39,6 @@
       batch_memory_mb: Memory that batch tasks reserve.
       batch_gpus: Accelerators that batch tasks reserve.
       reserved_for: Step for which the worker is reserved; None for no step.
-      serving_steps: Serving steps on the worker, with their forecast baselines.
-      shares: Share of the worker that each colocated image is expected to use.
       task_counts: Number of tasks on the worker by job, occurrence and step.
       starting: Number of runs that are starting.
       has_suspect_start: Whether one of these is of a task that may have crashed
@@ -43,6 +46,8 @@
     """
 
     worker: workers_lib.Worker
+    tails: tail_latency_lib.TailLatencyControl
+    now_ms: int
     cpu_millis: int
     memory_mb: int
     gpus: int
@@ -51,15 +56,31 @@
     batch_memory_mb: int = 0
     batch_gpus: int = 0
     reserved_for: workers_lib.StepId | None = None
-    serving_steps: list[tail_latency_lib.ServingStep] = dataclasses.field(
-        default_factory=list
-    )
-    shares: headroom_lib.Shares = dataclasses.field(default_factory=dict)
     task_counts: dict[workers_lib.StepId, int] = dataclasses.field(
         default_factory=dict
     )
     starting: int = 0
     has_suspect_start: bool = False
+    _shares: headroom_lib.Shares | None = None
+    _serving_steps: list[tail_latency_lib.ServingStep] | None = None
+
+    @property
+    def shares(self) -> headroom_lib.Shares:
+        """Share of the worker that each colocated image is expected to use."""
+        if self._shares is None:
+            self._shares = tail_latency_lib.expected_shares(
+                self.worker, unthrottled=True
+            )
+        return self._shares
+
+    @property
+    def serving_steps(self) -> list[tail_latency_lib.ServingStep]:
+        """Serving steps on the worker, with their forecast baselines."""
+        if self._serving_steps is None:
+            self._serving_steps = self.tails.serving_steps(
+                self.worker, self.now_ms, tail_latency_lib.PLACEMENT_HORIZON_MS
+            )
+        return self._serving_steps
 
     def note_start(self, run: workers_lib.LiveRun) -> None:
         """Records a run that is starting."""
@@ -162,7 +183,7 @@
         return True
 
     def add_colocated(self, step: commands.StepDescription) -> None:
-        """Adds the expected use of one more colocated batch task."""
+        """Adds the expected use of a batch task before it is on the worker."""
         share = self.shares.get(step.image, 0.0) + self.share_of(step)
         self.shares[step.image] = share
 
@@ -176,6 +197,8 @@
     heartbeat = worker.heartbeat
     capacity = FreeCapacity(
         worker,
+        tails,
+        now_ms,
         heartbeat.cpu_millis,
         heartbeat.memory_mb,
         heartbeat.gpus,
@@ -185,10 +208,6 @@
         capacity.reserve(run.step, run.step_id, _used_cpu_millis(run, now_ms))
         if run.is_starting(now_ms):
             capacity.note_start(run)
-    capacity.shares = tail_latency_lib.expected_shares(worker, unthrottled=True)
-    capacity.serving_steps = tails.serving_steps(
-        worker, now_ms, tail_latency_lib.PLACEMENT_HORIZON_MS
-    )
     return capacity
 
 
