Extend the target duration of a job by its failed runs

The more tasks a job has, the likelier one of them fails by its own fault, and the repeated run counted against the job: it was taken for late, and its last task went behind all jobs that were not. The users' objective counts such runs.

test_failed_runs_extend_the_target_duration failed before: 1,250 ms whatever had failed. A restored job has the same target.

--- a/src/galenahook/jobs/run_times.py
+++ b/src/galenahook/jobs/run_times.py
@@ -17,6 +17,8 @@
 MIN_LEARNING_RATE = 0.05
 # Number of runs that a queue needs before its mean is used.
 MIN_QUEUE_RUNS = 5
+# Share of its run time after which a run that fails has failed on average.
+FAILED_RUN_SHARE = 0.5
 # Limit of steps with a mean of their own; the oldest is discarded first.
 MAX_TRACKED_STEPS = 2_000
 
@@ -108,7 +110,8 @@
     ) -> float:
         """Returns the expected time of a job's longest chain of steps.
 
-        A step takes as long as its longest task.
+        A step takes as long as its longest task, and longer by the failed runs
+        of a task, unless only the remaining time is asked for.
 
         Args:
           job: The job.
@@ -122,6 +125,10 @@
             own = 0.0
             if not remaining or not job.is_step_done(last, number):
                 own = self.longest_ms(job, number)
+            if not remaining:
+                failed = job.failed_runs.get((last, number), 0)
+                mean_ms = self.expected_ms(job, step.estimate_ms, number)
+                own += failed * FAILED_RUN_SHARE * mean_ms
             longest.append(before + own)
         return max(longest, default=0.0)
 
--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -149,6 +149,7 @@
             suspicion=_suspicion_after(run.suspicion, end.blame),
         )
         job.runs[key] = run
+        job.note_failed_runs(key, run.failures)
         job.active.discard(key)
         is_given_up = not run.done and run.suspicion >= MAX_SUSPICION
         if is_given_up and not job.ended:
@@ -224,6 +225,7 @@
         identifier, key = tasks_lib.parse_task_name(run.task)
         job = self.jobs[identifier]
         job.runs[key] = run
+        job.note_failed_runs(key, run.failures)
         job.began = True
         if run.active or run.done:
             job.waiting.discard(key)
--- a/src/galenahook/jobs/tasks.py
+++ b/src/galenahook/jobs/tasks.py
@@ -112,9 +112,19 @@
       waiting: Tasks whose step is ready and that have no active run.
       active: Tasks that may be running.
       began: Whether any task was ever started.
+      failed_runs: Largest number of failed runs of one task, by occurrence and
+        step.
     """
 
-    __slots__ = ("active", "began", "done", "record", "runs", "waiting")
+    __slots__ = (
+        "active",
+        "began",
+        "done",
+        "failed_runs",
+        "record",
+        "runs",
+        "waiting",
+    )
 
     def __init__(self, record: JobRecord) -> None:
         self.record = record
@@ -123,6 +133,7 @@
         self.waiting: set[TaskKey] = set()
         self.active: set[TaskKey] = set()
         self.began = False
+        self.failed_runs: dict[StepKey, int] = {}
         self.refresh_waiting()
 
     @property
@@ -145,6 +156,11 @@
             return self.record.outcome.value
         return "running" if self.began else "queued"
 
+    def note_failed_runs(self, key: TaskKey, failures: int) -> None:
+        """Records how many runs of a task have failed."""
+        if failures > self.failed_runs.get(key[:2], 0):
+            self.failed_runs[key[:2]] = failures
+
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Returns whether every task of a step is done."""
         total = self.description.steps[step].tasks
--- a/tests/test_jobs_ordering.py
+++ b/tests/test_jobs_ordering.py
@@ -159,6 +159,22 @@
     assert [j.description.job[-2:] for j in ranked] == ["a2", "a3", "a1"]
 
 
+def test_failed_runs_extend_the_target_duration():
+    times = run_times_lib.RunTimes()
+    stored, table = job("a1", build.step(tasks=2), max_attempts=3)
+    assert ordering.target_duration_ms(stored, times) == 1_250
+    task = f"{stored.description.job}.0.0.0"
+    for run in (1, 2):
+        table.record(build.starts(build.start(task, run)))
+        table.record(build.ends(build.end(task, run, outcome="failed")))
+        assert ordering.target_duration_ms(stored, times) == 1_250 + 500 * run
+    restored = table_lib.JobTable()
+    for record in table.snapshot_records():
+        restored.restore_record(record)
+    again = restored.jobs[stored.description.job]
+    assert ordering.target_duration_ms(again, times) == 2_250
+
+
 def test_number_of_jobs_with_run_times_is_bounded():
     times = run_times_lib.RunTimes()
     for number in range(run_times_lib.MAX_TRACKED_STEPS + 10):
