--- a/tests/test_jobs_service_levels.py
+++ b/tests/test_jobs_service_levels.py
@@ -94,8 +94,8 @@
         return value("galenahook_jobs_ended_total", labels)
 
 
-# A step of 500 ms, a stretch of 2 and an objective of 250 ms: 1,250 ms. A failed
-# run adds half a run.
+# A step of 500 ms, a stretch of 2 and an objective of 250 ms: 1,250 ms. A
+# failed run adds half a run.
 @pytest.mark.parametrize(
     ("outcome", "at_ms", "result", "target_ms"),
     [
