Remove a voter that the group can spare before it stops as planned

The vote of the stopped replica counted for 2 s more, with six voters a quorum is four, and three copies of the log were left.

A replica tells the leader that it stops, and waits up to 0.8 s until the leader has removed it, or keeps its vote because the quorum would not fall. Ruled out: removing every voter that stops, as a group of five would then survive one lost disk less while it restarts.

test_planned_stop_of_a_sixth_voter_leaves_a_quorum_when_disks_are_lost failed before, for the leader and for a follower: no leader in time.

--- a/src/galenahook/replicas/core.py
+++ b/src/galenahook/replicas/core.py
@@ -83,6 +83,8 @@
       peers: Leader: the other members by name.
       waiters: Leader: submitted commands by index.
       join_requests: Leader: pending requests for admission by replica name.
+      stopping: Leader: folder and time of the notice of each replica that stops
+        as planned, by name.
       error: Why the replica has failed, or None.
       committed: Notified when the commit index rises.
       role_changed: Notified when the role, the leader, the readiness to lead or
@@ -127,6 +129,7 @@
         self.peers: dict[str, peers_lib.Peer] = {}
         self.waiters: dict[int, Waiter] = {}
         self.join_requests: dict[str, wire.JoinRequest] = {}
+        self.stopping: dict[str, tuple[str, int]] = {}
         self.error: errors.StorageError | None = None
         self.members_history = [membership.Members()]
         self.committed = notify.Signal()
--- a/src/galenahook/replicas/joining.py
+++ b/src/galenahook/replicas/joining.py
@@ -9,7 +9,8 @@
 
 A learner with a new name replaces a voter that is dead, and the leader removes
 dead members that the group can spare. A replica that hears no leader requests
-admission again, as it may have been removed meanwhile.
+admission again, as it may have been removed meanwhile. One that stops as
+planned first waits until the leader has removed it or lets it keep its vote.
 """
 
 from typing import TYPE_CHECKING
@@ -30,6 +31,10 @@
 _REQUEST_PERIOD_MS = 150
 _REQUEST_TIMEOUT_MS = 500
 _ADMISSION_PERIOD_MS = 100
+# Longest time that a planned stop waits for the leader, and the pause between
+# two notices.
+_STOP_NOTICE_TIMEOUT_MS = 800
+_STOP_NOTICE_PERIOD_MS = 40
 
 
 async def request_admission(core: core_lib.Core) -> None:
@@ -100,6 +105,55 @@
     return wire.JoinReply(accepted=False, leader_address=address)
 
 
+async def announce_stop(core: core_lib.Core) -> None:
+    """Announces a planned stop until the leader lets this replica stop."""
+    if not (core.settings.joins_by_itself and core.is_voter()):
+        return
+    began_ms = core.now_ms()
+    while not await _may_stop(core):
+        waited_ms = core.now_ms() - began_ms
+        if waited_ms >= _STOP_NOTICE_TIMEOUT_MS:
+            logs.warning("member:stop-unanswered", waited_ms=waited_ms)
+            return
+        await curio.sleep(clock_lib.seconds(_STOP_NOTICE_PERIOD_MS))
+
+
+async def _may_stop(core: core_lib.Core) -> bool:
+    leader = core.members.by_name.get(core.leader)
+    if leader is None or leader.name == core.name:
+        return False
+    notice = wire.StopNotice(name=core.name, folder=core.folder_id)
+    try:
+        reply = await transport.call(
+            core.client,
+            core.address_of(leader),
+            transport.post(core.client, transport.STOP_TARGET, notice),
+            wire.StopReply,
+            _REQUEST_TIMEOUT_MS,
+        )
+    except errors.ExchangeError as error:
+        logs.warning("member:stop-not-sent", reason=str(error))
+        return False
+    return reply.may_stop
+
+
+async def handle_stop(
+    core: core_lib.Core, notice: wire.StopNotice
+) -> wire.StopReply:
+    """Records that a replica stops; replies whether it may stop yet."""
+    if not core.is_ready_leader():
+        return wire.StopReply(may_stop=False)
+    if notice.name not in core.stopping:
+        logs.info("member:stopping", replica=notice.name)
+    core.stopping[notice.name] = (notice.folder, core.now_ms())
+    member = core.members.by_name.get(notice.name)
+    if member is None or member.folder != notice.folder:
+        is_committed = core.members.index <= core.commit_index
+        return wire.StopReply(may_stop=is_committed)
+    is_needed = not membership_changes.can_spare(core, member)
+    return wire.StopReply(may_stop=is_needed and not core.members.learners)
+
+
 async def run_admissions(node: "node_lib.Node") -> None:
     """Admits replicas on request while leading, until cancelled."""
     core = node.core
@@ -107,6 +161,7 @@
         await curio.sleep(clock_lib.seconds(_ADMISSION_PERIOD_MS))
         if not core.is_ready_leader():
             core.join_requests.clear()
+            core.stopping.clear()
             continue
         try:
             await _admit_next(node)
--- a/src/galenahook/replicas/membership_changes.py
+++ b/src/galenahook/replicas/membership_changes.py
@@ -6,7 +6,8 @@
 A voter that never returns still counts towards the quorum, so the leader
 removes one that is dead, which means silent for `_DEAD_ELECTION_TIMEOUTS`. It
 may do so only where the others are as safe without it. A replica that was
-removed and returns is admitted again.
+removed and returns is admitted again. A voter that announced a planned stop
+counts as dead at once.
 """
 
 import expression
@@ -104,12 +105,29 @@
 def dead_members(core: core_lib.Core) -> list[membership.Member]:
     """Returns the members that are dead, the longest silent first."""
     now_ms = core.now_ms()
-    dead_ms = core.timing.election_timeout_max_ms * _DEAD_ELECTION_TIMEOUTS
     silent = [
         (peer.silent_ms(now_ms), peer.member) for peer in core.peers.values()
     ]
     silent.sort(key=lambda entry: entry[0], reverse=True)
-    return [member for silent_ms, member in silent if silent_ms >= dead_ms]
+    return [
+        member
+        for silent_ms, member in silent
+        if silent_ms >= _dead_ms(core) or is_stopping(core, member)
+    ]
+
+
+def is_stopping(core: core_lib.Core, member: membership.Member) -> bool:
+    """Returns whether a member announced lately that it stops.
+
+    Later its silence shows whether it did.
+    """
+    folder, noticed_ms = core.stopping.get(member.name, ("", 0))
+    is_recent = core.now_ms() - noticed_ms < _dead_ms(core)
+    return folder == member.folder and is_recent
+
+
+def _dead_ms(core: core_lib.Core) -> int:
+    return core.timing.election_timeout_max_ms * _DEAD_ELECTION_TIMEOUTS
 
 
 def should_replace_first(core: core_lib.Core) -> bool:
@@ -146,6 +164,8 @@
     peer = core.peers.get(name)
     if peer is None or peer.acknowledged_sent_ms is None:
         return False
+    if is_stopping(core, peer.member):
+        return False
     silent_ms = core.now_ms() - peer.acknowledged_sent_ms
     return silent_ms < core.timing.election_timeout_max_ms
 
--- a/src/galenahook/replicas/node.py
+++ b/src/galenahook/replicas/node.py
@@ -78,6 +78,7 @@
                 bootstrap.handle_bootstrap,
             ),
             transport.JOIN_TARGET: (wire.JoinRequest, joining.handle_join),
+            transport.STOP_TARGET: (wire.StopNotice, joining.handle_stop),
         }
 
     @property
@@ -141,8 +142,9 @@
             await core.log.wait_synced(core.log.synced_index + 1, None)
 
     async def stop(self) -> None:
-        """Transfers leadership and ends `run`."""
+        """Transfers leadership, gives up a vote to spare and ends `run`."""
         await replication.transfer_leadership(self.core)
+        await joining.announce_stop(self.core)
         await self._stopping.set()
         with contextlib.suppress(curio.TaskTimeout):
             async with curio.timeout_after(_STOP_TIMEOUT_SECONDS):
@@ -303,7 +305,7 @@
         identifier, which only the members of that cluster know.
         """
         core = self.core
-        if isinstance(message, wire.JoinRequest):
+        if isinstance(message, wire.JoinRequest | wire.StopNotice):
             return None
         if message.to_folder != core.folder_id:
             return web.refusal(
--- a/src/galenahook/replicas/transport.py
+++ b/src/galenahook/replicas/transport.py
@@ -14,6 +14,7 @@
 SNAPSHOT_TARGET = "/v1/replicas/snapshot"
 BOOTSTRAP_TARGET = "/v1/replicas/found"
 JOIN_TARGET = "/v1/replicas/join"
+STOP_TARGET = "/v1/replicas/stop"
 STATUS_TARGET = "/v1/replicas/status"
 
 _HTTP_OK = 200
--- a/src/galenahook/replicas/wire.py
+++ b/src/galenahook/replicas/wire.py
@@ -275,6 +275,29 @@
     leader_address: str = ""
 
 
+class StopNotice(messages.Message, frozen=True, kw_only=True):
+    """A notice that a replica is about to stop as planned.
+
+    Attributes:
+      name: Name of the replica.
+      folder: Identifier of its data folder.
+    """
+
+    name: str
+    folder: str
+
+
+class StopReply(messages.Message, frozen=True, kw_only=True):
+    """Reply to `StopNotice`.
+
+    Attributes:
+      may_stop: Whether this replica leads, and the other is no longer a member
+        or keeps its vote while it is down.
+    """
+
+    may_stop: bool
+
+
 class MemberChangeRefused(messages.Message, frozen=True, kw_only=True):
     """A refused membership change.
 
--- a/tests/test_replicas_joining.py
+++ b/tests/test_replicas_joining.py
@@ -62,6 +62,50 @@
     replica_group.run(main)
 
 
+@pytest.mark.parametrize("stopped", ["leader", "follower"])
+def test_planned_stop_of_a_sixth_voter_leaves_a_quorum_when_disks_are_lost(
+    tmp_path, stopped
+):
+    """The vote of the stopped replica counted for another 2 s."""
+    group = replica_group.SelfJoiningGroup(tmp_path)
+
+    async def main():
+        await start_five(group)
+        await group.start_and_join("f")
+        await group.claim_many(0, 20)
+        leader = (await group.wait_for_leader()).name
+        names = set("abcdef")
+        other = min(names - {leader})
+        leaving = leader if stopped == "leader" else other
+        await group.stop(leaving)
+        left = sorted(names - {leaving})
+        await group.kill(*left)
+        for name in left[:2]:
+            group.delete_data_folder(name)
+        await group.start(*left)
+        await group.wait_for_leader()
+        for number in (0, 19):
+            assert not await group.claim(f"key-{number}")
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_planned_stop_of_one_of_five_voters_keeps_its_vote(tmp_path):
+    group = replica_group.SelfJoiningGroup(tmp_path)
+
+    async def main():
+        await start_five(group)
+        for name in "abcde":
+            await group.stop(name)
+            await group.start(name)
+            await group.wait_for_leader()
+            assert group.voters() == set("abcde")
+        await group.close()
+
+    replica_group.run(main)
+
+
 def test_replica_that_was_removed_while_it_was_down_joins_again(tmp_path):
     group = replica_group.SelfJoiningGroup(tmp_path)
 
