Review the throttles of a worker when it has sent measurements

Every 50 ms the leader reviewed the throttles on all workers, though a worker sends measurements about three times a second. A worker without a new reply is reviewed again after 200 ms, as forecasts change.

What callers saw: a leader near the limit of its processors makes rounds of 70 to 140 ms, and capacity stays idle between them.

--- a/src/galenahook/jobs/tail_latency.py
+++ b/src/galenahook/jobs/tail_latency.py
@@ -40,6 +40,9 @@
 # throttles on one worker.
 REVIEW_PERIOD_MS = 50
 THROTTLE_SETTLE_MS = 300
+# Time after which a worker that sent no measurements is reviewed again, as
+# forecasts change.
+UNCHANGED_REVIEW_PERIOD_MS = 200
 # Pause before a throttle order without a reply is sent again.
 THROTTLE_RETRY_MS = 100
 # Smallest increase of the allowed speed that is ordered, in percent of full
@@ -169,6 +172,12 @@
         self._prune(now_ms)
         for link in list(dispatcher.links.values()):
             worker = link.worker
+            reviewed_ms = worker.throttles_reviewed_ms
+            is_unchanged = worker.last_reply_ms < reviewed_ms
+            if is_unchanged and now_ms - reviewed_ms < (
+                UNCHANGED_REVIEW_PERIOD_MS
+            ):
+                continue
             colocated = _colocated_runs(worker)
             changed_ms = worker.throttles_changed_ms
             is_settling = (
@@ -176,6 +185,7 @@
             )
             if not colocated or is_settling:
                 continue
+            worker.throttles_reviewed_ms = now_ms
             for run, percent in self.throttle_changes(
                 worker, colocated, now_ms
             ):
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -128,6 +128,7 @@
       ended_batch_runs: Runs on idle processors that have just ended: time of
         the end, image and processor use.
       throttles_changed_ms: When a throttle of its runs last changed; 0 before.
+      throttles_reviewed_ms: When these throttles were last reviewed; 0 before.
     """
 
     __slots__ = (
@@ -149,6 +150,7 @@
         "runs",
         "last_processed_end",
         "throttles_changed_ms",
+        "throttles_reviewed_ms",
     )
 
     def __init__(self, heartbeat: calls.WorkerHeartbeat, now_ms: int) -> None:
@@ -170,6 +172,7 @@
         self.broken_off_ms = 0
         self.ended_batch_runs: list[tuple[int, str, float]] = []
         self.throttles_changed_ms = 0
+        self.throttles_reviewed_ms = 0
 
     @property
     def name(self) -> str:
--- a/tests/test_jobs_tail_latency.py
+++ b/tests/test_jobs_tail_latency.py
@@ -198,6 +198,28 @@
     assert len(link.throttled) == 1
 
 
+@pytest.mark.parametrize(
+    ("reply_ms", "after_ms", "reviews"),
+    [(0, 50, 1), (0, 150, 1), (0, 200, 2), (NOW_MS + 10, 50, 2)],
+)
+def test_throttles_are_reviewed_again_after_a_reply_or_a_while(
+    monkeypatch, reply_ms, after_ms, reviews
+):
+    control = tail_latency_lib.TailLatencyControl()
+    worker = colocated_worker(20, "bad")
+    reviewed = []
+    changes = control.throttle_changes
+
+    def count(worker, *arguments):
+        reviewed.append(worker)
+        worker.last_reply_ms = reply_ms
+        return changes(worker, *arguments)
+
+    monkeypatch.setattr(control, "throttle_changes", count)
+    run_control(control, worker, (NOW_MS, NOW_MS + after_ms))
+    assert len(reviewed) == reviews
+
+
 def test_throttles_are_not_computed_twice_where_the_headroom_is_enough(
     monkeypatch,
 ):
