--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -236,6 +236,19 @@
     run(scenario, workers(count), *small_jobs())
 
 
+def test_a_large_batch_task_is_not_kept_waiting_by_smaller_ones():
+    """Nothing but small batch tasks ran for the rest of the day."""
+    large = build.submit(build.batch_step(cpu_millis=7_000), job=BATCH_JOB)
+
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.node.state.apply(large)
+        await simulation.advance_until_started(f"{BATCH_JOB}.0.0.0")
+
+    small = small_jobs(uses_idle_cpu=True, image="small")
+    run(scenario, workers(4), *small)
+
+
 def long_job(**changes):
     """Submits a job that fills the memory of a worker for a minute."""
     values = {"tasks": 3, "memory_mb": 10_000, "estimate_ms": 60_000}
