--- a/src/galenahook/jobs/tail_latency.py
+++ b/src/galenahook/jobs/tail_latency.py
@@ -172,11 +172,9 @@
         self._prune(now_ms)
         for link in list(dispatcher.links.values()):
             worker = link.worker
-            reviewed_ms = worker.throttles_reviewed_ms
-            is_unchanged = worker.last_reply_ms < reviewed_ms
-            if is_unchanged and now_ms - reviewed_ms < (
-                UNCHANGED_REVIEW_PERIOD_MS
-            ):
+            is_unchanged = worker.last_reply_ms < worker.throttles_reviewed_ms
+            review_age_ms = now_ms - worker.throttles_reviewed_ms
+            if is_unchanged and review_age_ms < UNCHANGED_REVIEW_PERIOD_MS:
                 continue
             colocated = _colocated_runs(worker)
             changed_ms = worker.throttles_changed_ms
