--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -200,10 +200,7 @@
         ends, self._ends = self._ends, []
         marks = [(link, link.queued_end) for link in self.links.values()]
         if ends:
-            for end in ends:
-                job = self.table.jobs.get(end.task.partition(".")[0])
-                if job is not None:
-                    self.service_levels.expect_end(job)
+            self.service_levels.expect_ends(ends, self.table.jobs)
             command = commands.RecordRuns(
                 ends=tuple(ends), at_ms=self.clock.wall_ms()
             )
--- a/src/galenahook/jobs/service_levels.py
+++ b/src/galenahook/jobs/service_levels.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 import enum
 
+from galenahook import commands
 from galenahook import job_metrics
 from galenahook import logs
 from galenahook.jobs import ordering
@@ -80,10 +81,14 @@
         for job in jobs:
             self.ranks.add(job)
 
-    def expect_end(self, job: tasks_lib.Job) -> None:
-        """Remembers a job that may end with the next commit."""
-        if not job.ended:
-            self._unreported[job.description.job] = job
+    def expect_ends(
+        self, ends: list[commands.RunEnd], jobs: dict[str, tasks_lib.Job]
+    ) -> None:
+        """Remembers the jobs that may end when ends of runs are committed."""
+        for end in ends:
+            job = jobs.get(tasks_lib.parse_task_name(end.task)[0])
+            if job is not None and not job.ended:
+                self._unreported[job.description.job] = job
 
     def report_ended(self) -> None:
         """Reports the expected jobs that have ended; forgets the others."""
--- a/tests/test_jobs_service_levels.py
+++ b/tests/test_jobs_service_levels.py
@@ -70,16 +70,18 @@
         )
         self.lines = []
 
+    def expect_end(self):
+        ends = [build.end(f"{build.JOB}.0.0.0")]
+        self.levels.expect_ends(ends, self.table.jobs)
+
     def end(self, outcome, at_ms):
         """Ends the only task at a time after the submission."""
         task = f"{build.JOB}.0.0.0"
         self.table.record(build.starts(build.start(task)))
-        self.levels.expect_end(self.job)
+        end = build.end(task, outcome=outcome)
+        self.expect_end()
         self.table.record(
-            commands.RecordRuns(
-                ends=(build.end(task, outcome=outcome),),
-                at_ms=build.WALL_MS + at_ms,
-            )
+            commands.RecordRuns(ends=(end,), at_ms=build.WALL_MS + at_ms)
         )
         eliot.add_destinations(self.lines.append)
         self.lines.clear()
@@ -133,9 +135,9 @@
 
 def test_a_job_whose_end_was_committed_without_a_reply_is_reported_once():
     reported = Reported()
-    reported.levels.expect_end(reported.job)
+    reported.expect_end()
     reported.end("done", 100)
-    reported.levels.expect_end(reported.job)
+    reported.expect_end()
     assert len(reported.lines) == 1
     reported.lines.clear()
     reported.levels.report_ended()
