--- a/review/3/play.py
+++ b/review/3/play.py
@@ -79,4 +79,5 @@
 
 
 if __name__ == "__main__":
-    deployment.play(FOLDER, ["zone-a", "zone-a", ZONE, ZONE], case)
+    zones = ["zone-a", "zone-a", ZONE, ZONE]
+    deployment.play(FOLDER, [(zone, "a") for zone in zones], case)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -39,7 +39,10 @@
 
 
 class Deployment:
-    """Replicas, one entry and executors as separate processes."""
+    """Replicas, one entry and executors as separate processes.
+
+    `workers` has the zone and the kind of each executor.
+    """
 
     def __init__(self, folder, workers):
         self.record = (folder / "record.txt").open("w", buffering=1)
@@ -82,8 +85,11 @@
             **common,
         )
         self.workers = {
-            f"i-{n}": (f"{base}.{100 + n}:{free_port(f'{base}.{100 + n}')}", z)
-            for n, z in enumerate(workers)
+            f"i-{n}": (
+                f"{base}.{100 + n}:{free_port(f'{base}.{100 + n}')}",
+                *of,
+            )
+            for n, of in enumerate(workers)
         }
 
     def settings(self, name, **fields):
@@ -117,10 +123,10 @@
 
     def start_worker(self, name):
         """Starts an executor, also again under the same identifier."""
-        address, zone = self.workers[name]
+        address, zone, kind = self.workers[name]
         script = str(ROOT / "review" / "standins" / "worker.py")
         words = [sys.executable, script, name, address, zone, f"m-{name}"]
-        self.spawn(name, [*words, str(self.events), *self.controls])
+        self.spawn(name, [*words, kind, str(self.events), *self.controls])
 
     def signal(self, name, number):
         """Sends a signal to a process that this site started."""
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,6 +1,6 @@
 """A stand-in for an executor, as a process of its own.
 
-    python3 worker.py NAME HOST:PORT ZONE MACHINE EVENTS CONTROL...
+    python3 worker.py NAME HOST:PORT ZONE MACHINE KIND EVENTS CONTROL...
 
 Follows PROTOCOL.md: generation numbers, leases on its own steady clock, runs,
 ends until they are acknowledged, pings. A task's `spec` is its work in
@@ -27,11 +27,12 @@
 class Worker:
     """One incarnation of an executor."""
 
-    def __init__(self, name, address, zone, machine, events, controls):
+    def __init__(self, name, address, zone, machine, kind, events, controls):
         self.name = name
         self.address = address
         self.zone = zone
         self.machine = machine
+        self.kind = kind
         self.controls = controls
         self.born = time.time_ns() // 1_000_000
         self.events = events
@@ -172,7 +173,7 @@
                 "state": "ready",
                 "cold_remaining_ms": 0,
                 "capacity": {"cpu": 32000, "mem_mb": 128000, "gpu": 0},
-                "labels": ["a", "r1"],
+                "labels": [self.kind, "r1"],
                 "machine": self.machine,
                 "born": self.born,
                 "clock_ms": clock_ms(),
@@ -211,5 +212,5 @@
 
 
 if __name__ == "__main__":
-    name, address, zone, machine, events, *controls = sys.argv[1:]
-    asyncio.run(Worker(name, address, zone, machine, events, controls).run())
+    *words, controls = [*sys.argv[1:7], sys.argv[7:]]
+    asyncio.run(Worker(*words, controls).run())
