Write again what a disk refused instead of failing until a restart

Cause: a refused write ended the log's task and marked the replica as failed until a restart that nobody makes; its process went on and answered 503.

Change: each refused write is repeated. The log removes the incomplete record and rewrites the block before it first, as a second sync could succeed for data that the kernel dropped. Followers acknowledge heartbeats and what is synced; a leader leads on without its own sync. What is held in memory meanwhile is bounded.

--- a/src/galenahook/replicas/election.py
+++ b/src/galenahook/replicas/election.py
@@ -1,5 +1,7 @@
 """Elections: pre-vote, votes, and the timer that starts them."""
 
+import contextlib
+
 import curio
 
 from galenahook import clock as clock_lib
@@ -21,10 +23,9 @@
             await core.role_changed.wait()
             continue
         core.election_timer_start_ms = core.now_ms()
-        try:
+        # The refused write was logged.
+        with contextlib.suppress(errors.StorageError):
             await campaign(core, leadership_transfer=False)
-        except errors.StorageError:
-            continue
 
 
 async def _wait_for_timeout(core: core_lib.Core) -> None:
@@ -74,6 +75,9 @@
     """
     if not core.is_voter() or core.error is not None:
         return
+    if core.log.error is not None:
+        # Another replica can lead; this one's disk may refuse the vote too.
+        return
     if not leadership_transfer:
         if _has_leader(core):
             return
--- a/src/galenahook/replicas/follower.py
+++ b/src/galenahook/replicas/follower.py
@@ -6,6 +6,9 @@
 from galenahook.replicas import records
 from galenahook.replicas import wire
 
+# Entries that a replica holds in memory while its disk refuses them.
+MAX_UNSYNCED_ENTRIES = 20_000
+
 
 async def handle_append(
     core: core_lib.Core, request: wire.AppendRequest
@@ -13,13 +16,17 @@
     """Handles a leader's heartbeat and entries.
 
     The reply waits for the sync, but for at most one heartbeat period, so that
-    a slow disk is not mistaken for a dead connection.
+    a slow disk is not mistaken for a dead connection. If the disk refuses the
+    entries, the reply acknowledges only those that are on it.
 
     Raises:
-      errors.StorageError: The term could not be written.
+      errors.StorageError: The term could not be written, or the disk has
+        refused too many entries.
     """
     if not await follow(core, request.leader, request.term):
         return _refuse(core, 0)
+    if core.log.error and core.log.unsynced > MAX_UNSYNCED_ENTRIES:
+        raise core.log.error
     if core.installing:
         return _refuse(core, 0, installing=True)
     if not _matches_log(core, request.previous_index, request.previous_term):
@@ -29,8 +36,6 @@
     received = request.previous_index + len(request.entries)
     await core.advance_commit(min(request.commit_index, received))
     await core.log.wait_synced(received, core.timing.heartbeat_period_ms)
-    if core.log.error is not None:
-        raise core.log.error
     if core.term != request.term:
         return _refuse(core, 0)
     return wire.AppendReply(
--- a/src/galenahook/replicas/log.py
+++ b/src/galenahook/replicas/log.py
@@ -3,6 +3,10 @@
 A single task writes. Entries appended during a sync go into the next record,
 so many commands share one sync. A conflicting suffix is not removed from the
 file: the record that replaces it states the first index that it replaces.
+
+A record that could not be written or synced is written again until the disk
+accepts it. A failed sync is not repeated on its own, as the kernel may have
+dropped the data and would report success.
 """
 
 from collections.abc import Callable
@@ -15,9 +19,11 @@
 
 import curio
 
+from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook.replicas import notify
 from galenahook.replicas import records
+from galenahook.replicas import refused_writes
 from galenahook.replicas import storage
 
 _MAX_RECORD_ENTRIES = 4_096
@@ -27,6 +33,11 @@
 # a CRC-32.
 _SYNCED_MARK = struct.Struct("<QQ")
 _SYNCED_MARK_BYTES = _SYNCED_MARK.size + 4
+# Pause after a failed write, before the next attempt.
+_RETRY_PERIOD_MS = 100
+# A sync may also have failed for the start of the block in which the synced
+# data ends.
+_DISK_BLOCK_BYTES = 4_096
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -36,6 +47,25 @@
     path: pathlib.Path
 
 
+@dataclasses.dataclass(slots=True)
+class _Batch:
+    """Entries of the next record.
+
+    Attributes:
+      first_index: Index of the first entry.
+      base_term: Term of the index before it.
+      entries: The entries; empty if only a segment is due.
+      new_segment: Whether a segment starts with the record.
+      reset: Whether that segment makes all earlier ones obsolete.
+    """
+
+    first_index: int
+    base_term: int
+    entries: Sequence[records.Entry]
+    new_segment: bool
+    reset: bool
+
+
 class Log:
     """Log of one replica.
 
@@ -47,7 +77,8 @@
       synced_index: Last index that is on the disk.
       syncs: Number of syncs so far.
       last_sync_ms: Duration of the last sync.
-      error: Why the log can no longer be written, or None.
+      error: Why the last write failed, or None if it succeeded. The write is
+        repeated until it succeeds.
     """
 
     def __init__(
@@ -55,9 +86,11 @@
         folder: pathlib.Path | None,
         disk: storage.Disk,
         clock_ms: Callable[[], int],
+        refused: refused_writes.RefusedWrites | None = None,
     ) -> None:
         self.folder = folder
         self.disk = disk
+        self.refused = refused or refused_writes.RefusedWrites(clock_ms)
         self.base_index = 0
         self.base_term = 0
         self.entries: list[records.Entry] = []
@@ -72,7 +105,10 @@
         self._end_offset = 0
         self._writing_index = 0
         self._new_segment_due = False
-        self._reset_due = False
+        self._resets_requested = 0
+        self._resets_written = 0
+        self._must_repair = False
+        self._must_delete = False
         self._appended = notify.Signal()
         self._synced = notify.Signal()
 
@@ -86,6 +122,11 @@
         """Index of the last entry."""
         return self.base_index + len(self.entries)
 
+    @property
+    def unsynced(self) -> int:
+        """Number of entries that are not on the disk."""
+        return self.last_index - self.synced_index
+
     @property
     def last_term(self) -> int:
         """Term of the last entry."""
@@ -227,6 +268,10 @@
 
     # --- Appending ------------------------------------------------------------
 
+    @property
+    def _is_reset_due(self) -> bool:
+        return self._resets_written < self._resets_requested
+
     async def append(self, entries: Sequence[records.Entry]) -> int:
         """Appends entries in memory and returns the last index."""
         self.entries.extend(entries)
@@ -250,7 +295,7 @@
         self.base_term = term
         self.synced_index = index
         self._writing_index = index
-        self._reset_due = True
+        self._resets_requested += 1
 
     async def reset(self, index: int, term: int) -> None:
         """Empties the log, which continues after a snapshot's last index."""
@@ -258,119 +303,158 @@
         await self._appended.notify()
 
     async def create(self) -> None:
-        """Creates the first segment of an empty log.
+        """Empties the log and creates its first segment.
 
         From then on, a missing log is damage.
 
         Raises:
           errors.StorageError: The log could not be written.
         """
-        if self.folder is None or self._descriptor >= 0:
+        is_created = self._descriptor >= 0 and not self._is_reset_due
+        if self.folder is None or (is_created and not self.last_index):
             return
         await self.reset(0, 0)
-        while self._descriptor < 0 and self.error is None:
+        while self._is_reset_due:
+            if self.error is not None:
+                raise self.error
             await self._synced.wait()
-        if self.error is not None:
-            raise self.error
 
     async def wait_synced(self, index: int, timeout_ms: float | None) -> None:
-        """Waits until an index is on the disk, a failure or the timeout."""
+        """Waits until an index is on the disk, a write fails or a timeout."""
         while self.synced_index < index and self.error is None:
             if not await self._synced.wait(timeout_ms):
                 return
 
+    async def wait_synced_change(self, index: int) -> None:
+        """Waits until the last index on the disk differs from an index."""
+        while self.synced_index == index:
+            await self._synced.wait()
+
     def start_segment(self) -> None:
         """Starts a new segment with the next record."""
         self._new_segment_due = True
 
-    def compact(self, index: int, retained: int) -> list[pathlib.Path]:
+    def compact(self, index: int, retained: int) -> None:
         """Discards entries that a snapshot contains.
 
+        `delete_obsolete` then deletes the segments without other entries.
+
         Args:
           index: Last index of the snapshot.
           retained: Number of entries up to `index` that remain in memory for
             lagging followers.
-
-        Returns:
-          Segments that are no longer needed and may be deleted.
         """
-        obsolete = []
         while len(self._segments) > 1 and self._segments[1].base_index <= index:
-            obsolete.append(self._segments.pop(0).path)
+            self._segments.pop(0)
         written = min(index - retained, self.synced_index)
         new_base = max(written, self.base_index)
         self.base_term = self.term_at(new_base) or 0
         del self.entries[: new_base - self.base_index]
         self.base_index = new_base
-        return obsolete
+
+    def delete_obsolete(self) -> None:
+        """Deletes the segments before the first one that is needed.
+
+        Blocks, so callers run it in a thread.
+
+        Raises:
+          OSError: The disk failed.
+        """
+        if self.folder is None or not self._segments:
+            return
+        first = self._segments[0].number
+        for path in self.folder.glob(_SEGMENT_PATTERN):
+            if _number_of(path) < first:
+                path.unlink(missing_ok=True)
 
     # --- Writing --------------------------------------------------------------
 
     async def run(self) -> None:
-        """Writes and syncs appended entries until cancelled or failed."""
-        while self.error is None:
-            if self.synced_index >= self.last_index and not self._reset_due:
+        """Writes and syncs appended entries until cancelled."""
+        while True:
+            if self.synced_index >= self.last_index and not self._is_reset_due:
                 await self._appended.wait()
                 continue
             await self._write_batch()
             await self._synced.notify()
             # Yields, so that a cancellation is delivered under constant load.
-            await curio.sleep(0)
+            pause_ms = 0 if self.error is None else _RETRY_PERIOD_MS
+            await curio.sleep(clock_lib.seconds(pause_ms))
 
     async def _write_batch(self) -> None:
         first = self.synced_index + 1
         position = first - self.base_index - 1
-        batch = self.entries[position : position + _MAX_RECORD_ENTRIES]
-        reset, self._reset_due = self._reset_due, False
-        new_segment, self._new_segment_due = (
-            self._new_segment_due or self._descriptor < 0,
-            False,
+        batch = _Batch(
+            first,
+            self.term_at(first - 1) or 0,
+            self.entries[position : position + _MAX_RECORD_ENTRIES],
+            self._new_segment_due or self._is_reset_due or self._descriptor < 0,
+            self._is_reset_due,
         )
-        self._writing_index = first + len(batch) - 1
+        resets = self._resets_requested
+        self._new_segment_due = False
+        self._writing_index = first + len(batch.entries) - 1
         if self.folder is None:
             self.synced_index = self._writing_index
             return
-        base_term = self.term_at(first - 1) or 0
         started_ms = self._clock_ms()
         try:
             async with curio.disable_cancellation():
-                await curio.run_in_thread(
-                    self._write,
-                    first,
-                    base_term,
-                    batch,
-                    new_segment or reset,
-                    reset,
-                )
+                await curio.run_in_thread(self._write, batch)
         except OSError as error:
+            self._new_segment_due = self._new_segment_due or batch.new_segment
+            if not batch.reset:
+                self._resets_written = resets
             self.error = errors.StorageError(f"{self.folder}: {error}")
+            self.refused.record_refusal("log", error)
             return
+        self.error = None
+        self.refused.record_success("log")
         self.last_sync_ms = self._clock_ms() - started_ms
         self.syncs += 1
-        if not self._reset_due:
+        self._resets_written = resets
+        if not self._is_reset_due:
             self.synced_index = self._writing_index
 
-    def _write(
-        self,
-        first_index: int,
-        base_term: int,
-        batch: Sequence[records.Entry],
-        new_segment: bool,
-        reset: bool,
-    ) -> None:
-        obsolete = self._segments[:] if reset else []
-        if new_segment:
-            self._create_segment(first_index - 1, base_term, reset)
-        if reset:
+    def _write(self, batch: _Batch) -> None:
+        """Writes a batch; sets its flags for what need not be repeated."""
+        if self._must_repair:
+            self._repair_end()
+        if batch.new_segment:
+            self._create_segment(
+                batch.first_index - 1, batch.base_term, batch.reset
+            )
+            batch.new_segment = False
+        if batch.reset:
             del self._segments[:-1]
-        if batch:
-            data = records.encode_record(first_index, batch)
+            self._must_delete = True
+            batch.reset = False
+        if batch.entries:
+            data = records.encode_record(batch.first_index, batch.entries)
+            self._must_repair = True
             self.disk.write(self._descriptor, data, self._end_offset)
             self.disk.sync(self._descriptor)
+            self._must_repair = False
             self._end_offset += len(data)
         self._write_mark()
-        for file in obsolete:
-            file.path.unlink(missing_ok=True)
+        if self._must_delete:
+            self.delete_obsolete()
+            self._must_delete = False
+
+    def _repair_end(self) -> None:
+        """Removes a record that was not written or synced completely.
+
+        Only the last segment may end with a truncated record, and a segment
+        may start before the record is written again.
+        """
+        os.ftruncate(self._descriptor, self._end_offset)
+        block_offset = self._end_offset - self._end_offset % _DISK_BLOCK_BYTES
+        block = os.pread(
+            self._descriptor, self._end_offset - block_offset, block_offset
+        )
+        self.disk.write(self._descriptor, block, block_offset)
+        self.disk.sync(self._descriptor)
+        self._must_repair = False
 
     def _create_segment(
         self, base_index: int, base_term: int, is_reset: bool
@@ -380,9 +464,13 @@
         path = _path_of(self.folder, number)
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         header = records.encode_segment_header(base_index, base_term, is_reset)
-        self.disk.write(descriptor, header, 0)
-        self.disk.sync(descriptor)
-        self.disk.sync_folder(self.folder)
+        try:
+            self.disk.write(descriptor, header, 0)
+            self.disk.sync(descriptor)
+            self.disk.sync_folder(self.folder)
+        except OSError:
+            os.close(descriptor)
+            raise
         if self._descriptor >= 0:
             os.close(self._descriptor)
         self._descriptor = descriptor
@@ -392,7 +480,7 @@
     def _write_mark(self) -> None:
         body = _SYNCED_MARK.pack(self._segments[-1].number, self._end_offset)
         data = body + zlib.crc32(body).to_bytes(4, "little")
-        os.pwrite(self._mark_descriptor, data, 0)
+        self.disk.write(self._mark_descriptor, data, 0)
 
 
 def _path_of(folder: pathlib.Path, number: int) -> pathlib.Path:
--- a/src/galenahook/replicas/replication.py
+++ b/src/galenahook/replicas/replication.py
@@ -50,6 +50,9 @@
 async def _check_quorum(core: core_lib.Core) -> None:
     if core.role is not core_lib.Role.LEADER:
         return
+    if core.log.error and core.log.unsynced > follower.MAX_UNSYNCED_ENTRIES:
+        await core.step_down("")
+        return
     last_contact_ms = max(
         core.quorum_acknowledged_sent_ms() or 0, core.leader_since_ms
     )
--- a/src/galenahook/replicas/status.py
+++ b/src/galenahook/replicas/status.py
@@ -25,13 +25,13 @@
         syncs=core.log.syncs,
         last_sync_ms=core.log.last_sync_ms,
         peers=tuple(_peer_status(core, peer) for peer in core.peers.values()),
-        error="" if core.error is None else str(core.error),
+        error=str(core.error or core.log.error or ""),
         may_found=core.settings.may_found,
     )
 
 
 def _role(core: core_lib.Core) -> str:
-    if core.error is not None:
+    if core.error is not None or core.log.error is not None:
         return "unable"
     if not core.cluster:
         return "waiting"
--- a/src/galenahook/replicas/wire.py
+++ b/src/galenahook/replicas/wire.py
@@ -209,7 +209,8 @@
       cluster: Identifier of its cluster; empty before it joins one.
       folder: Identifier of its data folder.
       role: `leader`, `candidate`, `follower`, `learner`, `waiting` (its empty
-        folder is in no cluster yet) or `unable` (it has failed).
+        folder is in no cluster yet) or `unable` (it has failed or its
+        disk refuses the log).
       leader: Name of the known leader, or an empty string.
       term: Current term.
       members: Voting members.
