Start beside a synced mark that names a deleted segment

Operators would see: a replica that doesn't start after a power loss, with "the segment is missing".

Evidence: test_a_mark_of_a_deleted_segment_does_not_prevent_the_start failed before. test_a_missing_last_segment_prevents_the_start shows that a lost segment is still found.

Result: both pass; a gap at the start is found by the checks of the base index.

--- a/src/galenahook/replicas/log.py
+++ b/src/galenahook/replicas/log.py
@@ -203,8 +203,9 @@
         number: int,
         paths: Sequence[pathlib.Path],
     ) -> None:
-        numbers = [_number_of(path) for path in paths]
-        if number and number not in numbers:
+        # The mark is not synced and may name a segment that was deleted since.
+        last = _number_of(paths[-1]) if paths else 0
+        if number > last:
             raise errors.CorruptLogError(
                 str(_path_of(folder, number)), 0, "the segment is missing"
             )
--- a/tests/test_replicas_log.py
+++ b/tests/test_replicas_log.py
@@ -209,3 +209,46 @@
     log = open_log(tmp_path, RecordingDisk())
     assert RecordingDisk.written == [offsets[2]]
     log.close()
+
+
+def test_a_mark_of_a_deleted_segment_does_not_prevent_the_start(tmp_path):
+    """Guards against a mark that a power loss or the disk kept from following.
+
+    The mark is not synced, so it may name a segment that was deleted since.
+    """
+    log = open_log(tmp_path)
+    marks = []
+
+    async def main():
+        task = await curio.spawn(log.run)
+        await log.wait_synced(await log.append(entries_of("1")), None)
+        marks.append((tmp_path / "synced").read_bytes())
+        log.start_segment()
+        await log.wait_synced(await log.append(entries_of("2")), None)
+        await task.cancel()
+
+    curio.run(main)
+    log.compact(1, retained=0)
+    log.delete_obsolete()
+    log.close()
+    (tmp_path / "synced").write_bytes(marks[0])
+    reopened = open_log(tmp_path)
+    assert (reopened.base_index, texts_of(reopened)) == (1, ["2"])
+
+
+def test_a_missing_last_segment_prevents_the_start(tmp_path):
+    """Guards against a lost segment that looks like one never written."""
+    log = open_log(tmp_path)
+
+    async def main():
+        task = await curio.spawn(log.run)
+        await log.wait_synced(await log.append(entries_of("1")), None)
+        log.start_segment()
+        await log.wait_synced(await log.append(entries_of("2")), None)
+        await task.cancel()
+
+    curio.run(main)
+    log.close()
+    max(tmp_path.glob("log-*")).unlink()
+    with pytest.raises(errors.CorruptLogError):
+        open_log(tmp_path)
