--- a/src/galenahook/replicas/replication.py
+++ b/src/galenahook/replicas/replication.py
@@ -8,6 +8,7 @@
 import curio
 
 from galenahook import errors
+from galenahook import logs
 from galenahook.replicas import core as core_lib
 from galenahook.replicas import follower
 from galenahook.replicas import peers as peers_lib
@@ -72,6 +73,13 @@
             was_connected = peer.connection is not None
             try:
                 await _send_next(core, peer)
+            except errors.StorageError as error:
+                logs.warning(
+                    "peer:not-served",
+                    peer=peer.member.name,
+                    reason=str(error),
+                )
+                peer.error = str(error)
             except errors.ExchangeError as error:
                 peer.error = str(error)
                 await peer.drop_connection()
@@ -80,8 +88,6 @@
             else:
                 peer.error = ""
             await _wait_for_work(core, peer, sent_ms)
-    except errors.StorageError:
-        return
     finally:
         await peer.drop_connection()
         peer.end_snapshot_transfer()
--- a/src/galenahook/replicas/snapshot_transfer.py
+++ b/src/galenahook/replicas/snapshot_transfer.py
@@ -31,9 +31,12 @@
     transfer = peer.snapshot_transfer
     if transfer is None:
         transfer = peer.snapshot_transfer = await _open_snapshot(core)
-    data = await curio.run_in_thread(
-        os.pread, transfer.descriptor, CHUNK_BYTES, transfer.offset
-    )
+    try:
+        data = await curio.run_in_thread(
+            os.pread, transfer.descriptor, CHUNK_BYTES, transfer.offset
+        )
+    except OSError as error:
+        raise errors.StorageError(f"snapshot: {error}") from error
     request = wire.SnapshotChunk(
         cluster=core.cluster,
         leader=core.name,
--- a/tests/test_replicas_refused_writes.py
+++ b/tests/test_replicas_refused_writes.py
@@ -307,3 +307,25 @@
         await group.close()
 
     replica_group.run(main)
+
+
+def test_a_snapshot_that_can_not_be_read_is_sent_later(tmp_path, monkeypatch):
+    """Guards against a leader that gives up a peer until its term ends."""
+    make_snapshots_small(monkeypatch)
+    group = replica_group.ReplicaGroup(tmp_path)
+
+    def refuse(path):
+        raise OSError(5, f"Input/output error: {path}")
+
+    async def main():
+        lagging = await lag_behind_a_snapshot(group)
+        with monkeypatch.context() as refusal:
+            refusal.setattr(snapshot, "read_header", refuse)
+            await group.start(lagging)
+            await curio.sleep(0.3)
+        await group.wait_until(
+            lambda: len(group.node(lagging).state.claims.records) == 200
+        )
+        await group.close()
+
+    replica_group.run(main)
