Carry out an order about a zone only while its operator waits

Cause: a replica that was frozen read an order that it found in its socket on waking, though the operator had given up and given later orders elsewhere, and the leader committed it as a new one. The same could happen to an order that was held up between two replicas, and to a change at a frozen entry.

Change: a replica waits 50 ms, checks that the operator's connection is still open and asks the leader for a ticket, which the next order about that zone makes invalid; it sends the order with it if the operator still waits. Entries relay no change whose operator has closed the connection. Configurations need none of this: their versions are compared.

--- a/src/galenahook/jobs/calls.py
+++ b/src/galenahook/jobs/calls.py
@@ -64,11 +64,27 @@
     """An operator reads the configuration in force."""
 
 
+class ZoneTicketCall(
+    messages.Message, frozen=True, kw_only=True, tag="zone-ticket"
+):
+    """A replica asks for the ticket of the next order about a zone."""
+
+    availability_zone: str
+
+
 class ZoneCall(messages.Message, frozen=True, kw_only=True, tag="zone"):
-    """An operator puts an availability zone out of service or in service."""
+    """An operator puts an availability zone out of service or in service.
+
+    Attributes:
+      availability_zone: The zone.
+      out: Whether it goes out of service.
+      ticket: Ticket of the leader; the call has no effect if another order
+        about the zone was handled since it was issued.
+    """
 
     availability_zone: str
     out: bool
+    ticket: str = ""
 
 
 class WorkerHeartbeat(
@@ -135,6 +151,7 @@
     | CancelJobCall
     | PutSiteCall
     | ReadSiteCall
+    | ZoneTicketCall
     | ZoneCall
     | WorkerHeartbeat
     | WorkerLeft
@@ -147,14 +164,15 @@
 
     Attributes:
       outcome: `stored`, `cancelled`, `state`, `queue`, `done`, `no-queue`,
-        `no-configuration`, `unknown-job`, `invalid`, `overloaded` or, to an
-        `EntryPoll`, `not-leader`.
+        `no-configuration`, `unknown-job`, `invalid`, `overloaded`, to a
+        `ZoneCall` `outdated` or, to an `EntryPoll`, `not-leader`.
       state: State of the job, for `state`.
       pending: Jobs of the queue that have not begun, for `queue`.
       reason: Explanation for a person.
       document: The configuration, for `ReadSiteCall`.
       version: Version of the configuration in force.
       replicas: Address of each replica by name, for `EntryPoll`.
+      ticket: The ticket, for `ZoneTicketCall`.
     """
 
     outcome: str
@@ -164,3 +182,4 @@
     document: str = ""
     version: int = 0
     replicas: dict[str, str] = {}
+    ticket: str = ""
--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -1,6 +1,7 @@
 """Answers calls about jobs while this replica leads."""
 
 import re
+import secrets
 
 from galenahook import clock as clock_lib
 from galenahook import commands
@@ -11,6 +12,7 @@
 from galenahook.jobs import service_levels
 from galenahook.replicas import node as node_lib
 
+_TICKET_PREFIX_BYTES = 8
 _JOB_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 
 
@@ -30,6 +32,8 @@
         self.node = node
         self.clock = clock
         self.dispatcher = dispatcher
+        self._ticket_prefix = secrets.token_hex(_TICKET_PREFIX_BYTES)
+        self._zone_orders: dict[str, int] = {}
 
     async def handle_call(self, call: calls.JobCall) -> calls.JobReply:
         """Handles one call.
@@ -50,6 +54,9 @@
                 return self._done()
             case calls.EntryPoll():
                 return self._poll()
+            case calls.ZoneTicketCall():
+                ticket = self._zone_ticket(call.availability_zone)
+                return calls.JobReply(outcome="done", ticket=ticket)
             case calls.PutSiteCall() | calls.ReadSiteCall() | calls.ZoneCall():
                 return await self._answer_operator(call)
             case _:
@@ -98,7 +105,18 @@
             await self.dispatcher.wake()
         return self._done()
 
+    def _zone_ticket(self, zone: str) -> str:
+        """Returns the ticket that the next order about a zone must have."""
+        return f"{self._ticket_prefix}.{self._zone_orders.get(zone, 0)}"
+
     async def _set_zone(self, call: calls.ZoneCall) -> calls.JobReply:
+        zone = call.availability_zone
+        if call.ticket != self._zone_ticket(zone):
+            logs.info(
+                "zone:order-outdated", availability_zone=zone, out=call.out
+            )
+            return calls.JobReply(outcome="outdated")
+        self._zone_orders[zone] = self._zone_orders.get(zone, 0) + 1
         # Also committed if it seems to change nothing: the opposite order may
         # be under way.
         await self.dispatcher.commit(
--- a/src/galenahook/operators/relay.py
+++ b/src/galenahook/operators/relay.py
@@ -99,7 +99,7 @@
             _relayed_headers(request, operator, identifier),
             request.body,
         )
-        response = await self._send(relayed)
+        response = await self._send(relayed, request.is_abandoned)
         logs.info(
             "operator:answered",
             request=identifier,
@@ -124,16 +124,23 @@
         )
         return web.json_response(explanation, 200 if lines else 404)
 
-    async def _send(self, request: web.Request) -> web.Response:
+    async def _send(
+        self, request: web.Request, is_abandoned: Callable[[], bool]
+    ) -> web.Response:
         """Sends a request until the leader gives a response other than 503.
 
-        This is safe, since every request of an operator is idempotent.
+        This is safe, since every request of an operator is idempotent. One
+        whose operator has closed the connection is not sent: it may have lain
+        in the socket while this process was frozen, and its operator may have
+        given the opposite order since.
         """
         extra_ms = len(request.body) // BODY_BYTES_PER_MS
         end_ms = self._clock.monotonic_ms() + RESPONSE_TIMEOUT_MS + extra_ms
         headers = request.headers
         refused: web.Response | None = None
         while (left_ms := end_ms - self._clock.monotonic_ms()) > 0:
+            if is_abandoned():
+                return web.refusal(503, "the operator no longer waits")
             request.headers = list(headers)
             attempt_ms = min(left_ms, _ATTEMPT_TIMEOUT_MS + extra_ms)
             try:
--- a/src/galenahook/platform/control.py
+++ b/src/galenahook/platform/control.py
@@ -1,13 +1,11 @@
 """Listener for workers and operators, in the platform's protocol."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-
 from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import logs
 from galenahook import web
 from galenahook.jobs import calls
+from galenahook.jobs import zone_orders
 from galenahook.platform import wire
 from galenahook.platform import wire_site
 from galenahook.platform import wire_workers
@@ -17,8 +15,6 @@
 HEARTBEAT_TIMEOUT_MS = 800
 OPERATOR_TIMEOUT_MS = 900
 
-LeaderCall = Callable[[calls.JobCall, int], Awaitable[calls.JobReply]]
-
 
 class ControlListener:
     """Translates requests of workers and operators into calls to the leader.
@@ -28,7 +24,9 @@
         timeout in milliseconds.
     """
 
-    def __init__(self, call_leader: LeaderCall, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self, call_leader: zone_orders.LeaderCall, clock: clock_lib.Clock
+    ) -> None:
         self.call_leader = call_leader
         self._clock = clock
 
@@ -47,12 +45,8 @@
             return web.refusal(400, "invalid message", error.findings)
         if call is None:
             return web.refusal(404, f"no such route: {path}")
-        is_heartbeat = isinstance(call, calls.WorkerHeartbeat)
-        timeout_ms = (
-            HEARTBEAT_TIMEOUT_MS if is_heartbeat else OPERATOR_TIMEOUT_MS
-        )
         try:
-            reply = await self.call_leader(call, timeout_ms)
+            reply = await self._send(call, request)
         except errors.GalenahookError as error:
             logs.warning(
                 "control:unanswered", target=path, reason=str(error)[:500]
@@ -67,6 +61,23 @@
             200, [(b"content-type", b"application/json")], b"{}"
         )
 
+    async def _send(
+        self, call: calls.JobCall, request: web.Request
+    ) -> calls.JobReply:
+        match call:
+            case calls.WorkerHeartbeat():
+                return await self.call_leader(call, HEARTBEAT_TIMEOUT_MS)
+            case calls.ZoneCall():
+                return await zone_orders.carry_out(
+                    call,
+                    self.call_leader,
+                    request.is_abandoned,
+                    self._clock,
+                    OPERATOR_TIMEOUT_MS,
+                )
+            case _:
+                return await self.call_leader(call, OPERATOR_TIMEOUT_MS)
+
     def _parse_call(
         self, request: web.Request, segments: list[str]
     ) -> calls.JobCall | None:
--- a/src/galenahook/web/http.py
+++ b/src/galenahook/web/http.py
@@ -1,5 +1,6 @@
 """HTTP messages, addresses and sockets, shared by client and server."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import socket as std_socket
@@ -37,6 +38,8 @@
       headers: Header fields in order, with names in lower case.
       body: Complete body.
       peer: Address of the client as `host:port`; empty for outgoing requests.
+      is_abandoned: Returns whether the client has closed its side of the
+        connection; always false for outgoing requests.
     """
 
     method: str
@@ -44,6 +47,7 @@
     headers: Headers = dataclasses.field(default_factory=list)
     body: bytes = b""
     peer: str = ""
+    is_abandoned: Callable[[], bool] = lambda: False
 
     def header(self, name: bytes) -> bytes:
         """Returns the first value of a header (lower-case name), or `b""`."""
--- a/src/galenahook/web/stream.py
+++ b/src/galenahook/web/stream.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import socket as std_socket
 from typing import Any
 
 import curio
@@ -91,8 +92,19 @@
             headers=list(head.headers),
             body=body,
             peer=self._peer,
+            is_abandoned=self.is_closed_by_peer,
         )
 
+    def is_closed_by_peer(self) -> bool:
+        """Returns whether the client has closed its side of the connection."""
+        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+        try:
+            return not self._sock._socket.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def _read_head(self) -> h11.Request | None:
         if (
             not self._connection.trailing_data[0]
--- a/tests/test_jobs_leader.py
+++ b/tests/test_jobs_leader.py
@@ -104,12 +104,20 @@
 def test_an_acknowledged_zone_order_outlasts_one_that_was_under_way(out):
     async def main():
         leader = make_leader()
-        before = calls.ZoneCall(availability_zone="zone-a", out=out)
-        after = calls.ZoneCall(availability_zone="zone-a", out=not out)
-        await leader.handle_call(after)
-        under_way = await curio.spawn(leader.handle_call, before)
+
+        async def set_zone(out):
+            ticket_call = calls.ZoneTicketCall(availability_zone="zone-a")
+            ticket = (await leader.handle_call(ticket_call)).ticket
+            return await leader.handle_call(
+                calls.ZoneCall(
+                    availability_zone="zone-a", out=out, ticket=ticket
+                )
+            )
+
+        await set_zone(not out)
+        under_way = await curio.spawn(set_zone, out)
         await curio.sleep(0.01)
-        assert (await leader.handle_call(after)).outcome == "done"
+        assert (await set_zone(not out)).outcome == "done"
         await under_way.join()
         zones_out = leader.node.state.site.current.zones_out
         assert ("zone-a" in zones_out) is not out
