Soak sites with the layouts of the users, disks that refuse writes and operators

Cause: the soak had three replicas in one zone and no refused writes, changes of the configuration or orders about zones, so it could not show what the users' runs of real processes showed (CONFIG, LOST, "no leader is known").

Change: layouts of both sites (--layout) and a choice of faults (--faults). A disk refuses writes while the soft limit of the file size of its process is 0 bytes; the output goes through pipes. Callers keep their connections and have jobs that last; operators change the configuration, send invalid ones, read it back and take a zone out and back in series. Checks of each. The processes and the operators of the soak are modules of their own.

--- a/bench/fakes/loopback.py
+++ b/bench/fakes/loopback.py
@@ -15,7 +15,7 @@
 _PREFIX = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
 HOST = f"{_PREFIX}.2"
 # Hosts of processes that share one port number, like the VMs of a site.
-HOSTS = (f"{_PREFIX}.11", f"{_PREFIX}.12", f"{_PREFIX}.13")
+HOSTS = tuple(f"{_PREFIX}.{number}" for number in (11, 12, 13, 14, 15))
 
 _ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
 
--- a/bench/job_soak.py
+++ b/bench/job_soak.py
@@ -1,49 +1,61 @@
 """Injects random faults into a site of real processes and checks its promises.
 
     python -m job_soak [--seed N] [--seconds N] [--folder DIR]
-
-Starts three replicas and two entries as processes, and workers in this one,
-each behind a relay. While callers submit and cancel jobs, processes are paused,
-killed, stopped and restarted, and links are held, delayed or cut; replies to
-orders are lost. Checks from what callers and workers see that no task runs in
-two places, nothing starts that was not accepted or is completed, and that every
-accepted job ends once the faults are over. The faults of a seed repeat; their
+        [--layout NAME] [--faults NAME,...]
+
+Starts replicas and entries as processes, and workers in this one, each behind a
+relay. While callers submit and cancel jobs on connections that they keep, and
+operators change the configuration and take a zone out of service and back,
+processes are paused, killed, stopped, reloaded and restarted, disks refuse
+writes, and links are held, delayed or cut; replies to orders are lost. Checks
+from what callers, operators and workers see that no task runs in two places,
+nothing starts that was not accepted, is completed or is in a zone out of
+service, that acknowledged changes are in force, and that every accepted job
+ends or lasts once the faults are over. The faults of a seed repeat; their
 interleaving with the processes does not. Prints the findings; exits with 1 if
 there are any.
+
+A disk refuses writes while the limit of the file size of its process is lowered
+to 0 bytes, which needs no privileges. The output of processes is read through
+pipes, to which the limit does not apply.
 """
 
 import argparse
-import contextlib
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import json
 import pathlib
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 
 import curio
 
-from fakes import loopback
 from fakes import platform_worker
 from fakes import relay as relay_lib
 from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import web
+import soak_operators
+import soak_processes
 
 WORKERS = 4
-ENTRIES = 2
-LEASE_MS = 3_000
 CHECK_PERIOD_MS = 10
 # Time after the last fault in which every accepted job must have ended: an
 # election, two leases and the longest job.
 RECOVERY_MS = 30_000
-START_TIMEOUT_MS = 20_000
-STOP_MS = 2_000
 SUBMIT_PERIOD_MS = 150
 ASK_TIMEOUT_MS = 3_000
 CANCELLED_SHARE = 0.15
+LASTING_JOBS = 2
+LASTING_TASKS = 2
+# Longest time for which a disk refuses writes.
+MAX_REFUSAL_S = 5.0
+# Time for which a process that was restarted, or whose disk refused writes,
+# still counts as faulty, as it has to catch up.
+CATCH_UP_S = 2.0
 
 
 class RelayedWorker(platform_worker.PlatformWorker):
@@ -53,8 +65,8 @@
       relay: The relay, whose address the worker announces.
     """
 
-    def __init__(self, name: str) -> None:
-        super().__init__(name)
+    def __init__(self, name: str, zone: str) -> None:
+        super().__init__(name, zone=zone)
         self.relay = relay_lib.TcpRelay(self._server.address)
 
     @property
@@ -69,52 +81,6 @@
         return set(self.running)
 
 
-@dataclasses.dataclass(slots=True)
-class Daemon:
-    """A process of the site.
-
-    Attributes:
-      role: Its command, `replica` or `entry`.
-      settings: Path of its settings.
-      process: The process.
-      faults: Faults that act on it.
-    """
-
-    role: str
-    settings: pathlib.Path
-    process: subprocess.Popen[bytes] | None = None
-    faults: int = 0
-
-    def start(self) -> None:
-        """Starts the process; its output is appended to a log file."""
-        log = self.settings.with_suffix(".log")
-        with log.open("ab") as output:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "galenahook",
-                    self.role,
-                    "--settings",
-                    str(self.settings),
-                ],
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
-
-    def signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the process."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    async def restart(self) -> None:
-        """Waits for the end of the process and starts it again."""
-        assert self.process is not None
-        while self.process.poll() is None:
-            await curio.sleep(0.02)
-        self.start()
-
-
 @dataclasses.dataclass(slots=True)
 class CallersJob:
     """What a caller knows of its job.
@@ -124,12 +90,14 @@
       may_be_stored: Whether a submission had no clear answer.
       cancelled: Whether its cancellation was sent.
       completed_ms: When it was first shown as completed; 0 before.
+      lasts: Whether its tasks run until it is cancelled.
     """
 
     accepted: bool = False
     may_be_stored: bool = False
     cancelled: bool = False
     completed_ms: int = 0
+    lasts: bool = False
 
 
 class Soak:
@@ -138,150 +106,117 @@
     Attributes:
       findings: Broken promises.
       jobs: Jobs by identifier.
+      operators: Operators of the site.
     """
 
-    def __init__(self, seed: int, seconds: float, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        folder: pathlib.Path,
+        layout: str = "small",
+        faults: tuple[str, ...] = (),
+    ) -> None:
         self.random = random.Random(seed)
         self.seconds = seconds
         self.clock = clock_lib.Clock()
         self.findings: list[str] = []
         self.jobs: dict[str, CallersJob] = {}
-        self.workers = [RelayedWorker(f"w{n}") for n in range(WORKERS)]
-        self._are_faults_over = False
-        control_port = loopback.free_port()
-        peer_port = loopback.free_port()
-        self._controls = [f"{host}:{control_port}" for host in loopback.HOSTS]
-        self._entries = loopback.free_addresses(ENTRIES)
-        common = {
-            "availability_zone": "zone-a",
-            "seeds": self._controls,
-            "peer_port": peer_port,
-            "stop_ms": STOP_MS,
-        }
-        self.daemons = [
-            self._daemon(
-                folder,
-                "replica",
-                f"replica-{host}",
-                common
-                | {
-                    "control": {"listen": control},
-                    "metrics": {"listen": f"{host}:0"},
-                    "host": host,
-                    "data_folder": str(folder / host),
-                    "may_found": True,
-                    "worker_lease_ms": LEASE_MS,
-                    "worker_heartbeat_ms": 200,
-                },
-            )
-            for host, control in zip(
-                loopback.HOSTS, self._controls, strict=True
-            )
-        ] + [
-            self._daemon(
-                folder,
-                "entry",
-                f"entry-{number}",
-                common
-                | {
-                    "callers": {"listen": address},
-                    "platform": {"listen": "127.0.0.1:0"},
-                    "metrics": {"listen": "127.0.0.1:0"},
-                },
-            )
-            for number, address in enumerate(self._entries)
+        zones = ("zone-a", soak_operators.CHANGED_ZONE)
+        self.workers = [
+            RelayedWorker(f"w{n}", zones[n % len(zones)])
+            for n in range(WORKERS)
         ]
-
-    def _daemon(
-        self,
-        folder: pathlib.Path,
-        role: str,
-        name: str,
-        settings: dict[str, object],
-    ) -> Daemon:
-        path = folder / f"{name}.json"
-        if role == "replica":
-            (folder / str(settings["host"])).mkdir()
-        path.write_text(json.dumps({"name": name, **settings}))
-        return Daemon(role, path)
+        self.site = soak_processes.Site(folder, soak_processes.LAYOUTS[layout])
+        self.operators = soak_operators.Operators(
+            self.site.controls, self.random, self.findings
+        )
+        self._fault_names = faults or tuple(self._fault_kinds())
+        self._connections: dict[str, list[web.ClientConnection]] = {}
 
     async def run(self) -> None:
         """Plays the faults, then waits for the jobs to end."""
+        operators = self.operators
         tasks = []
         try:
-            for daemon in self.daemons:
-                daemon.start()
+            self.site.start()
             for worker in self.workers:
-                tasks.append(await curio.spawn(worker.run, self._controls))
+                tasks.append(
+                    await curio.spawn(worker.run, self.site.controls[:3])
+                )
                 tasks.append(await curio.spawn(worker.relay.run))
-            await self._put_site()
+            await operators.put_first_site()
             tasks.append(await curio.spawn(self._check_runs))
-            callers = await curio.spawn(self._submit_jobs)
+            tasks.append(await curio.spawn(operators.read_site_repeatedly))
+            users = [
+                await curio.spawn(user)
+                for user in (
+                    self._submit_jobs,
+                    operators.change_site_repeatedly,
+                    operators.change_zone_repeatedly,
+                )
+            ]
             await self._inject_faults()
-            await callers.cancel()
+            for user in users:
+                await user.cancel()
+            await operators.return_zone(RECOVERY_MS)
             await self._wait_for_ends()
+            await operators.check_site_at_end(RECOVERY_MS)
+            await self._check_newest_queue()
         finally:
             for task in tasks:
                 await task.cancel()
-            for daemon in self.daemons:
-                daemon.signal(signal.SIGKILL)
+            self.site.kill()
 
     # --- Callers --------------------------------------------------------------
 
-    async def _put_site(self) -> None:
-        body = {
-            "version": 1,
-            "routes": [
-                {
-                    "name": "q",
-                    "host": "desk.example",
-                    "path_prefix": "/q/",
-                    "timeout_ms": ASK_TIMEOUT_MS,
-                    "backend": "desk",
-                    "max_attempts": 4,
-                }
-            ],
-            "services": [{"name": "desk"}],
-        }
-        client = web.ControlClient(self.clock, [])
-        end_ms = self.clock.monotonic_ms() + START_TIMEOUT_MS
-        while self.clock.monotonic_ms() < end_ms:
-            with contextlib.suppress(errors.ExchangeError):
-                response = await client.post(
-                    self._controls[0], "/galenahook/config/put", body
-                )
-                if response.status == 200:
-                    return
-            await curio.sleep(0.1)
-        raise TimeoutError("no configuration was accepted")
-
     async def _ask(
-        self, method: str, job: str, body: bytes = b""
+        self, method: str, target: str, body: bytes = b"", entry: str = ""
     ) -> web.Response | None:
-        """Sends a request to one of the entries; None without an answer."""
+        """Sends a request to one of the entries; None without an answer.
+
+        Open connections are used again until they fail.
+        """
+        entry = entry or self.random.choice(self.site.entries)
+        idle = self._connections.setdefault(entry, [])
         try:
-            connection = await web.connect(self.random.choice(self._entries))
+            connection = idle.pop() if idle else await web.connect(entry)
         except errors.ExchangeError:
             return None
-        connection.address = "desk.example"
+        connection.address = soak_operators.HOST
+        request = web.Request(method, target, [], body)
         try:
-            return await connection.exchange(
-                web.Request(method, f"/q/{job}", [], body), ASK_TIMEOUT_MS
-            )
+            response = await connection.exchange(request, ASK_TIMEOUT_MS)
         except errors.ExchangeError:
+            await connection.close()
             return None
-        finally:
+        if connection.reusable:
+            idle.append(connection)
+        else:
             await connection.close()
+        return response
 
     async def _submit_jobs(self) -> None:
         number = 0
         while True:
             number += 1
-            await curio.spawn(self._submit, f"{number:016x}", daemon=True)
+            identifier = f"{number:016x}"
+            job = self.jobs[identifier] = CallersJob(
+                lasts=number <= LASTING_JOBS
+            )
+            await curio.spawn(self._submit, identifier, job, daemon=True)
             await curio.sleep(clock_lib.seconds(SUBMIT_PERIOD_MS))
 
-    async def _submit(self, identifier: str) -> None:
-        job = self.jobs[identifier] = CallersJob()
+    def _order(self, job: CallersJob) -> bytes:
+        """Returns the body of a submission."""
+        if job.lasts:
+            step = {
+                "count": LASTING_TASKS,
+                "cpu": 500,
+                "mem_mb": 100,
+                "long_running": True,
+            }
+            return json.dumps({"spec": "-1", "steps": [step]}).encode()
         steps: list[dict[str, object]] = [
             {
                 "count": self.random.randint(1, 3),
@@ -293,28 +228,34 @@
         if len(steps) > 1:
             steps[1]["depends_on"] = [0]
         spec = str(self.random.randint(100, 1_200))
-        body = json.dumps({"spec": spec, "steps": steps}).encode()
+        return json.dumps({"spec": spec, "steps": steps}).encode()
+
+    async def _submit(self, identifier: str, job: CallersJob) -> None:
+        target = soak_operators.PREFIX + identifier
+        body = self._order(job)
         for _ in range(4):
-            response = await self._ask("POST", identifier, body)
+            response = await self._ask("POST", target, body)
             if response is not None and response.status == 200:
                 job.accepted = True
                 break
             is_refused = response is not None and response.status in (429, 503)
             job.may_be_stored = job.may_be_stored or not is_refused
             await curio.sleep(0.1)
-        if job.accepted and self.random.random() < CANCELLED_SHARE:
+        is_cancelled = self.random.random() < CANCELLED_SHARE
+        if job.accepted and is_cancelled and not job.lasts:
             job.cancelled = True
-            await self._ask("DELETE", identifier)
+            await self._ask("DELETE", target)
 
     async def _wait_for_ends(self) -> None:
-        """Waits until each accepted job is shown as ended."""
-        self._are_faults_over = True
+        """Waits until each accepted job is shown as ended, or lasts."""
         open_jobs = [name for name, job in self.jobs.items() if job.accepted]
         end_ms = self.clock.monotonic_ms() + RECOVERY_MS
         states: dict[str, str] = {}
         while open_jobs and self.clock.monotonic_ms() < end_ms:
             for name in open_jobs:
-                response = await self._ask("GET", name)
+                if self.clock.monotonic_ms() >= end_ms:
+                    break
+                response = await self._ask("GET", soak_operators.PREFIX + name)
                 if response is None:
                     continue
                 if response.status == 410:
@@ -327,18 +268,45 @@
                 name
                 for name in open_jobs
                 if states.get(name) not in ("completed", "cancelled")
+                and not (self.jobs[name].lasts and self._is_running(name))
             ]
             await curio.sleep(0.2)
         self.findings += [
             f"LOST {name}: accepted, and {states.get(name, 'not shown')}"
             for name in open_jobs
         ]
+        self.findings += [
+            f"LOST {name}: {states[name]} by nobody"
+            for name in states
+            if self.jobs[name].lasts
+            and states[name] in ("completed", "cancelled", "failed")
+        ]
         self.findings += [
             f"LOST {name}: cancelled by nobody"
             for name, state in states.items()
             if state == "cancelled" and not self.jobs[name].cancelled
         ]
-        await curio.sleep(clock_lib.seconds(LEASE_MS))
+        await curio.sleep(clock_lib.seconds(soak_processes.LEASE_MS))
+
+    def _is_running(self, name: str) -> bool:
+        """Returns whether all tasks of a lasting job run."""
+        running = {task for w in self.workers for task in w.live_runs()}
+        tasks = [task for task in running if task.startswith(f"{name}.")]
+        return len(tasks) == LASTING_TASKS
+
+    async def _check_newest_queue(self) -> None:
+        """Checks that each entry serves the queue that was added last."""
+        target = self.operators.newest_prefix()
+        end_ms = self.clock.monotonic_ms() + RECOVERY_MS
+        for entry in self.site.entries:
+            while True:
+                response = await self._ask("GET", target, entry=entry)
+                if response is not None and response.status == 200:
+                    break
+                if self.clock.monotonic_ms() >= end_ms:
+                    self.findings.append(f"CONFIG {target}: not at {entry}")
+                    break
+                await curio.sleep(0.1)
 
     # --- Checks ---------------------------------------------------------------
 
@@ -363,6 +331,9 @@
 
     def _check_start(self, worker: RelayedWorker, task: str, run: int) -> None:
         job = self.jobs.get(task.split(".")[0])
+        is_out = worker.zone == soak_operators.CHANGED_ZONE
+        if is_out and self.operators.is_zone_out():
+            self.findings.append(f"EVAC {task} {run} on {worker.name}")
         if job is None:
             self.findings.append(f"UNASKED {task} {run} on {worker.name}")
         elif job.completed_ms:
@@ -385,32 +356,40 @@
 
     # --- Faults ---------------------------------------------------------------
 
+    def _fault_kinds(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        return {
+            "pause": self._pause,
+            "kill": self._kill,
+            "stop": self._stop,
+            "reload": self._reload,
+            "refuse-writes": self._refuse_writes,
+            "silence": self._silence,
+            "delay": self._delay,
+            "cut": self._cut,
+            "lose-replies": self._lose_replies,
+        }
+
     async def _inject_faults(self) -> None:
         """Starts faults, which may overlap, and waits for their ends."""
         end_ms = self.clock.monotonic_ms() + 1_000 * self.seconds
-        kinds = (
-            self._pause,
-            self._kill,
-            self._stop,
-            self._silence,
-            self._delay,
-            self._cut,
-            self._lose_replies,
-        )
+        kinds = self._fault_kinds()
         async with curio.TaskGroup() as group:
             while self.clock.monotonic_ms() < end_ms:
-                await group.spawn(self.random.choice(kinds))
+                name = self.random.choice(self._fault_names)
+                await group.spawn(kinds[name])
                 await curio.sleep(self.random.uniform(0.3, 1.5))
 
-    def _sound_daemon(self) -> Daemon | None:
+    def _sound_daemon(
+        self, daemons: list[soak_processes.Daemon] | None = None
+    ) -> soak_processes.Daemon | None:
         """Returns a process without a fault, so that a quorum stays.
 
         None if another replica has a fault.
         """
-        daemon = self.random.choice(self.daemons)
+        daemon = self.random.choice(daemons or self.site.daemons)
         if daemon.role == "replica":
-            others = [d for d in self.daemons if d.role == "replica"]
-            return None if any(d.faults for d in others) else daemon
+            is_faulty = any(replica.faults for replica in self.site.replicas)
+            return None if is_faulty else daemon
         return None if daemon.faults else daemon
 
     async def _pause(self) -> None:
@@ -439,10 +418,24 @@
         daemon.signal(number)
         await curio.sleep(down_s)
         await daemon.restart()
-        # A new process takes some seconds to catch up.
-        await curio.sleep(2.0)
+        await curio.sleep(CATCH_UP_S)
         daemon.faults -= 1
 
+    async def _reload(self) -> None:
+        self.random.choice(self.site.daemons).signal(signal.SIGHUP)
+
+    async def _refuse_writes(self) -> None:
+        replica = self._sound_daemon(self.site.replicas)
+        refusal_s = self.random.uniform(0.3, MAX_REFUSAL_S)
+        if replica is None:
+            return
+        replica.faults += 1
+        replica.refuse_writes(True)
+        await curio.sleep(refusal_s)
+        replica.refuse_writes(False)
+        await curio.sleep(CATCH_UP_S)
+        replica.faults -= 1
+
     async def _silence(self) -> None:
         worker = self.random.choice(self.workers)
         directions = self.random.choice(
@@ -476,9 +469,15 @@
         worker.withhold_replies = False
 
 
-def play(seed: int, seconds: float, folder: pathlib.Path) -> Soak:
+def play(
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    layout: str = "small",
+    faults: tuple[str, ...] = (),
+) -> Soak:
     """Plays one seed; returns the soak with its findings."""
-    soak = Soak(seed, seconds, folder)
+    soak = Soak(seed, seconds, folder, layout, faults)
     curio.run(soak.run)
     soak.check_refusals()
     return soak
@@ -490,15 +489,26 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--folder", type=pathlib.Path)
+    parser.add_argument(
+        "--layout", choices=soak_processes.LAYOUTS, default="small"
+    )
+    parser.add_argument(
+        "--faults", default="", help="kinds of faults; all by default"
+    )
     arguments = parser.parse_args()
     folder = arguments.folder or pathlib.Path(tempfile.mkdtemp())
     folder.mkdir(parents=True, exist_ok=True)
-    soak = play(arguments.seed, arguments.seconds, folder)
+    faults = tuple(filter(None, arguments.faults.split(",")))
+    soak = play(
+        arguments.seed, arguments.seconds, folder, arguments.layout, faults
+    )
     accepted = sum(job.accepted for job in soak.jobs.values())
     starts = sum(len(worker.started) for worker in soak.workers)
     print(
-        f"seed {arguments.seed}: {len(soak.jobs)} jobs, {accepted} accepted, "
-        f"{starts} starts, {len(soak.findings)} findings; logs in {folder}"
+        f"seed {arguments.seed}, {arguments.layout}: {len(soak.jobs)} jobs,"
+        f" {accepted} accepted, {starts} starts, {soak.operators.changes}"
+        f" changes, {soak.operators.zone_orders} orders about a zone,"
+        f" {len(soak.findings)} findings; logs in {folder}"
     )
     print(*soak.findings, sep="\n")
     sys.exit(bool(soak.findings))
--- a/tests/test_job_soak.py
+++ b/tests/test_job_soak.py
@@ -1,10 +1,13 @@
-"""A short run of the soak of real processes, whose promises must hold."""
+"""Short runs of the soak of real processes, whose promises must hold."""
 
 import job_soak
 
 # Pauses, kills and stops of processes, and faults of every kind on links.
 SEED = 1
 SECONDS = 6.0
+# Disks of two of three replicas refuse writes, one after the other.
+REFUSAL_SEED = 1
+REFUSAL_SECONDS = 9.0
 
 
 def test_no_promise_is_broken_while_processes_and_links_fail(tmp_path):
@@ -12,3 +15,18 @@
     assert soak.findings == []
     assert any(job.accepted for job in soak.jobs.values())
     assert any(worker.started for worker in soak.workers)
+
+
+def test_no_promise_is_broken_while_disks_refuse_writes(tmp_path):
+    """Guards against processes that a refused write stops for good."""
+    soak = job_soak.play(
+        REFUSAL_SEED, REFUSAL_SECONDS, tmp_path, faults=("refuse-writes",)
+    )
+    assert soak.findings == []
+    assert any(job.accepted for job in soak.jobs.values())
+    refused = [
+        log
+        for log in tmp_path.glob("replica-*.log")
+        if "disk:write-refused" in log.read_text()
+    ]
+    assert len(refused) >= 2
--- a/tests/test_jobs_whole_path.py
+++ b/tests/test_jobs_whole_path.py
@@ -14,7 +14,7 @@
 from galenahook import settings as settings_lib
 from galenahook import web
 
-HOSTS = loopback.HOSTS
+HOSTS = loopback.HOSTS[:3]
 LEASE_MS = 1_500
 JOB = "00000000000000a1"
 
