Blame no crash on an order that its worker never began

Cause: an order that was sent to a worker that was already silent counted as the likely cause when that worker's connections closed at last, or as a possible one. An order into the dark and one real crash gave the job up.

Change: a run is blamed only if its worker may have begun it: it confirmed or listed the run, replied to anything after the order, or broke off within 200 ms of it. A task that crashes its workers at the start is still found: the tests of that pass.

--- a/src/galenahook/jobs/crashes.py
+++ b/src/galenahook/jobs/crashes.py
@@ -6,10 +6,12 @@
 # Time after which a serving run that the worker lists is not the cause of a
 # later crash. Serving tasks run for so long that they see crashes of any cause.
 STABLE_MS = 5_000
+# A worker that begins a run replies in this time, or crashes.
+_PROMPT_MS = 200
 
 
 def blame_runs(worker: workers_lib.Worker) -> None:
-    """Sets the blame of each run on an incarnation that has ended.
+    """Sets the blame of each run that an incarnation may have begun at its end.
 
     An announced end is no crash. Else the most likely causes are the runs that
     were just starting, then those that the worker has begun but never listed,
@@ -21,7 +23,9 @@
     runs = [
         run
         for run in worker.runs.values()
-        if run.sent and not run.stop_confirmed_ms
+        if run.sent
+        and not run.stop_confirmed_ms
+        and _may_have_begun(worker, run)
     ]
     begun = [
         run
@@ -52,6 +56,22 @@
     return commands.Blame.POSSIBLE
 
 
+def _may_have_begun(
+    worker: workers_lib.Worker, run: workers_lib.LiveRun
+) -> bool:
+    """Returns whether the worker may have begun a run before it crashed.
+
+    An order to a worker that was already unresponsive is no sign of it: the
+    worker did not reply, and its connection closed only later or not at all.
+    """
+    if run.seen or run.confirmed_ms or not run.sent_ms:
+        return True
+    if worker.last_reply_ms > run.sent_ms:
+        return True
+    waited_ms = run.unanswered_ms - run.sent_ms
+    return run.unanswered_ms > 0 and waited_ms <= _PROMPT_MS
+
+
 def _was_starting(worker: workers_lib.Worker, run: workers_lib.LiveRun) -> bool:
     """Returns whether a start was in progress when the worker crashed."""
     if run.broken_off:
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -343,7 +343,7 @@
     async def _order_start(
         self, run: workers_lib.LiveRun
     ) -> tuple[worker_api.StartAnswer, str]:
-        now_ms = self._owner.now_ms()
+        now_ms = run.sent_ms = self._owner.now_ms()
         run.sent = True
         return await self.client.start(
             worker_api.StartOrder(
@@ -384,6 +384,7 @@
         self, run: workers_lib.LiveRun, reason: str
     ) -> None:
         """Waits for an unconfirmed start to appear in a poll, or stops it."""
+        run.unanswered_ms = self._owner.now_ms()
         logs.warning(
             "run:start-unanswered",
             job=run.job.description.job,
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -41,6 +41,9 @@
         earlier term.
       confirmed_ms: When the worker confirmed that it runs; 0 before.
       sent: Whether the order to start it may have been sent.
+      sent_ms: When that order was sent in this term; 0 before.
+      unanswered_ms: When it became certain that the order gets no reply; 0
+        before.
       broken_off: Whether the connection of that order closed without a reply.
       seen: Whether the worker has listed it as running.
       seen_ms: When the worker first listed it; 0 before.
@@ -71,6 +74,8 @@
     ordered_ms: int = 0
     confirmed_ms: int = 0
     sent: bool = False
+    sent_ms: int = 0
+    unanswered_ms: int = 0
     broken_off: bool = False
     seen: bool = False
     seen_ms: int = 0
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -52,9 +52,12 @@
         task does no harm.
       listed: Whether it lists its runs.
       failure: Why polls get no reply; None if they do.
+      is_silent: Whether it does nothing, and its connections close only when it
+        crashes.
     """
 
     def __init__(self, answer, listed):
+        self.is_silent = False
         self.answer = answer
         self.listed = listed
         self.started = []
@@ -62,6 +65,10 @@
         self.failure = None
 
     async def start(self, order):
+        if self.is_silent:
+            while self.failure is None:
+                await curio.sleep(0.01)
+            return worker_api.StartAnswer.BROKEN_OFF, "crashed"
         self.started.append(order.task)
         if order.task == TASK and self.answer is not None:
             self.failure = ConnectionRefusedError()
@@ -74,6 +81,8 @@
 
     async def poll(self, *_arguments):
         await curio.sleep(0.002)
+        while self.is_silent and self.failure is None:
+            await curio.sleep(0.01)
         if self.failure is not None:
             raise errors.ExchangeError("no reply", False) from self.failure
         rows = [
@@ -204,6 +213,28 @@
     run(scenario)
 
 
+def test_an_order_to_a_silent_worker_is_not_blamed_for_its_crash():
+    """Guards against jobs given up though none of their tasks had begun."""
+
+    async def scenario(site):
+        for _ in range(3):
+            site.clients[-1].is_silent = True
+            # The poll that is under way still gets a reply.
+            await curio.sleep(0.02)
+            await site.round()
+            assert site.worker.runs[TASK].sent
+            await curio.sleep(0.5)
+            site.clients[-1].failure = ConnectionRefusedError()
+            await site.restart_worker()
+        assert site.starts_of(TASK) == 0
+        await site.round()
+        assert site.starts_of(TASK) == 1
+        assert site.suspicion_of(build.JOB) == 0
+        assert site.jobs[build.JOB].state() != "failed"
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("announcement", ["draining", "left"])
 def test_an_announced_end_of_a_worker_is_no_crash(announcement):
     async def scenario(site):
