Bootstrap a cluster with a majority of replicas of the first start

Cause: only the first replica by name bootstrapped the cluster, and only if all three reported that they may. One that was restarted may not any more.

Change: all three must still reply with empty folders, but only a majority must be permitted to bootstrap; the first of those does. A majority whose folders have been empty since the first start proves that no cluster ever had a quorum. The restarted replica joins with the first message of its cluster.

--- a/bench/fakes/replica_group.py
+++ b/bench/fakes/replica_group.py
@@ -89,6 +89,7 @@
       address: Address at which it listens, the same after each start.
       folder: Its data folder.
       disk: Its disk.
+      may_found: Whether its settings permit it to bootstrap a cluster.
       node: The running node, or None.
       server: Its listener while it runs, or None.
       tasks: Its tasks while it runs.
@@ -98,6 +99,7 @@
     address: str
     folder: pathlib.Path
     disk: FaultyDisk = dataclasses.field(default_factory=FaultyDisk)
+    may_found: bool = True
     node: node_lib.Node | None = None
     server: web.Server | None = None
     tasks: list[Any] = dataclasses.field(default_factory=list)
@@ -146,6 +148,7 @@
             },
             data_folder=str(replica.folder),
             site_key_file="",
+            may_found=replica.may_found,
             timing=self.timing,
         )
 
--- a/src/galenahook/replicas/bootstrap.py
+++ b/src/galenahook/replicas/bootstrap.py
@@ -1,10 +1,14 @@
 """One-time bootstrap of a cluster from empty data folders.
 
-The replica whose name sorts first in the settings bootstraps the cluster, and
-only if every configured replica reports that its folder is empty. A single
-folder that belongs to a cluster, or a single replica that does not respond,
-prevents it. So a replica that lost its disk never bootstraps a second cluster
-next to the first: it waits until it is admitted as a learner.
+A cluster is bootstrapped only if every configured replica reports that its
+folder is empty, and a majority that it may bootstrap one: those have had an
+empty folder since the site first started, so no cluster of these replicas has
+ever had a quorum. The first of them by name bootstraps the cluster. The others
+were restarted during the first start, or lost their disks.
+
+A single folder that belongs to a cluster, or a single replica that does not
+respond, prevents it. So a replica that lost its disk never bootstraps a second
+cluster next to the first: it waits until it is admitted as a learner.
 
 The first entry of the log records the initial membership: the members with
 the identifiers of their folders.
@@ -32,10 +36,10 @@
 
 
 async def run(core: core_lib.Core) -> None:
-    """Bootstraps the cluster if it is responsible and all others agree."""
+    """Bootstraps the cluster if it is the first that may and others agree."""
     while not core.cluster and core.error is None:
         settings = core.settings
-        if settings.may_found and core.name == min(settings.replicas):
+        if settings.may_found and core.name in settings.replicas:
             with contextlib.suppress(errors.ExchangeError, errors.StorageError):
                 await _try_bootstrap(core)
         await curio.sleep(clock_lib.seconds(_RETRY_PERIOD_MS))
@@ -43,13 +47,18 @@
 
 async def _try_bootstrap(core: core_lib.Core) -> None:
     by_name = {}
+    founders = []
     for name, address in sorted(core.settings.replicas.items()):
-        if name == core.name:
-            folder = core.folder_id
-        else:
-            folder = await _fetch_empty_folder_id(core, address)
+        folder, may_found = core.folder_id, True
+        if name != core.name:
+            status = await _fetch_empty_status(core, address)
+            folder, may_found = status.folder, status.may_found
         by_name[name] = membership.Member(name, address, folder)
+        if may_found:
+            founders.append(name)
     members = membership.Members(1, by_name)
+    if founders[0] != core.name or len(founders) < members.quorum():
+        return
     texts = members.command().members
     cluster = identity_lib.new_identifier()
     await _join_new_cluster(core, cluster, texts)
@@ -60,7 +69,15 @@
             await _invite(core, member, texts)
 
 
-async def _fetch_empty_folder_id(core: core_lib.Core, address: str) -> str:
+async def _fetch_empty_status(
+    core: core_lib.Core, address: str
+) -> wire.ReplicaStatus:
+    """Returns the status of a replica whose folder is empty.
+
+    Raises:
+      errors.ExchangeError: The replica did not reply, is in a cluster or has
+        failed.
+    """
     request = web.Request(
         "GET", transport.STATUS_TARGET, list(core.client.headers)
     )
@@ -71,11 +88,7 @@
         raise errors.ExchangeError(
             f"{status.name} is in a cluster or has failed", True
         )
-    if not status.may_found:
-        raise errors.ExchangeError(
-            f"{status.name} may not bootstrap a cluster", True
-        )
-    return status.folder
+    return status
 
 
 async def _invite(
