Repair the log also when nothing is left to write

Operators would see: a replica that stays "unable" and starts no election after its disk accepts writes again.

If the leader replaced the refused entries, or only the mark or a deletion was refused, the error stayed until the next entry. In memory, a reset counted as unwritten, so that the log's task never waited.

Evidence: test_a_refused_entry_that_was_replaced_leaves_no_error and test_log_in_memory_waits_after_a_reset failed before.

Result: both pass.

--- a/src/galenahook/replicas/log.py
+++ b/src/galenahook/replicas/log.py
@@ -273,6 +273,12 @@
     def _is_reset_due(self) -> bool:
         return self._resets_written < self._resets_requested
 
+    @property
+    def _is_write_due(self) -> bool:
+        """Whether there is something to write, or a failed write to repair."""
+        is_synced = self.synced_index >= self.last_index
+        return not is_synced or self._is_reset_due or self.error is not None
+
     async def append(self, entries: Sequence[records.Entry]) -> int:
         """Appends entries in memory and returns the last index."""
         self.entries.extend(entries)
@@ -373,7 +379,7 @@
     async def run(self) -> None:
         """Writes and syncs appended entries until cancelled."""
         while True:
-            if self.synced_index >= self.last_index and not self._is_reset_due:
+            if not self._is_write_due:
                 await self._appended.wait()
                 continue
             await self._write_batch()
@@ -396,6 +402,7 @@
         self._new_segment_due = False
         self._writing_index = first + len(batch.entries) - 1
         if self.folder is None:
+            self._resets_written = resets
             self.synced_index = self._writing_index
             return
         started_ms = self._clock_ms()
--- a/tests/test_replicas_log.py
+++ b/tests/test_replicas_log.py
@@ -252,3 +252,23 @@
     max(tmp_path.glob("log-*")).unlink()
     with pytest.raises(errors.CorruptLogError):
         open_log(tmp_path)
+
+
+def test_log_in_memory_waits_after_a_reset():
+    """Guards against a reset that counts as unwritten without a folder."""
+    clock = clock_lib.Clock()
+    log = log_lib.Log(None, storage.Disk(), clock.monotonic_ms)
+
+    async def main():
+        task = await curio.spawn(log.run)
+        await log.wait_synced(await log.append(entries_of("1")), None)
+        await log.reset(5, 1)
+        await log.wait_synced(await log.append(entries_of("6")), None)
+        assert log.synced_index == 6
+        await curio.sleep(0.05)
+        turns = task.cycles
+        await curio.sleep(0.05)
+        assert task.cycles == turns
+        await task.cancel()
+
+    curio.run(main)
--- a/tests/test_replicas_refused_writes.py
+++ b/tests/test_replicas_refused_writes.py
@@ -130,6 +130,27 @@
     assert texts_of(open_log(tmp_path)) == ["kept", "refused"]
 
 
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_refused_entry_that_was_replaced_leaves_no_error(tmp_path, fault):
+    """Guards against a log that counts as failed with nothing to write."""
+    disk = replica_group.FaultyDisk()
+    log = open_log(tmp_path, disk)
+
+    async def main():
+        task = await curio.spawn(log.run)
+        await log.wait_synced(await log.append(new_entries("kept")), None)
+        await append_while_refused(log, disk, fault, new_entries("refused"))
+        await log.replace_from(2, [])
+        setattr(disk, fault, False)
+        while log.error is not None:
+            await curio.sleep(0.01)
+        await task.cancel()
+
+    replica_group.run(main, timeout_ms=5_000)
+    log.close()
+    assert texts_of(open_log(tmp_path)) == ["kept"]
+
+
 @pytest.mark.parametrize("fault", FAULTS)
 def test_a_reset_that_the_disk_refused_is_written_later(tmp_path, fault):
     """Guards against entries of an earlier log after a reset was refused."""
