--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -40,6 +40,7 @@
     "vosceni-ovoj": Layout(
         ("zone-a", "zone-a", "zone-b", "zone-c", "zone-d"), 9
     ),
+    "crowded": Layout(("zone-a", "zone-a", "zone-b", "zone-c", "zone-d"), 100),
 }
 
 
