Soak: expect the queue of the newest configuration read

Cause: the check expected the queue of the newest acknowledged configuration.

Change: every entry has to serve the queue of the newest version that was read, which other checks require to be as new as the acknowledged one.

--- a/bench/soak_operators.py
+++ b/bench/soak_operators.py
@@ -55,7 +55,7 @@
         # Each configuration that was sent, by version.
         self._sent: dict[int, bytes] = {}
         # Newest acknowledged version, and when it was acknowledged, by version.
-        self._version = 0
+        self._version = self._read_version = 0
         self._acknowledged_ms: dict[int, int] = {}
 
     async def _send(
@@ -176,6 +176,7 @@
             self.findings.append(f"CONFIG {version} read, {oldest} expected")
         if response.body != self._sent.get(version):
             self.findings.append(f"CONFIG {version}: not as it was sent")
+        self._read_version = max(self._read_version, version)
         return True
 
     async def check_site_at_end(self, timeout_ms: int) -> None:
@@ -192,8 +193,11 @@
                 await curio.sleep(0.1)
 
     def newest_prefix(self) -> str:
-        """Returns the prefix of the queue in the newest configuration."""
-        return f"/r{self._version}/"
+        """Returns the prefix of the queue in the newest configuration read.
+
+        A change without a reply may be in force after the acknowledged ones.
+        """
+        return f"/r{self._read_version}/"
 
     # --- Zone -----------------------------------------------------------------
 
