--- a/tests/full_site.py
+++ b/tests/full_site.py
@@ -139,6 +139,9 @@
             link, run = self.random.choice(runs)
             await self.simulation.end(link, run, "gone")
 
+    async def _before_round(self, _played_ms):
+        """Does nothing; other sites let something happen before a round."""
+
     async def play(self, duration_ms, after_round=None):
         """Plays the site; calls `after_round` after each round."""
         short_rate = (
@@ -156,6 +159,7 @@
                 owed -= self.submit_short()
             if played_ms % LOSS_PERIOD_MS < job_simulation.ROUND_MS:
                 await self._end_lasting_run()
+            await self._before_round(played_ms)
             await self.simulation.advance(job_simulation.ROUND_MS)
             if after_round is not None:
                 after_round()
