--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -197,6 +197,7 @@
             zones_out=self.node.state.site.current.zones_out,
             run_times=self.run_times,
             tails=self.tails,
+            demand=self.service_levels.demand,
             sizes=self.service_levels.sizes,
         )
 
--- a/src/galenahook/jobs/leader.py
+++ b/src/galenahook/jobs/leader.py
@@ -209,7 +209,7 @@
         except errors.OverloadedError as error:
             return calls.JobReply(outcome="overloaded", reason=str(error))
         job = self.node.state.jobs.jobs[identifier]
-        self.dispatcher.service_levels.ranks.add(job)
+        self.dispatcher.service_levels.note_submitted(job)
         logs.info(
             "job:stored",
             job=identifier,
--- a/src/galenahook/jobs/round_input.py
+++ b/src/galenahook/jobs/round_input.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 import dataclasses
 
+from galenahook.jobs import demand as demand_lib
 from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import service_levels
@@ -28,6 +29,7 @@
       zones_out: Availability zones that operators have taken out of service.
       run_times: Estimated run times.
       tails: Forecasts of tail latencies.
+      demand: Processors that short jobs ask for.
       sizes: Compares how jobs of different sizes are served.
     """
 
@@ -38,6 +40,7 @@
     zones_out: Collection[str]
     run_times: run_times_lib.RunTimes
     tails: tail_latency_lib.TailLatencyControl
+    demand: demand_lib.ShortDemand
     sizes: service_levels.SizeShares
 
     def usable_capacity(self) -> list[free_capacity_lib.FreeCapacity]:
--- a/src/galenahook/jobs/service_levels.py
+++ b/src/galenahook/jobs/service_levels.py
@@ -9,6 +9,7 @@
 from galenahook import commands
 from galenahook import job_metrics
 from galenahook import logs
+from galenahook.jobs import demand as demand_lib
 from galenahook.jobs import ordering
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tasks as tasks_lib
@@ -131,11 +132,19 @@
     """Logs and counts the ends of jobs that callers submitted.
 
     Attributes:
+      demand: Processors that short jobs ask for.
       ranks: Sizes of the latest jobs.
       sizes: Compares how jobs of different sizes are served.
     """
 
-    __slots__ = ("_metrics", "_run_times", "_unreported", "ranks", "sizes")
+    __slots__ = (
+        "_metrics",
+        "_run_times",
+        "_unreported",
+        "demand",
+        "ranks",
+        "sizes",
+    )
 
     def __init__(
         self,
@@ -143,6 +152,7 @@
         run_times: run_times_lib.RunTimes,
         jobs: Iterable[tasks_lib.Job],
     ) -> None:
+        self.demand = demand_lib.ShortDemand()
         self.ranks = SizeRanks()
         self.sizes = SizeShares(self.ranks)
         self._metrics = metrics
@@ -150,7 +160,12 @@
         # Jobs with ends whose commit may be under way.
         self._unreported: dict[str, tasks_lib.Job] = {}
         for job in jobs:
-            self.ranks.add(job)
+            self.note_submitted(job)
+
+    def note_submitted(self, job: tasks_lib.Job) -> None:
+        """Records a job that was stored."""
+        self.ranks.add(job)
+        self.demand.add(job)
 
     def expect_ends(
         self, ends: list[commands.RunEnd], jobs: dict[str, tasks_lib.Job]
@@ -188,9 +203,20 @@
             result=result,
             took_ms=took_ms,
             target_ms=round(target_ms),
+            expected_core_ms=round(self._expected_work(job)),
             **measures(job),
         )
 
+    def _expected_work(self, job: tasks_lib.Job) -> float:
+        """Returns the work of a job by learned run times, in core ms."""
+        return job.description.occurrences * sum(
+            step.tasks
+            * step.cpu_millis
+            / 1_000
+            * self._run_times.expected_ms(job, step.estimate_ms, number)
+            for number, step in enumerate(job.description.steps)
+        )
+
 
 def declared_work(job: tasks_lib.Job) -> float:
     """Returns the declared work of a job in core milliseconds."""
--- a/src/galenahook/jobs/waiting.py
+++ b/src/galenahook/jobs/waiting.py
@@ -48,6 +48,7 @@
             largest_cpu_millis=max(free, default=0),
         )
         reserved = _reserved_cpu_millis(inputs)
+        asked = _asked_cpu_millis(inputs)
         for queue, jobs in sorted(
             queues.items(), key=lambda item: -_task_count(item[1])
         )[:MAX_QUEUES]:
@@ -61,6 +62,7 @@
                 tasks=_task_count(jobs),
                 waiting_cpu_millis=_waiting_cpu_millis(jobs),
                 reserved_cpu_millis=reserved[queue],
+                asked_cpu_millis=round(asked[queue]),
                 job=job.description.job,
                 step=key[1],
                 waited_ms=inputs.now_wall_ms - job.record.submitted_ms,
@@ -133,6 +135,17 @@
     return reserved
 
 
+def _asked_cpu_millis(
+    inputs: round_input.RoundInput,
+) -> collections.Counter[str]:
+    """Returns the processors that the short jobs of each queue need."""
+    asked: collections.Counter[str] = collections.Counter()
+    measured = inputs.demand.cpu_millis(inputs.run_times, inputs.now_wall_ms)
+    for queue, cpu_millis in measured.items():
+        asked[queue.name] += round(cpu_millis)
+    return asked
+
+
 def _serving_waits(
     jobs: list[tasks_lib.Job], now_wall_ms: int
 ) -> dict[str, int]:
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -9,6 +9,7 @@
 
 from galenahook import commands
 from galenahook.jobs import calls
+from galenahook.jobs import demand as demand_lib
 from galenahook.jobs import overdue as overdue_lib
 from galenahook.jobs import placement
 from galenahook.jobs import reservations as reservations_lib
@@ -193,6 +194,7 @@
       reservations: Workers reserved for tasks that fit no worker.
       overdue: Serving tasks that have waited for long.
       failures: Jobs whose placement raised an exception.
+      demand: Processors that short jobs ask for.
     """
 
     def __init__(
@@ -204,16 +206,22 @@
         self.now_ms = 0
         self.workers = workers
         self.table = table_lib.JobTable()
-        for command in submits:
-            self.table.submit(command)
         self.zones_out = zones_out
         self.run_times = run_times_lib.RunTimes()
         self.tails = tail_latency_lib.TailLatencyControl()
         self.reservations = reservations_lib.Reservations()
         self.overdue = overdue_lib.OverdueTasks()
         self.failures = placement.JobFailures()
+        self.demand = demand_lib.ShortDemand()
+        for command in submits:
+            self.submit(command)
         self.sizes = service_levels.SizeShares(service_levels.SizeRanks())
 
+    def submit(self, command: commands.SubmitJob) -> None:
+        """Stores one more job."""
+        self.table.submit(command)
+        self.demand.add(self.table.jobs[command.description.job])
+
     def inputs(self) -> round_input.RoundInput:
         """Returns the input of a round."""
         return round_input.RoundInput(
@@ -224,5 +232,6 @@
             zones_out=self.zones_out,
             run_times=self.run_times,
             tails=self.tails,
+            demand=self.demand,
             sizes=self.sizes,
         )
--- a/tests/job_simulation.py
+++ b/tests/job_simulation.py
@@ -130,7 +130,7 @@
             msgspec.structs.replace(command, at_ms=self.clock.wall_ms())
         )
         job = self.job(command.description.job)
-        self.dispatcher.service_levels.ranks.add(job)
+        self.dispatcher.service_levels.note_submitted(job)
 
     def job(self, identifier):
         """Returns a stored job."""
--- a/tests/test_jobs_service_levels.py
+++ b/tests/test_jobs_service_levels.py
@@ -180,6 +180,8 @@
     assert (line["zone"], line["size"]) == ("zone-b", "other")
     assert (line["took_ms"], line["target_ms"]) == (at_ms, target_ms)
     assert line["result"] == result
+    # A core for 0.5 s.
+    assert line["expected_core_ms"] == 500
     assert reported.count(result) == 1
 
 
