--- a/tests/changed_leader_site.py
+++ b/tests/changed_leader_site.py
@@ -28,15 +28,6 @@
     async def _before_round(self, played_ms):
         if played_ms in self.changes_ms:
             await observed_room.change_leader(self.simulation)
-            self._list_runs()
-
-    def _list_runs(self):
-        """Reports every run as the first poll of a term does."""
-        now_ms = self.simulation.clock.now_ms
-        for link in self.simulation.dispatcher.links.values():
-            for run in link.worker.runs.values():
-                run.seen = True
-                run.seen_ms = run.seen_ms or now_ms
 
     def jobs_after_changes(self):
         """Returns the judged short jobs submitted soon after a change."""
--- a/tests/job_simulation.py
+++ b/tests/job_simulation.py
@@ -121,6 +121,8 @@
         self.failing = set()
         self.failing_workers = set()
         self.started = {}
+        # When each run was ordered, which a later leader does not know.
+        self._ordered_ms = {}
         for command in submits:
             self.node.state.apply(command)
 
@@ -158,8 +160,17 @@
             await curio.sleep(0)
             for link in self.dispatcher.links.values():
                 check_starts(link.worker, self.clock.now_ms)
-                for task in link.worker.runs:
+                for task, run in link.worker.runs.items():
                     self.started.setdefault(task, link.worker.name)
+                    self._ordered_ms.setdefault((task, run.run), run.ordered_ms)
+
+    def run_ms(self, run):
+        """Returns the time after which a run has ended as the leader sees it.
+
+        Args:
+          run: A run that does not serve.
+        """
+        return run.step.estimate_ms
 
     async def _end_runs(self, link):
         now_ms = self.clock.now_ms
@@ -170,7 +181,10 @@
         )
         for run in list(link.worker.runs.values()):
             run.seen = True
-            age_ms = now_ms - run.ordered_ms
+            ordered_ms = self._ordered_ms.get(
+                (run.task, run.run), run.ordered_ms
+            )
+            age_ms = now_ms - ordered_ms
             is_failing = (
                 run.job.description.job in self.failing
                 or link.worker.name in self.failing_workers
@@ -183,8 +197,9 @@
             elif run.step.serves:
                 run.progress_percent = 100
             else:
-                run.progress_percent = 100 * age_ms / run.step.estimate_ms
-                if age_ms >= run.step.estimate_ms:
+                run_ms = self.run_ms(run)
+                run.progress_percent = 100 * age_ms / run_ms
+                if age_ms >= run_ms:
                     await self.end(link, run, "done")
 
     async def end(self, link, run, outcome):
@@ -201,11 +216,17 @@
             await self.advance(ROUND_MS)
 
 
-def run(scenario, *arguments):
-    """Runs a scenario with a simulation of some workers and jobs."""
+def run(scenario, *arguments, make=Simulation):
+    """Runs a scenario with a simulation of some workers and jobs.
+
+    Args:
+      scenario: Function that is called with the simulation.
+      *arguments: Arguments of the simulation.
+      make: Makes the simulation.
+    """
 
     async def main():
-        simulation = Simulation(*arguments)
+        simulation = make(*arguments)
         await scenario(simulation)
         await simulation.dispatcher.close()
 
--- a/tests/observed_room.py
+++ b/tests/observed_room.py
@@ -49,7 +49,11 @@
 
 
 async def change_leader(simulation):
-    """Replaces the leader; the workers and their runs stay."""
+    """Replaces the leader; the workers and their runs stay.
+
+    The new leader knows the runs from the replicated state and sees them listed
+    at once.
+    """
     before = simulation.dispatcher
     await before.close()
     simulation.node = ElectedNode(simulation.node)
@@ -64,9 +68,9 @@
         await simulation.dispatcher.handle_heartbeat(link.worker.heartbeat)
         worker = simulation.worker(link.worker.name)
         worker.has_polled = True
-        # The simulation ends runs by the time of their start.
-        for task, run in worker.runs.items():
-            run.ordered_ms = link.worker.runs[task].ordered_ms
+        for run in worker.runs.values():
+            run.seen = True
+            run.seen_ms = simulation.clock.now_ms
 
 
 def workers():
--- a/tests/wide_jobs_site.py
+++ b/tests/wide_jobs_site.py
@@ -135,12 +135,22 @@
         jobs,
         key=lambda job: sum(map(full_site.work_of, job.description.steps)),
     )
-    tenth = len(by_work) // 10
+    return shares_by_work(list(map(_is_served, by_work)))
+
+
+def shares_by_work(served):
+    """Returns the shares of jobs that ended by their deadline.
+
+    Args:
+      served: Whether each job ended by its deadline, in order of work; at least
+        ten.
+    """
+    tenth = len(served) // 10
     return ServedShares(
-        all=_served_share(by_work),
-        largest_tenth=_served_share(by_work[-tenth:]),
-        fifth_below=_served_share(by_work[-3 * tenth : -tenth]),
-        jobs=len(by_work),
+        all=_mean(served),
+        largest_tenth=_mean(served[-tenth:]),
+        fifth_below=_mean(served[-3 * tenth : -tenth]),
+        jobs=len(served),
     )
 
 
@@ -151,12 +161,17 @@
     )
 
 
-def _served_share(jobs):
-    return sum(map(_is_served, jobs)) / len(jobs)
-
-
-def _is_served(job):
+def has_ended_by(job, wall_ms):
+    """Returns whether a job had completed by a wall time."""
     return (
         job.record.outcome is tasks_lib.Outcome.COMPLETED
-        and job.record.ended_ms <= deadline_ms(job)
+        and job.record.ended_ms <= wall_ms
     )
+
+
+def _mean(flags):
+    return sum(flags) / len(flags)
+
+
+def _is_served(job):
+    return has_ended_by(job, deadline_ms(job))
