Keep processors of some workers for short jobs as their share

Cause: queues were to get equal shares, or what they ask for, but this was an order for free pieces. What was left lay in pieces beside lasting tasks: 145 of 153 jobs were served whose largest task has under 8 cores, 16 of 51 with 24 and more. The preference for large jobs did not help: it came late, was forgotten at elections and ranked by declared work, by which half of the largest were not found.

Now the share of short jobs is computed from what was submitted and kept on whole workers, the last one in part, also while it is not used. Serving tasks there are stopped while short jobs wait. Where short jobs ask for more than is kept, a draw by identifier decides which go first, and their steps get workers reserved. Nothing of this is in the memory of one leader.

It replaces turns, the order of queues by reserved processors and the preference for large jobs.

--- a/bench/job_service.py
+++ b/bench/job_service.py
@@ -232,6 +232,9 @@
                 at_ms=self.clock.wall_ms(),
             )
         )
+        self.dispatcher.service_levels.note_submitted(
+            self.node.state.jobs.jobs[f"{self.jobs:016x}"]
+        )
 
     def _draw(self, distribution: tuple[float, float, float]) -> int:
         """Draws from a mean, a spread and a maximum."""
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -175,10 +175,9 @@
         await self._commit_ends()
         await self._order_throttles()
         await self._start_waiting()
-        for worker, run, job in self.reservations.runs_to_preempt(
+        for worker, run, reason in self.reservations.runs_to_preempt(
             self.now_ms()
         ):
-            reason = f"makes room for a serving task of job {job}"
             await self._order_stop(worker, run, reason)
         self._waiting_report.log(self._round_input())
         if (
@@ -198,7 +197,6 @@
             run_times=self.run_times,
             tails=self.tails,
             demand=self.service_levels.demand,
-            sizes=self.service_levels.sizes,
         )
 
     async def _order_throttles(self) -> None:
--- a/src/galenahook/jobs/free_capacity.py
+++ b/src/galenahook/jobs/free_capacity.py
@@ -42,6 +42,8 @@
       batch_gpus: Accelerators that batch tasks reserve.
       batch_used_cpu_millis: Processors that batch tasks are expected to use.
       reserved_for: Step for which the worker is reserved; None for no step.
+      kept_cpu_millis: Processors that serving tasks must leave.
+      serving_cpu_millis: Processors that serving tasks reserve.
       task_counts: Number of tasks on the worker by job, occurrence and step.
       starting: Number of runs that are starting.
       has_suspect_start: Whether one of these is of a task that may have crashed
@@ -60,6 +62,8 @@
     batch_gpus: int = 0
     batch_used_cpu_millis: float = 0.0
     reserved_for: workers_lib.StepId | None = None
+    kept_cpu_millis: float = 0.0
+    serving_cpu_millis: int = 0
     task_counts: dict[workers_lib.StepId, int] = dataclasses.field(
         default_factory=dict
     )
@@ -116,7 +120,9 @@
             self.cpu_millis -= step.cpu_millis
             used = step.cpu_millis * (SERVING_CPU_USE if step.serves else 1.0)
         self.idle_cpu_millis -= used
-        if not step.serves:
+        if step.serves:
+            self.serving_cpu_millis += step.cpu_millis
+        else:
             self.batch_used_cpu_millis += used
             self.batch_memory_mb += step.memory_mb
             self.batch_gpus += step.gpus
@@ -137,10 +143,19 @@
             return False
         if self.reserved_for not in (None, step_id):
             return False
+        if step.serves and not self._leaves_kept(step):
+            return False
         if not step.max_per_worker:
             return True
         return self.task_counts.get(step_id, 0) < step.max_per_worker
 
+    def _leaves_kept(self, step: commands.StepDescription) -> bool:
+        """Returns whether a serving task leaves the processors kept here."""
+        if not self.kept_cpu_millis:
+            return True
+        used = self.serving_cpu_millis + step.cpu_millis
+        return used + self.kept_cpu_millis <= self.worker.heartbeat.cpu_millis
+
     def fits_without_batch(self, step: commands.StepDescription) -> bool:
         """Returns whether a task would fit if no batch task ran."""
         if step.uses_idle_cpu:
--- a/src/galenahook/jobs/ordering.py
+++ b/src/galenahook/jobs/ordering.py
@@ -70,22 +70,21 @@
     job: tasks_lib.Job,
     run_times: run_times_lib.RunTimes,
     now_wall_ms: int,
-    goes_first: bool = False,
-    is_behind: bool = False,
+    is_drawn: bool = True,
 ) -> tuple[float, ...]:
     """Returns the sort key of a job.
 
-    Serving jobs go first, then jobs by priority, then by their gain. A job that
-    `goes_first` goes before the serving jobs of its priority.
-
-    Among serving jobs of one priority, those with the largest tasks go first,
-    as small tasks still fit into the capacity that they leave. The gain is the
-    value of a job divided by the share of its work that is left, rounded down
-    to a power of two: a job that is nearly done goes before one that has not
-    begun, and a job that can no longer end in time goes after others unless
-    little of it is left. Jobs of equal gain go by the end of their target
-    duration. A job that `is_behind`, as few of its size are served, goes before
-    others of its priority whatever its gain.
+    Serving jobs go first, then jobs by priority. Among serving jobs of one
+    priority, those with the largest tasks go first, as small tasks still fit
+    into the capacity that they leave.
+
+    Other jobs of one priority go by their gain: the value of a job divided by
+    the share of its work that is left, rounded down to a power of two. A job
+    that is nearly done goes before one that has not begun, and a job that can
+    no longer end in time goes after others unless little of it is left. Jobs of
+    equal gain go by the end of their target duration. Where not all short jobs
+    can be served, those that are drawn go before the others, and expired jobs
+    go last.
     """
     description = job.description
     if serves(job):
@@ -93,14 +92,15 @@
             step.cpu_millis for step in description.steps if step.serves
         )
         submitted_ms = float(job.record.submitted_ms)
-        return 0, description.priority, 1, -largest, submitted_ms
+        return 0, description.priority, -largest, submitted_ms
     target_ms = target_duration_ms(job, run_times)
     value = _value(job, run_times, now_wall_ms, target_ms)
     gain = math.floor(math.log2(value / work_left(job)))
     return (
-        0 if goes_first else 1,
+        1,
         description.priority,
-        0,
-        -math.inf if is_behind else -gain,
+        value <= EXPIRED_VALUE,
+        not is_drawn,
+        -gain,
         job.record.submitted_ms + target_ms,
     )
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -4,17 +4,18 @@
 
 from galenahook import commands
 from galenahook import logs
+from galenahook.jobs import demand as demand_lib
 from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import last_resort as last_resort_lib
 from galenahook.jobs import ordering
 from galenahook.jobs import overdue as overdue_lib
-from galenahook.jobs import queue_shares
+from galenahook.jobs import queue_shares as queue_shares_lib
 from galenahook.jobs import ranking as ranking_lib
 from galenahook.jobs import reservations as reservations_lib
 from galenahook.jobs import rotation as rotation_lib
 from galenahook.jobs import round_input
+from galenahook.jobs import short_workers as short_workers_lib
 from galenahook.jobs import tasks as tasks_lib
-from galenahook.jobs import turns as turns_lib
 from galenahook.jobs import workers as workers_lib
 
 Placements = list[tuple[workers_lib.Worker, workers_lib.LiveRun]]
@@ -80,13 +81,12 @@
         return []
     candidates = inputs.usable_capacity()
     reservations.begin_round(inputs, candidates)
-    shares = queue_shares.QueueShares(inputs)
-    turn = turns_lib.TurnRound(shares, inputs.now_ms)
-    search = _PlacementRound(inputs, reservations, turn, overdue, candidates)
+    shares = queue_shares_lib.QueueShares(inputs, candidates)
+    search = _PlacementRound(inputs, reservations, shares, overdue, candidates)
     _place_overdue(inputs, overdue, failures, waiting, search)
     reservations.hold_for_short_jobs()
-    inputs.sizes.forget_closed(inputs.open_jobs)
-    for job in _in_order(waiting, inputs, shares, failures):
+    search.short_workers.close()
+    for job in _in_order(waiting, inputs, search.short_workers, failures):
         try:
             search.place_job(job)
         except Exception as error:
@@ -94,6 +94,7 @@
         if len(search.placed) >= limit:
             break
     reservations.reserve_for_short_jobs(inputs, candidates)
+    reservations.clear_for_short_jobs(search.runs_to_stop())
     return search.placed
 
 
@@ -116,7 +117,7 @@
 def _in_order(
     jobs: list[tasks_lib.Job],
     inputs: round_input.RoundInput,
-    shares: queue_shares.QueueShares,
+    short_workers: short_workers_lib.ShortWorkers,
     failures: JobFailures,
 ) -> list[tasks_lib.Job]:
     """Returns jobs by rank, without those whose rank can't be computed."""
@@ -127,8 +128,7 @@
                 job,
                 inputs.run_times,
                 inputs.now_wall_ms,
-                shares.goes_first(job),
-                _is_behind(job, inputs),
+                short_workers.is_drawn(job),
             )
         except Exception as error:
             failures.note(job, error, inputs.now_ms)
@@ -137,19 +137,6 @@
     return [jobs[number] for _, number in sorted(ranks)]
 
 
-def _is_behind(job: tasks_lib.Job, inputs: round_input.RoundInput) -> bool:
-    """Returns whether a job is large, and few of its size are served.
-
-    Records a job that has expired, which goes last.
-    """
-    if ordering.serves(job):
-        return False
-    if ordering.has_expired(job, inputs.run_times, inputs.now_wall_ms):
-        inputs.sizes.note_expired(job)
-        return False
-    return inputs.sizes.is_behind(job)
-
-
 class _PlacementRound:
     """Places tasks during one round.
 
@@ -157,23 +144,28 @@
       candidates: Free capacity of each usable worker. It only decreases during
         a round.
       placed: Tasks that were placed, each with its worker.
+      short_workers: Workers kept for short jobs.
     """
 
     def __init__(
         self,
         inputs: round_input.RoundInput,
         reservations: reservations_lib.Reservations,
-        turn: turns_lib.TurnRound,
+        shares: queue_shares_lib.QueueShares,
         overdue: overdue_lib.OverdueTasks,
         candidates: list[free_capacity_lib.FreeCapacity],
     ) -> None:
         self.candidates = candidates
         self._overdue = overdue
         self._rotation = rotation_lib.Rotation(candidates, inputs.now_ms)
+        self.short_workers = short_workers_lib.ShortWorkers(
+            shares, candidates, self._rotation
+        )
+        # Services with short jobs that wait for processors.
+        self._short_waiting: set[str] = set()
         self.placed: Placements = []
         self._inputs = inputs
         self._reservations = reservations
-        self._turn = turn
         self._may_reserve_for_overdue = True
         # Job and task.
         self._placed_tasks: set[tuple[str, tasks_lib.TaskKey]] = set()
@@ -213,42 +205,42 @@
     def _place_step(
         self, job: tasks_lib.Job, keys: list[tasks_lib.TaskKey]
     ) -> None:
-        """Places waiting tasks of one step until one does not fit.
-
-        If it is not the step's turn, searches only the workers that are
-        reserved for it.
-        """
+        """Places waiting tasks of one step until one does not fit."""
         step = job.step(keys[0])
         step_id = (job.description.job, *_step_key(keys[0]))
-        must_wait = step.serves and self._turn.must_wait(job)
-        if must_wait:
-            candidates = self._reservations.candidates_of(step_id)
-        else:
-            candidates = self._candidates_for(job, step, step_id)
+        candidates = self._candidates_for(job, step, step_id)
         placed_before = len(self.placed)
         if candidates and self._place_keys(job, keys, candidates):
             return
-        if step.serves and self._turn.is_contended(job):
-            self._rotate(job, keys, step, step_id)
-        if must_wait:
-            return
         self._note_failed(job, step)
         if step.serves:
-            if not self._turn.is_contended(job):
-                self._reservations.request(
-                    self._inputs, self.candidates, job, step_id
-                )
-            return
-        if not step.uses_idle_cpu:
-            self._turn.note_waiting(job, step, step_id, self.candidates)
-            if _is_behind(job, self._inputs):
-                self._reservations.note_behind(
-                    self._inputs.now_ms, job, step_id
-                )
-                return
-        if not job.active and len(self.placed) == placed_before:
+            self._reservations.request(
+                self._inputs, self.candidates, job, step_id
+            )
+            if self.short_workers.are_kept_for(job.description.service):
+                self._rotate(job, keys, step, step_id)
+        elif not step.uses_idle_cpu and self._is_due_for_processors(job):
+            self._short_waiting.add(job.description.service)
+            self._reservations.note_short(self._inputs.now_ms, job, step_id)
+        elif not job.active and len(self.placed) == placed_before:
             self._note_overtaken(job, keys[0], step, step_id)
 
+    def _is_due_for_processors(self, job: tasks_lib.Job) -> bool:
+        """Returns whether a short job is drawn and can still be served."""
+        return (
+            demand_lib.is_short(job)
+            and self.short_workers.is_drawn(job)
+            and not ordering.has_expired(
+                job, self._inputs.run_times, self._inputs.now_wall_ms
+            )
+        )
+
+    def runs_to_stop(
+        self,
+    ) -> list[tuple[workers_lib.Worker, workers_lib.LiveRun]]:
+        """Returns serving runs to stop on the workers kept for short jobs."""
+        return self.short_workers.runs_to_stop(self._short_waiting)
+
     def _rotate(
         self,
         job: tasks_lib.Job,
@@ -286,10 +278,22 @@
         """Returns the workers to search for the tasks of a step.
 
         Only those that are reserved for the step if the search failed in this
-        round for a task of the same class that requires no more.
+        round for a task of the same class that requires no more. While drawn
+        jobs wait, others leave them the kept workers, so that pieces grow there
+        until large tasks fit.
         """
         if self._is_known_to_fail(job, step):
             return self._reservations.candidates_of(step_id)
+        if (
+            job.description.service in self._short_waiting
+            and demand_lib.is_short(job)
+            and not self.short_workers.is_drawn(job)
+        ):
+            return [
+                candidate
+                for candidate in self.candidates
+                if not candidate.kept_cpu_millis
+            ]
         return self.candidates
 
     def _is_known_to_fail(
--- a/src/galenahook/jobs/queue_shares.py
+++ b/src/galenahook/jobs/queue_shares.py
@@ -1,76 +1,131 @@
-"""Compares the processors that the queues of a service reserve."""
+"""Divides the processors of a service between its queues.
+
+Queues get equal shares, and one that asks for less than its share gets what it
+asks for. Short jobs return their processors within seconds and serving tasks
+keep theirs, so that an order for free pieces is no share: workers are kept for
+short jobs instead (`short_workers`).
+"""
 
 import collections
+from collections.abc import Mapping
+import dataclasses
 
+from galenahook.jobs import demand as demand_lib
+from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import ordering
 from galenahook.jobs import round_input
-from galenahook.jobs import tasks as tasks_lib
+
+# Processors that short jobs are given, relative to those that they use on
+# average, as they are submitted unevenly.
+SHORT_HEADROOM = 1.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueueShare:
+    """What a queue asks for and gets, in thousandths of a core."""
+
+    asked_cpu_millis: float
+    cpu_millis: float
 
 
 class QueueShares:
-    """Tells which short jobs go before serving jobs during one round.
+    """Shares of the queues during one round.
+
+    More urgent queues get their shares first.
 
-    Queues of one priority get equal shares of the processors, and one that asks
-    for less than its share gets what it asks for: of the queues that wait, the
-    one that reserves the fewest processors goes first.
+    Attributes:
+      contended: Services with serving jobs.
+      short: Shares of the queues of short jobs.
     """
 
-    __slots__ = ("_inputs", "_reserved", "_serving")
+    __slots__ = ("contended", "short")
 
-    def __init__(self, inputs: round_input.RoundInput) -> None:
-        self._inputs = inputs
-        # Queues with serving tasks that wait, and their priorities, by service.
-        self._serving: dict[str, set[tuple[str, int]]] = (
-            collections.defaultdict(set)
+    def __init__(
+        self,
+        inputs: round_input.RoundInput,
+        candidates: list[free_capacity_lib.FreeCapacity],
+    ) -> None:
+        serving = _serving_cpu_millis(inputs)
+        self.contended = {queue.service for queue in serving}
+        self.short: dict[demand_lib.Queue, QueueShare] = {}
+        measured = inputs.demand.cpu_millis(
+            inputs.run_times, inputs.now_wall_ms
         )
-        for job in inputs.open_jobs.values():
-            if job.waiting and ordering.serves(job):
-                description = job.description
-                self._serving[description.service].add(
-                    (description.queue, description.priority)
-                )
-        # Processors by service and queue.
-        self._reserved: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
-        if self._serving:
-            self._add_reserved()
-
-    def _add_reserved(self) -> None:
-        for worker in self._inputs.workers:
-            for run in worker.runs.values():
-                if not run.step.uses_idle_cpu:
-                    description = run.job.description
-                    key = description.service, description.queue
-                    self._reserved[key] += run.step.cpu_millis
-
-    def goes_first(self, job: tasks_lib.Job) -> bool:
-        """Returns whether a job goes before serving ones of its priority.
-
-        Such a job reserves processors for a short time and can still earn
-        something, and its queue reserves fewer than each queue of the same or a
-        less urgent priority with serving tasks that wait.
+        if not measured:
+            return
+        capacity: collections.Counter[str] = collections.Counter()
+        for candidate in candidates:
+            heartbeat = candidate.worker.heartbeat
+            capacity[heartbeat.service] += heartbeat.cpu_millis
+        left: dict[str, float] = dict(capacity)
+        queues = serving.keys() | measured.keys()
+        for service, priority in sorted(
+            {(queue.service, queue.priority) for queue in queues}
+        ):
+            left[service] = self._divide(
+                left.get(service, 0.0),
+                {
+                    queue: SHORT_HEADROOM * cpu_millis
+                    for queue, cpu_millis in measured.items()
+                    if (queue.service, queue.priority) == (service, priority)
+                },
+                [
+                    cpu_millis
+                    for queue, cpu_millis in serving.items()
+                    if (queue.service, queue.priority) == (service, priority)
+                ],
+            )
+
+    def _divide(
+        self,
+        capacity: float,
+        short: Mapping[demand_lib.Queue, float],
+        serving: list[float],
+    ) -> float:
+        """Divides processors between queues of one priority.
+
+        Returns:
+          The processors that are left.
         """
-        description = job.description
-        others = [
-            queue
-            for queue, priority in self._serving.get(description.service, ())
-            if priority >= description.priority
-        ]
-        if not others or not _is_short(job):
-            return False
-        own = self._reserved[description.service, description.queue]
-        least = min(
-            self._reserved[description.service, queue] for queue in others
-        )
-        return own < least and not ordering.has_expired(
-            job, self._inputs.run_times, self._inputs.now_wall_ms
+        shares = divide([*short.values(), *serving], capacity)
+        for (queue, asked), share in zip(short.items(), shares, strict=False):
+            self.short[queue] = QueueShare(asked, share)
+        return capacity - sum(shares)
+
+    def short_cpu_millis(self, service: str) -> float:
+        """Returns the processors that short jobs of a service are to get."""
+        return sum(
+            share.cpu_millis
+            for queue, share in self.short.items()
+            if queue.service == service
         )
 
 
-def _is_short(job: tasks_lib.Job) -> bool:
-    """Returns whether no task of a job serves and one reserves processors."""
-    steps = job.description.steps
-    return not ordering.serves(job) and any(
-        not step.uses_idle_cpu for step in steps
-    )
+def divide(asked: list[float], capacity: float) -> list[float]:
+    """Divides a capacity equally; returns the shares.
+
+    Who asks for less than an equal share gets what it asks for, and the others
+    divide what is left.
+    """
+    shares = [0.0] * len(asked)
+    left = capacity
+    by_size = sorted(range(len(asked)), key=asked.__getitem__)
+    for count, index in zip(range(len(asked), 0, -1), by_size, strict=True):
+        shares[index] = min(asked[index], left / count)
+        left -= shares[index]
+    return shares
+
+
+def _serving_cpu_millis(
+    inputs: round_input.RoundInput,
+) -> dict[demand_lib.Queue, float]:
+    """Returns the processors that serving tasks ask for, by queue."""
+    asked: collections.Counter[demand_lib.Queue] = collections.Counter()
+    for job in inputs.open_jobs.values():
+        if not job.ended and ordering.serves(job):
+            asked[demand_lib.queue_of(job.description)] += sum(
+                step.tasks * step.cpu_millis
+                for step in job.description.steps
+                if step.serves
+            )
+    return dict(asked)
--- a/src/galenahook/jobs/reservations.py
+++ b/src/galenahook/jobs/reservations.py
@@ -2,10 +2,10 @@
 
 Without a reservation, smaller tasks take each piece of capacity that becomes
 free, and a large task may wait forever. A serving task gets a worker within a
-second, and batch runs there are stopped for it. Of the other jobs, one that has
-nothing running counts as overtaken, and a large one is behind if few of its
-size are served, whether or not it has something running: the one that has
-waited longest gets a worker once the batch runs there have ended by themselves.
+second, and batch runs there are stopped for it. A step of a short job gets one
+once the batch runs there have ended by themselves, the one that has waited
+longest first, and so does another job that has nothing running, which counts as
+overtaken.
 The reservations of a term end with it; the next leader makes its own.
 """
 
@@ -46,14 +46,14 @@
 # How long a worker stays reserved while a run that is stopped for another task
 # has not ended.
 REPLACEMENT_HOLD_MS = 3_000
-# How long a step of a job that is behind must have fit no worker before one is
-# reserved for it.
-BEHIND_DELAY_MS = 100
+# How long a step of a short job must have fit no worker before one is reserved
+# for it.
+SHORT_DELAY_MS = 100
 # At most one of so many usable workers is reserved for overtaken jobs, but
 # always one.
 WORKERS_PER_OVERTAKEN_JOB = 128
-# The same for jobs that are behind.
-WORKERS_PER_JOB_BEHIND = 16
+# The same for short jobs.
+WORKERS_PER_SHORT_JOB = 16
 # A worker reserved for one is released after the time in which its batch runs
 # were expected to end, times the factor, and this time, as its serving tasks
 # may no longer tolerate the task.
@@ -72,7 +72,7 @@
       reserved_ms: When the reservation was made.
       until_ms: When it ends for a task that does not serve.
       replaced: Serving run that is stopped for the task; None for none.
-      is_behind: Whether it was made for a job that is behind.
+      is_short: Whether it was made for a short job.
     """
 
     candidate: free_capacity_lib.FreeCapacity
@@ -81,7 +81,7 @@
     reserved_ms: int
     until_ms: float
     replaced: workers_lib.LiveRun | None = None
-    is_behind: bool = False
+    is_short: bool = False
 
     @property
     def worker(self) -> workers_lib.Worker:
@@ -123,11 +123,12 @@
     """
 
     __slots__ = (
-        "_behind",
         "_by_worker",
+        "_cleared",
         "_overtaken",
         "_overtaken_ms",
         "_searched_ms",
+        "_short",
         "_waits",
         "last_resort",
     )
@@ -137,8 +138,10 @@
         self._waits: dict[workers_lib.StepId, _Wait] = {}
         # Overtaken steps of this round, with their jobs.
         self._overtaken: dict[workers_lib.StepId, tasks_lib.Job] = {}
-        # Those of them whose jobs are behind others of their queue.
-        self._behind: set[workers_lib.StepId] = set()
+        # Those of them that are steps of short jobs.
+        self._short: set[workers_lib.StepId] = set()
+        # Serving runs to stop for short jobs.
+        self._cleared: list[tuple[workers_lib.Worker, workers_lib.LiveRun]] = []
         # When a worker was last reserved for an overtaken job.
         self._overtaken_ms: dict[str, int] = {}
         self._searched_ms = -SEARCH_PERIOD_MS
@@ -149,6 +152,7 @@
         for reservation in list(self._by_worker.values()):
             self._release(reservation, "not needed", now_ms)
         self._waits.clear()
+        self._cleared.clear()
 
     def begin_round(
         self,
@@ -167,7 +171,8 @@
             if now_ms - wait.seen_ms <= WAIT_RETENTION_MS
         }
         self._overtaken.clear()
-        self._behind.clear()
+        self._short.clear()
+        self._cleared.clear()
         if not self._by_worker:
             return
         usable = {candidate.worker.name: candidate for candidate in candidates}
@@ -270,34 +275,34 @@
         self._overtaken[step_id] = job
         return wait.since_ms
 
-    def note_behind(
+    def note_short(
         self, now_ms: int, job: tasks_lib.Job, step_id: workers_lib.StepId
     ) -> None:
-        """Records that a step of a job that is behind fits no worker."""
-        self._note_wait(step_id, now_ms, BEHIND_DELAY_MS)
+        """Records that a step of a short job fits no worker."""
+        self._note_wait(step_id, now_ms, SHORT_DELAY_MS)
         self._overtaken[step_id] = job
-        self._behind.add(step_id)
+        self._short.add(step_id)
 
     def reserve_for_short_jobs(
         self,
         inputs: round_input.RoundInput,
         candidates: list[free_capacity_lib.FreeCapacity],
     ) -> None:
-        """Reserves a worker for the job that is behind or overtaken longest."""
+        """Reserves a worker for the step of these that has waited longest."""
         short = [
             item for item in self._by_worker.values() if not item.step.serves
         ]
-        reserved_behind = sum(item.is_behind for item in short)
-        reserved_overtaken = len(short) - reserved_behind
+        reserved_short = sum(item.is_short for item in short)
+        reserved_overtaken = len(short) - reserved_short
         overtaken = max(1, len(candidates) // WORKERS_PER_OVERTAKEN_JOB)
-        behind = max(1, len(candidates) // WORKERS_PER_JOB_BEHIND)
+        most_short = max(1, len(candidates) // WORKERS_PER_SHORT_JOB)
         due = [
             step_id
             for step_id in self._overtaken
             if self._waits[step_id].search_ms <= inputs.now_ms
             and (
-                reserved_behind < behind
-                if step_id in self._behind
+                reserved_short < most_short
+                if step_id in self._short
                 else reserved_overtaken < overtaken
                 and not self.candidates_of(step_id)
             )
@@ -382,7 +387,7 @@
                 step_id,
                 now_ms,
                 now_ms + hold_ms,
-                is_behind=step_id in self._behind,
+                is_short=step_id in self._short,
             )
         )
         logs.info(
@@ -439,6 +444,12 @@
             replaced=replacement.run.task,
         )
 
+    def clear_for_short_jobs(
+        self, runs: list[tuple[workers_lib.Worker, workers_lib.LiveRun]]
+    ) -> None:
+        """Sets the serving runs to stop on workers kept for short jobs."""
+        self._cleared = runs
+
     def may_reserve(self, candidates: int) -> bool:
         """Returns whether one more worker may be reserved for serving steps."""
         limit = min(candidates // WORKERS_PER_RESERVATION, MAX_RESERVATIONS)
@@ -448,25 +459,39 @@
     def runs_to_preempt(
         self, now_ms: int
     ) -> list[tuple[workers_lib.Worker, workers_lib.LiveRun, str]]:
-        """Returns batch runs to stop on workers reserved for long.
+        """Returns runs to stop, each with its worker and the reason.
 
-        Each with its worker and the job that it makes room for.
+        Batch runs on workers reserved for long, serving runs that give their
+        place to another task, and those on workers kept for short jobs.
         """
+        cleared = [
+            (worker, run, "makes room for short jobs")
+            for worker, run in self._cleared
+            if not run.stopping
+        ]
         replaced = [
-            (item.worker, item.replaced, item.step_id[0])
+            (item.worker, item.replaced, _reason(item))
             for item in self._by_worker.values()
             if item.replaced is not None and not item.replaced.stopping
         ]
-        return replaced + [
-            (reservation.worker, run, reservation.step_id[0])
-            for reservation in self._by_worker.values()
-            if reservation.step.serves
-            and reservation.replaced is None
-            and now_ms - reservation.reserved_ms >= PREEMPTION_DELAY_MS
-            for run in shortages.runs_to_stop(
-                reservation.worker, reservation.step
-            )
-        ]
+        return (
+            cleared
+            + replaced
+            + [
+                (reservation.worker, run, _reason(reservation))
+                for reservation in self._by_worker.values()
+                if reservation.step.serves
+                and reservation.replaced is None
+                and now_ms - reservation.reserved_ms >= PREEMPTION_DELAY_MS
+                for run in shortages.runs_to_stop(
+                    reservation.worker, reservation.step
+                )
+            ]
+        )
+
+
+def _reason(reservation: Reservation) -> str:
+    return f"makes room for a serving task of job {reservation.step_id[0]}"
 
 
 def _waiting_counts(
--- a/src/galenahook/jobs/rotation.py
+++ b/src/galenahook/jobs/rotation.py
@@ -50,6 +50,27 @@
         self._spared: list[Replacement] | None = None
         self._chosen: set[workers_lib.StepId] = set()
 
+    def spare_on(
+        self, candidate: free_capacity_lib.FreeCapacity, cpu_millis: float
+    ) -> list[workers_lib.LiveRun]:
+        """Returns runs of a worker to stop for some of its processors.
+
+        At most one of a step; fewer if others may not be stopped. None of them
+        is chosen for another task afterwards.
+        """
+        runs = []
+        for item in self._spared_runs():
+            if cpu_millis <= 0:
+                break
+            if (
+                item.candidate is candidate
+                and item.run.step_id not in self._chosen
+            ):
+                self._chosen.add(item.run.step_id)
+                runs.append(item.run)
+                cpu_millis -= item.run.step.cpu_millis
+        return runs
+
     def choose(
         self,
         description: commands.JobDescription,
--- a/src/galenahook/jobs/round_input.py
+++ b/src/galenahook/jobs/round_input.py
@@ -11,7 +11,6 @@
 from galenahook.jobs import demand as demand_lib
 from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import run_times as run_times_lib
-from galenahook.jobs import service_levels
 from galenahook.jobs import tail_latency as tail_latency_lib
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import workers as workers_lib
@@ -30,7 +29,6 @@
       run_times: Estimated run times.
       tails: Forecasts of tail latencies.
       demand: Processors that short jobs ask for.
-      sizes: Compares how jobs of different sizes are served.
     """
 
     now_ms: int
@@ -41,7 +39,6 @@
     run_times: run_times_lib.RunTimes
     tails: tail_latency_lib.TailLatencyControl
     demand: demand_lib.ShortDemand
-    sizes: service_levels.SizeShares
 
     def usable_capacity(self) -> list[free_capacity_lib.FreeCapacity]:
         """Returns the free capacity of each worker on which runs may start."""
--- a/src/galenahook/jobs/service_levels.py
+++ b/src/galenahook/jobs/service_levels.py
@@ -2,7 +2,6 @@
 
 import bisect
 import collections
-from collections.abc import Container
 from collections.abc import Iterable
 import enum
 
@@ -18,10 +17,6 @@
 MAX_RANKED_JOBS = 400
 
 
-# Result of a job that was completed too late.
-EXPIRED = "expired"
-
-
 class SizeClass(enum.Enum):
     """Rank of a job by its work among the latest jobs of its queue."""
 
@@ -30,12 +25,6 @@
     OTHER = "other"
 
 
-# Latest jobs of a queue whose ends are compared by size.
-MAX_COMPARED_JOBS = 400
-# Large jobs are behind if the share of them that is served is less than this
-# share of that of all jobs of their queue.
-BEHIND_SHARE = 0.75
-
 # Lowest rank of each class, as a share of the jobs of a queue.
 _LOWEST_RANKS = ((0.9, SizeClass.LARGEST), (0.7, SizeClass.LARGE))
 
@@ -70,71 +59,12 @@
         return SizeClass.OTHER
 
 
-class SizeShares:
-    """Tells which large jobs of a queue are served less often than others.
-
-    Attributes:
-      ranks: Sizes of the latest jobs.
-    """
-
-    __slots__ = ("_counts", "_expired", "_latest", "ranks")
-
-    def __init__(self, ranks: SizeRanks) -> None:
-        self.ranks = ranks
-        # Class of the latest jobs of a queue, and whether each was served.
-        self._latest: dict[str, collections.deque[tuple[SizeClass, bool]]] = {}
-        # Number of these by queue, class and result.
-        self._counts: collections.Counter[tuple[str, SizeClass, bool]] = (
-            collections.Counter()
-        )
-        # Open jobs that count as not served.
-        self._expired: set[str] = set()
-
-    def note_ended(self, job: tasks_lib.Job, is_served: bool) -> None:
-        """Records the end of a job."""
-        if job.description.job in self._expired:
-            self._expired.remove(job.description.job)
-        else:
-            self._note(job, is_served)
-
-    def note_expired(self, job: tasks_lib.Job) -> None:
-        """Records an open job that can no longer be served in time."""
-        if job.description.job not in self._expired:
-            self._expired.add(job.description.job)
-            self._note(job, is_served=False)
-
-    def forget_closed(self, open_jobs: Container[str]) -> None:
-        """Forgets expired jobs that are no longer open."""
-        self._expired = {job for job in self._expired if job in open_jobs}
-
-    def _note(self, job: tasks_lib.Job, is_served: bool) -> None:
-        queue = job.description.queue
-        latest = self._latest.setdefault(queue, collections.deque())
-        latest.append((self.ranks.size_class(job), is_served))
-        self._counts[queue, *latest[-1]] += 1
-        if len(latest) > MAX_COMPARED_JOBS:
-            self._counts[queue, *latest.popleft()] -= 1
-
-    def is_behind(self, job: tasks_lib.Job) -> bool:
-        """Returns whether jobs of the size of a large one are served less."""
-        size_class = self.ranks.size_class(job)
-        if size_class is SizeClass.OTHER:
-            return False
-        queue = job.description.queue
-        own_served = self._counts[queue, size_class, True]
-        own = own_served + self._counts[queue, size_class, False]
-        served = sum(self._counts[queue, other, True] for other in SizeClass)
-        count = len(self._latest.get(queue, ()))
-        return own_served * count < BEHIND_SHARE * served * own
-
-
 class ServiceLevels:
     """Logs and counts the ends of jobs that callers submitted.
 
     Attributes:
       demand: Processors that short jobs ask for.
       ranks: Sizes of the latest jobs.
-      sizes: Compares how jobs of different sizes are served.
     """
 
     __slots__ = (
@@ -143,7 +73,6 @@
         "_unreported",
         "demand",
         "ranks",
-        "sizes",
     )
 
     def __init__(
@@ -154,7 +83,6 @@
     ) -> None:
         self.demand = demand_lib.ShortDemand()
         self.ranks = SizeRanks()
-        self.sizes = SizeShares(self.ranks)
         self._metrics = metrics
         self._run_times = run_times
         # Jobs with ends whose commit may be under way.
@@ -189,8 +117,6 @@
         target_ms = ordering.target_duration_ms(job, self._run_times)
         result = _result(record.outcome, took_ms, target_ms)
         size_class = self.ranks.size_class(job)
-        if record.outcome is tasks_lib.Outcome.COMPLETED:
-            self.sizes.note_ended(job, result != EXPIRED)
         self._metrics.jobs_ended.labels(
             record.description.queue, size_class.value, result
         ).inc()
@@ -244,4 +170,4 @@
         return "in-time"
     if took_ms <= ordering.MAX_OBJECTIVE_MULTIPLE * target_ms:
         return "late"
-    return EXPIRED
+    return "expired"
--- a/src/galenahook/jobs/waiting.py
+++ b/src/galenahook/jobs/waiting.py
@@ -1,14 +1,17 @@
 """Reports why tasks wait for a worker."""
 
 import collections
+from collections.abc import Mapping
 
 from galenahook import commands
 from galenahook import logs
 from galenahook.jobs import contention
+from galenahook.jobs import demand as demand_lib
 from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import headroom as headroom_lib
 from galenahook.jobs import ordering
 from galenahook.jobs import overdue as overdue_lib
+from galenahook.jobs import queue_shares
 from galenahook.jobs import round_input
 from galenahook.jobs import tasks as tasks_lib
 
@@ -48,7 +51,7 @@
             largest_cpu_millis=max(free, default=0),
         )
         reserved = _reserved_cpu_millis(inputs)
-        asked = _asked_cpu_millis(inputs)
+        shares = queue_shares.QueueShares(inputs, candidates).short
         for queue, jobs in sorted(
             queues.items(), key=lambda item: -_task_count(item[1])
         )[:MAX_QUEUES]:
@@ -62,7 +65,7 @@
                 tasks=_task_count(jobs),
                 waiting_cpu_millis=_waiting_cpu_millis(jobs),
                 reserved_cpu_millis=reserved[queue],
-                asked_cpu_millis=round(asked[queue]),
+                **_share(shares, queue),
                 job=job.description.job,
                 step=key[1],
                 waited_ms=inputs.now_wall_ms - job.record.submitted_ms,
@@ -135,15 +138,15 @@
     return reserved
 
 
-def _asked_cpu_millis(
-    inputs: round_input.RoundInput,
-) -> collections.Counter[str]:
-    """Returns the processors that the short jobs of each queue need."""
-    asked: collections.Counter[str] = collections.Counter()
-    measured = inputs.demand.cpu_millis(inputs.run_times, inputs.now_wall_ms)
-    for queue, cpu_millis in measured.items():
-        asked[queue.name] += round(cpu_millis)
-    return asked
+def _share(
+    shares: Mapping[demand_lib.Queue, queue_shares.QueueShare], name: str
+) -> dict[str, int]:
+    """Returns what the short jobs of a queue ask for and get."""
+    own = [share for queue, share in shares.items() if queue.name == name]
+    return {
+        "asked_cpu_millis": round(sum(item.asked_cpu_millis for item in own)),
+        "share_cpu_millis": round(sum(item.cpu_millis for item in own)),
+    }
 
 
 def _serving_waits(
--- a/tests/job_simulation.py
+++ b/tests/job_simulation.py
@@ -208,6 +208,10 @@
         self.dispatcher.note_end(link.worker, run, outcome)
         await self.dispatcher.queue_ends([end])
 
+    def prolong(self, run, by_ms):
+        """Lets a run take longer than its step was estimated to."""
+        self._ordered_ms[run.task, run.run] += by_ms
+
     async def advance_until_started(self, task, limit_ms=MAX_WAIT_MS):
         """Advances until a task has started."""
         began_ms = self.clock.now_ms
