--- a/src/galenahook/jobs/queue_shares.py
+++ b/src/galenahook/jobs/queue_shares.py
@@ -35,10 +35,11 @@
 
     Attributes:
       contended: Services with serving jobs.
+      serving_labels: Labels that serving tasks require.
       short: Shares of the queues of short jobs.
     """
 
-    __slots__ = ("contended", "short")
+    __slots__ = ("contended", "serving_labels", "short")
 
     def __init__(
         self,
@@ -47,6 +48,12 @@
     ) -> None:
         serving = _serving_cpu_millis(inputs)
         self.contended = {queue.service for queue in serving}
+        self.serving_labels = {
+            step.required_label
+            for job in inputs.open_jobs.values()
+            for step in job.description.steps
+            if step.serves and step.required_label
+        }
         self.short: dict[demand_lib.Queue, QueueShare] = {}
         measured = inputs.demand.cpu_millis(
             inputs.run_times, inputs.now_wall_ms
--- a/src/galenahook/jobs/short_workers.py
+++ b/src/galenahook/jobs/short_workers.py
@@ -8,9 +8,11 @@
 as far as their steps may miss tasks, and go elsewhere.
 
 The workers with the fewest processors in use by serving tasks are chosen, so
-that each leader chooses those that the one before it has chosen.
+that each leader chooses those that the one before it has chosen. Those with
+hardware that serving tasks need go last.
 """
 
+from collections.abc import Set
 import dataclasses
 import zlib
 
@@ -76,12 +78,13 @@
         self._rotation = rotation
         self._shares = shares
         self.kept: list[KeptWorker] = []
+        scarce = shares.serving_labels
         # Part of the kept processors that serving tasks do not use, by service.
         self._usable: dict[str, float] = {}
         for service in sorted(shares.contended):
             cpu_millis = shares.short_cpu_millis(service)
             if cpu_millis:
-                kept = _choose(candidates, service, cpu_millis)
+                kept = _choose(candidates, service, cpu_millis, scarce)
                 usable = sum(item.usable_cpu_millis() for item in kept)
                 self._usable[service] = usable / cpu_millis
                 self.kept += kept
@@ -141,6 +144,7 @@
     candidates: list[free_capacity_lib.FreeCapacity],
     service: str,
     cpu_millis: float,
+    serving_labels: Set[str],
 ) -> list[KeptWorker]:
     """Chooses workers for a number of processors; the last one in part."""
     ranked = sorted(
@@ -151,6 +155,8 @@
         ),
         # Names of workers of one zone or rack may follow each other.
         key=lambda candidate: (
+            not serving_labels.isdisjoint(candidate.worker.heartbeat.labels),
+            candidate.worker.heartbeat.gpus,
             serving_cpu_millis(candidate.worker),
             zlib.crc32(candidate.worker.name.encode()),
         ),
--- a/tests/test_jobs_short_workers.py
+++ b/tests/test_jobs_short_workers.py
@@ -1,5 +1,6 @@
 """Processors of workers that are kept for short jobs."""
 
+import msgspec
 import pytest
 
 from galenahook.jobs import demand as demand_lib
@@ -37,6 +38,7 @@
     """Builds shares of short jobs beside lasting ones."""
     made = object.__new__(queue_shares.QueueShares)
     made.contended = {"desk"}
+    made.serving_labels = {"scarce"}
     made.short = {
         QUEUE: queue_shares.QueueShare(1_000 * (asked or cores), 1_000 * cores)
     }
@@ -68,6 +70,19 @@
     assert names(kept_on(workers, 11)) == [("w2", 8_000), ("w3", 3_000)]
 
 
+def test_workers_with_hardware_that_serving_tasks_need_go_last():
+    labelled, accelerated = worker("w1"), worker("w2")
+    labelled.heartbeat = msgspec.structs.replace(
+        labelled.heartbeat, labels=("scarce",)
+    )
+    accelerated.heartbeat = msgspec.structs.replace(
+        accelerated.heartbeat, gpus=1
+    )
+    other = worker("w3", lasting_run("f1"))
+    kept = kept_on([labelled, accelerated, other], 12)
+    assert names(kept) == [("w3", 8_000), ("w2", 4_000)]
+
+
 def test_nothing_is_kept_without_serving_jobs():
     kept = kept_on([worker("w1")], 0)
     assert not kept.kept
@@ -181,7 +196,7 @@
         if now_ms % 1_000 == 0:
             job = f"{0xA000 + now_ms:016x}"
             command = build.submit(build.step(cpu_millis=500), job=job)
-            site.submit(commands_at(command, build.SITE_WALL_MS + now_ms))
+            site.submit(at(now_ms, command))
         placed = placement.place_waiting(
             site.inputs(), site.reservations, site.overdue, site.failures, 100
         )
@@ -191,13 +206,13 @@
             else:
                 del site.workers[0].runs[run.task]
                 site.table.record(build.starts(build.start(run.task)))
-                site.table.record(build.ends(build.end(run.task)))
+                site.table.record(at(now_ms, build.ends(build.end(run.task))))
         if began_ms:
             break
     # Submitted a second before time 0.
     assert 4_000 <= began_ms[0] <= 6_000
 
 
-def commands_at(command, at_ms):
-    """Returns a command of a given wall time."""
-    return type(command)(description=command.description, at_ms=at_ms)
+def at(now_ms, command):
+    """Returns a command of a time of the site."""
+    return msgspec.structs.replace(command, at_ms=build.SITE_WALL_MS + now_ms)
