Count the demand of short jobs right beside scheduled and ended jobs

Short jobs were taken to ask for eight times as much while the first job of their queue was scheduled for later or after the clock was set back, and for occurrences of cancelled jobs, so that processors were kept for nothing; a clock that was ahead for a moment forgot them. Found in the review of the design.

--- a/src/galenahook/jobs/demand.py
+++ b/src/galenahook/jobs/demand.py
@@ -11,6 +11,8 @@
 WINDOW_MS = 8_000
 # Shortest time over which the work of a new queue is averaged.
 MIN_WINDOW_MS = 1_000
+# Time after which a job no longer counts, even if the clock is set back.
+RETENTION_MS = 60_000
 # Time for which a measurement is used.
 REFRESH_MS = 250
 
@@ -63,7 +65,9 @@
         """Adds a job that was submitted."""
         if is_short(job):
             queue = queue_of(job.description)
-            self._first_ms.setdefault(queue, _due_ms(job))
+            submitted_ms = job.record.submitted_ms
+            first_ms = self._first_ms.get(queue, submitted_ms)
+            self._first_ms[queue] = min(first_ms, submitted_ms)
             self._jobs.append(job)
 
     def cpu_millis(
@@ -89,7 +93,9 @@
     ) -> dict[Queue, float]:
         since_ms = now_wall_ms - WINDOW_MS
         self._jobs = collections.deque(
-            job for job in self._jobs if _last_due_ms(job) > since_ms
+            job
+            for job in self._jobs
+            if _last_due_ms(job) > now_wall_ms - RETENTION_MS
         )
         work: collections.Counter[Queue] = collections.Counter()
         for job in self._jobs:
@@ -99,14 +105,18 @@
                     _work(job, run_times)
                 )
         return {
-            queue: total
-            / min(
-                WINDOW_MS,
-                max(MIN_WINDOW_MS, now_wall_ms - self._first_ms[queue]),
-            )
+            queue: total / self._window_ms(queue, now_wall_ms)
             for queue, total in work.items()
         }
 
+    def _window_ms(self, queue: Queue, now_wall_ms: int) -> int:
+        """Returns the time over which the work of a queue is averaged."""
+        known_ms = now_wall_ms - self._first_ms[queue]
+        # The clock may have been set back.
+        if known_ms < 0:
+            return WINDOW_MS
+        return min(WINDOW_MS, max(MIN_WINDOW_MS, known_ms))
+
 
 def _work(job: tasks_lib.Job, run_times: run_times_lib.RunTimes) -> float:
     """Returns the work of one occurrence in millis of cores times ms."""
@@ -125,18 +135,27 @@
 
 
 def _last_due_ms(job: tasks_lib.Job) -> int:
+    """Returns when the last occurrence becomes due, or the job has ended."""
     description = job.description
     later_ms = (description.occurrences - 1) * description.interval_ms
-    return _due_ms(job) + max(0, later_ms)
+    last_ms = _due_ms(job) + max(0, later_ms)
+    return min(last_ms, job.record.ended_ms) if job.ended else last_ms
 
 
 def _due_between(job: tasks_lib.Job, after_ms: int, until_ms: int) -> int:
-    """Returns the number of occurrences that became due in a time."""
+    """Returns the number of occurrences that became due in a time.
+
+    Of a job that has ended, those that were due before.
+    """
     first_ms = _due_ms(job)
+    if job.ended:
+        until_ms = min(until_ms, job.record.ended_ms)
+    if first_ms > until_ms:
+        return 0
+    last = job.description.occurrences - 1
     interval_ms = job.description.interval_ms
     if interval_ms <= 0:
-        return job.description.occurrences * (after_ms < first_ms <= until_ms)
-    return sum(
-        after_ms < first_ms + number * interval_ms <= until_ms
-        for number in range(job.description.occurrences)
-    )
+        return (last + 1) * (after_ms < first_ms)
+    newest = min(last, (until_ms - first_ms) // interval_ms)
+    oldest = max(0, (after_ms - first_ms) // interval_ms + 1)
+    return max(0, newest - oldest + 1)
