--- a/tests/job_simulation.py
+++ b/tests/job_simulation.py
@@ -63,6 +63,7 @@
 
     def __init__(self):
         self.stopped = []
+        self.stopping = set()
 
     async def start(self, _order):
         """Starts the run."""
@@ -70,7 +71,8 @@
 
     async def stop(self, task, _run, _term):
         """Records a stop; it is sent again until the run has ended."""
-        if task not in self.stopped:
+        if task not in self.stopping:
+            self.stopping.add(task)
             self.stopped.append(task)
         return True
 
@@ -189,7 +191,7 @@
                 run.job.description.job in self.failing
                 or link.worker.name in self.failing_workers
             )
-            if run.task in link.client.stopped:
+            if run.task in link.client.stopping:
                 await self.end(link, run, "gone")
             elif is_failing:
                 if age_ms >= FAILURE_AGE_MS:
@@ -204,6 +206,7 @@
 
     async def end(self, link, run, outcome):
         """Ends a run."""
+        link.client.stopping.discard(run.task)
         end = link.end_run(run, outcome, run.checkpoint, "")
         self.dispatcher.note_end(link.worker, run, outcome)
         await self.dispatcher.queue_ends([end])
