Serve drawn jobs whole, and keep the place of a replaced run

The threshold of the draw follows from the processors that short jobs can use and changes from round to round.

A worker on which a run was stopped for a waiting lasting task could become one that is kept for short jobs before that task was placed. Such workers are chosen last. Both were found in the review of the design.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -16,6 +16,7 @@
 from galenahook import logs
 from galenahook.jobs import calls
 from galenahook.jobs import contention as contention_lib
+from galenahook.jobs import drawn_jobs
 from galenahook.jobs import health as health_lib
 from galenahook.jobs import learned_model
 from galenahook.jobs import link as link_lib
@@ -98,6 +99,7 @@
         self.unattached = _active_runs(node)
         self.make_client = make_client
         self._overdue = overdue_lib.OverdueTasks()
+        self._drawn = drawn_jobs.DrawnJobs()
         self._placement_failures = placement.JobFailures()
         self._ends: list[commands.RunEnd] = []
         self._wake = notify.Signal()
@@ -197,6 +199,7 @@
             run_times=self.run_times,
             tails=self.tails,
             demand=self.service_levels.demand,
+            drawn=self._drawn,
         )
 
     async def _order_throttles(self) -> None:
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -86,6 +86,7 @@
     _place_overdue(inputs, overdue, failures, waiting, search)
     reservations.hold_for_short_jobs()
     search.short_workers.close()
+    inputs.drawn.forget_closed(inputs.open_jobs)
     for job in _in_order(waiting, inputs, search.short_workers, failures):
         try:
             search.place_job(job)
@@ -159,7 +160,7 @@
         self._overdue = overdue
         self._rotation = rotation_lib.Rotation(candidates, inputs.now_ms)
         self.short_workers = short_workers_lib.ShortWorkers(
-            shares, candidates, self._rotation
+            shares, candidates, self._rotation, inputs.drawn
         )
         # Services with short jobs that wait for processors.
         self._short_waiting: set[str] = set()
--- a/src/galenahook/jobs/round_input.py
+++ b/src/galenahook/jobs/round_input.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from galenahook.jobs import demand as demand_lib
+from galenahook.jobs import drawn_jobs
 from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import run_times as run_times_lib
 from galenahook.jobs import tail_latency as tail_latency_lib
@@ -29,6 +30,7 @@
       run_times: Estimated run times.
       tails: Forecasts of tail latencies.
       demand: Processors that short jobs ask for.
+      drawn: Short jobs that were drawn.
     """
 
     now_ms: int
@@ -39,6 +41,7 @@
     run_times: run_times_lib.RunTimes
     tails: tail_latency_lib.TailLatencyControl
     demand: demand_lib.ShortDemand
+    drawn: drawn_jobs.DrawnJobs
 
     def usable_capacity(self) -> list[free_capacity_lib.FreeCapacity]:
         """Returns the free capacity of each worker on which runs may start."""
--- a/src/galenahook/jobs/short_workers.py
+++ b/src/galenahook/jobs/short_workers.py
@@ -17,13 +17,13 @@
 import zlib
 
 from galenahook.jobs import demand as demand_lib
+from galenahook.jobs import drawn_jobs
 from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import queue_shares
 from galenahook.jobs import rotation as rotation_lib
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import workers as workers_lib
 
-_CRC_RANGE = 2**32
 # Serving runs are stopped on at most one of so many workers at a time, but
 # always on one.
 WORKERS_PER_CLEARED = 64
@@ -66,15 +66,24 @@
       kept: The workers, those with the fewest serving tasks first.
     """
 
-    __slots__ = ("_candidates", "_rotation", "_shares", "_usable", "kept")
+    __slots__ = (
+        "_candidates",
+        "_drawn",
+        "_rotation",
+        "_shares",
+        "_usable",
+        "kept",
+    )
 
     def __init__(
         self,
         shares: queue_shares.QueueShares,
         candidates: list[free_capacity_lib.FreeCapacity],
         rotation: rotation_lib.Rotation,
+        drawn: drawn_jobs.DrawnJobs,
     ) -> None:
         self._candidates = candidates
+        self._drawn = drawn
         self._rotation = rotation
         self._shares = shares
         self.kept: list[KeptWorker] = []
@@ -101,16 +110,15 @@
     def is_drawn(self, job: tasks_lib.Job) -> bool:
         """Returns whether a short job is to be served before others.
 
-        The draw depends on nothing but the job's identifier and on the
-        processors that its queue can use, so that the next leader draws the
-        same jobs.
+        As many are drawn as the processors serve that their queue can use.
         """
         share = self._shares.short.get(demand_lib.queue_of(job.description))
-        if share is None:
+        if share is None or not share.asked_cpu_millis:
             return True
         usable = self._usable.get(job.description.service, 1.0)
-        drawn = zlib.crc32(job.description.job.encode()) / _CRC_RANGE
-        return drawn * share.asked_cpu_millis < usable * share.cpu_millis
+        return self._drawn.is_drawn(
+            job, usable * share.cpu_millis / share.asked_cpu_millis
+        )
 
     def runs_to_stop(
         self, waiting_services: set[str]
@@ -153,11 +161,13 @@
             for candidate in candidates
             if candidate.worker.heartbeat.service == service
         ),
-        # Names of workers of one zone or rack may follow each other.
+        # A worker that is reserved at this time is so for a serving task. Names
+        # of workers of one zone or rack may follow each other.
         key=lambda candidate: (
             not serving_labels.isdisjoint(candidate.worker.heartbeat.labels),
             candidate.worker.heartbeat.gpus,
-            serving_cpu_millis(candidate.worker),
+            candidate.reserved_for is not None,
+            candidate.serving_cpu_millis,
             zlib.crc32(candidate.worker.name.encode()),
         ),
     )
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -10,6 +10,7 @@
 from galenahook import commands
 from galenahook.jobs import calls
 from galenahook.jobs import demand as demand_lib
+from galenahook.jobs import drawn_jobs
 from galenahook.jobs import overdue as overdue_lib
 from galenahook.jobs import placement
 from galenahook.jobs import reservations as reservations_lib
@@ -194,6 +195,7 @@
       overdue: Serving tasks that have waited for long.
       failures: Jobs whose placement raised an exception.
       demand: Processors that short jobs ask for.
+      drawn: Short jobs that were drawn.
     """
 
     def __init__(
@@ -212,6 +214,7 @@
         self.overdue = overdue_lib.OverdueTasks()
         self.failures = placement.JobFailures()
         self.demand = demand_lib.ShortDemand()
+        self.drawn = drawn_jobs.DrawnJobs()
         for command in submits:
             self.submit(command)
 
@@ -231,4 +234,5 @@
             run_times=self.run_times,
             tails=self.tails,
             demand=self.demand,
+            drawn=self.drawn,
         )
--- a/tests/test_jobs_short_workers.py
+++ b/tests/test_jobs_short_workers.py
@@ -4,6 +4,7 @@
 import pytest
 
 from galenahook.jobs import demand as demand_lib
+from galenahook.jobs import drawn_jobs
 from galenahook.jobs import placement
 from galenahook.jobs import queue_shares
 from galenahook.jobs import rotation as rotation_lib
@@ -52,7 +53,7 @@
     candidates = site.inputs().usable_capacity()
     rotation = rotation_lib.Rotation(candidates, NOW_MS)
     return short_workers.ShortWorkers(
-        shares(cores, asked), candidates, rotation
+        shares(cores, asked), candidates, rotation, site.drawn
     )
 
 
@@ -172,6 +173,38 @@
         assert kept.is_drawn(small) == kept.is_drawn(large)
 
 
+def test_a_drawn_job_stays_drawn_while_it_is_open():
+    """Its tasks that are done would have been run for nothing."""
+    drawn = drawn_jobs.DrawnJobs()
+    jobs = [build.job(job=f"{number:016x}") for number in range(100)]
+
+    def count(share):
+        return sum(drawn.is_drawn(job, share) for job in jobs)
+
+    before = count(0.5)
+    assert 30 <= before <= 70
+    assert count(0.1) == before
+    assert count(0.9) > before
+    drawn.forget_closed(())
+    assert count(0.1) < before
+
+
+def test_a_worker_reserved_for_a_serving_task_is_kept_last():
+    """The place of a run that was stopped for the task is not taken."""
+    workers = [worker("w1"), worker("w2", lasting_run("f2"))]
+    site = build.Site(workers)
+    site.now_ms = NOW_MS
+    candidates = site.inputs().usable_capacity()
+    candidates[0].reserved_for = (LASTING_JOB, 0, 0)
+    kept = short_workers.ShortWorkers(
+        shares(8),
+        candidates,
+        rotation_lib.Rotation(candidates, NOW_MS),
+        site.drawn,
+    )
+    assert names(kept) == [("w2", 8_000)]
+
+
 def test_jobs_of_a_queue_without_a_share_are_drawn():
     kept = kept_on([worker("w1")], 8, asked=25)
     assert drawn_share(kept) < 1
