Clear kept workers for any short job that fits one, drawn or not

Where serving tasks used all kept processors, no job was drawn, and only drawn jobs made them leave. A task larger than every worker made them leave for nothing. The test failed in both cases.

--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -162,8 +162,10 @@
         self.short_workers = short_workers_lib.ShortWorkers(
             shares, candidates, self._rotation, inputs.drawn
         )
-        # Services with short jobs that wait for processors.
+        # Services with short jobs that wait for processors, and those of them
+        # with drawn ones.
         self._short_waiting: set[str] = set()
+        self._drawn_waiting: set[str] = set()
         self.placed: Placements = []
         self._inputs = inputs
         self._reservations = reservations
@@ -220,20 +222,36 @@
             )
             if self.short_workers.are_kept_for(job.description.service):
                 self._rotate(job, keys, step, step_id)
-        elif not step.uses_idle_cpu and self._is_due_for_processors(job):
+            return
+        if not step.uses_idle_cpu and self._is_owed_room(job, step, step_id):
             self._short_waiting.add(job.description.service)
-            self._reservations.note_short(self._inputs.now_ms, job, step_id)
-        elif not job.active and len(self.placed) == placed_before:
+            if self.short_workers.is_drawn(job):
+                self._drawn_waiting.add(job.description.service)
+                self._reservations.note_short(self._inputs.now_ms, job, step_id)
+                return
+        if not job.active and len(self.placed) == placed_before:
             self._note_overtaken(job, keys[0], step, step_id)
 
-    def _is_due_for_processors(self, job: tasks_lib.Job) -> bool:
-        """Returns whether a short job is drawn and can still be served."""
+    def _is_owed_room(
+        self,
+        job: tasks_lib.Job,
+        step: commands.StepDescription,
+        step_id: workers_lib.StepId,
+    ) -> bool:
+        """Returns whether serving tasks are to leave room for a short job.
+
+        It can still be served, and a worker is large enough for its tasks.
+        """
         return (
             demand_lib.is_short(job)
-            and self.short_workers.is_drawn(job)
             and not ordering.has_expired(
                 job, self._inputs.run_times, self._inputs.now_wall_ms
             )
+            and any(
+                candidate.would_fit_if_empty(step)
+                and candidate.is_allowed(job.description.service, step, step_id)
+                for candidate in self.candidates
+            )
         )
 
     def runs_to_stop(
@@ -286,7 +304,7 @@
         if self._is_known_to_fail(job, step):
             return self._reservations.candidates_of(step_id)
         if (
-            job.description.service in self._short_waiting
+            job.description.service in self._drawn_waiting
             and demand_lib.is_short(job)
             and not self.short_workers.is_drawn(job)
         ):
--- a/tests/test_jobs_short_workers.py
+++ b/tests/test_jobs_short_workers.py
@@ -246,6 +246,26 @@
     assert 4_000 <= began_ms[0] <= 6_000
 
 
+@pytest.mark.parametrize("cpu_millis", [CPU_MILLIS, CPU_MILLIS + 1])
+def test_serving_runs_make_room_only_for_tasks_that_fit_a_worker(cpu_millis):
+    """Also where they leave short jobs nothing, so that none is drawn."""
+    run = lasting_run("f1", cpu_millis=CPU_MILLIS)
+    site = build.Site(
+        [worker("w1", run)],
+        build.submit(*run.job.description.steps, job=run.job.description.job),
+    )
+    site.table.record(build.starts(build.start(run.task)))
+    site.now_ms = NOW_MS
+    short = build.step(cpu_millis=cpu_millis)
+    site.submit(at(NOW_MS, build.submit(short, job="00000000000000e2")))
+    placement.place_waiting(
+        site.inputs(), site.reservations, site.overdue, site.failures, 100
+    )
+    stops = site.reservations.runs_to_preempt(NOW_MS)
+    is_too_large = cpu_millis > CPU_MILLIS
+    assert bool(stops) != is_too_large
+
+
 def at(now_ms, command):
     """Returns a command of a time of the site."""
     return msgspec.structs.replace(command, at_ms=build.SITE_WALL_MS + now_ms)
