Stop no run whose step may still lose one stopped before an election

A new leader does not know which runs the one before it has ordered to stop. A run of an earlier term counts as at work once it is still listed after the longest stop.

--- a/src/galenahook/jobs/rotation.py
+++ b/src/galenahook/jobs/rotation.py
@@ -18,6 +18,9 @@
 ROTATE_AFTER_MS = 4_000
 # Least time for which a run has been at work before it is stopped.
 MIN_WORK_MS = 6_000
+# Time after which a run of an earlier term that is still listed counts as at
+# work. The leader before may have ordered its stop just before the election.
+MAX_STOP_MS = 1_000
 # Rotation makes at most one of so many tasks of a step unavailable, but always
 # one, if the step permits any number.
 TASKS_PER_UNAVAILABLE = 3
@@ -120,7 +123,7 @@
             Replacement(candidate, run)
             for candidate in self._candidates
             for run in candidate.worker.runs.values()
-            if _is_at_work(run)
+            if _is_at_work(run, self._now_ms)
         ]
         counts = collections.Counter(item.run.step_id for item in at_work)
         self._spared = [
@@ -140,7 +143,9 @@
     return step.tasks - at_work < limit
 
 
-def _is_at_work(run: workers_lib.LiveRun) -> bool:
+def _is_at_work(run: workers_lib.LiveRun, now_ms: int) -> bool:
+    if run.earlier_ms and now_ms - run.seen_ms < MAX_STOP_MS:
+        return False
     return (
         run.step.serves
         and run.seen
--- a/tests/test_jobs_rotation.py
+++ b/tests/test_jobs_rotation.py
@@ -74,6 +74,22 @@
     assert choose(worker_with(serving_run(**changes))) is None
 
 
+def test_a_run_of_an_earlier_term_gives_its_place_once_it_is_not_stopping():
+    """The leader before may have stopped it, or another one of its step."""
+    run = serving_run(age_ms=rotation.MAX_STOP_MS - 1)
+    run.earlier_ms = rotation.MIN_WORK_MS
+    assert choose(worker_with(run)) is None
+    run.seen_ms -= 1
+    assert choose(worker_with(run)) == run.task
+
+
+def test_a_step_is_spared_while_one_of_its_runs_may_be_stopping():
+    at_work = serving_run(tasks=2, max_unavailable=1)
+    adopted = serving_run(age_ms=0, tasks=2, max_unavailable=1)
+    adopted.earlier_ms = rotation.MIN_WORK_MS
+    assert choose(worker_with(at_work), worker_with(adopted, name="w2")) is None
+
+
 def test_a_run_that_leaves_too_little_room_keeps_its_place():
     run = serving_run(cpu_millis=3_000)
     assert choose(worker_with(run, cpu_millis=5_000)) is None
