Do not skip drawn tasks after those that were kept off some workers

A task that is not drawn is searched for outside the kept workers only, and its failure made the round skip drawn tasks of less urgent jobs that fit there. Found in the review.

--- a/src/galenahook/commands/jobs.py
+++ b/src/galenahook/commands/jobs.py
@@ -27,7 +27,7 @@
       max_per_worker: Maximum number of tasks of the step on one worker; 0 for
         no limit.
       max_unavailable: Maximum number of tasks of the step that the system may
-        make unavailable at the same time; -1 for no limit. Not used yet.
+        make unavailable at the same time; -1 for no limit.
       required_label: Label that a worker must have; empty for none.
       data_rack: Rack close to the data; empty for none. Not used yet.
       one_rack: Whether the tasks are slow when spread over several racks. Not
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -19,10 +19,10 @@
 from galenahook.jobs import workers as workers_lib
 
 Placements = list[tuple[workers_lib.Worker, workers_lib.LiveRun]]
-# Service, image and required label of a task. Once a task without a limit per
-# worker could not be placed, tasks of its class that need at least as much are
-# skipped in that round.
-PlacementClass = tuple[str, str, str]
+# Service, image and required label of a task, and whether the kept workers are
+# left out. Once a task without a limit per worker could not be placed, tasks of
+# its class that need at least as much are skipped in that round.
+PlacementClass = tuple[str, str, str, bool]
 
 # Delay before the tasks of a new serving job are placed, so that of jobs that
 # are submitted together those with the largest tasks are placed first.
@@ -303,11 +303,7 @@
         """
         if self._is_known_to_fail(job, step):
             return self._reservations.candidates_of(step_id)
-        if (
-            job.description.service in self._drawn_waiting
-            and demand_lib.is_short(job)
-            and not self.short_workers.is_drawn(job)
-        ):
+        if self._leaves_kept(job):
             return [
                 candidate
                 for candidate in self.candidates
@@ -318,16 +314,31 @@
     def _is_known_to_fail(
         self, job: tasks_lib.Job, step: commands.StepDescription
     ) -> bool:
-        failed = self._failed.get(_placement_class(job, step), ())
+        failed = self._failed.get(self._placement_class(job, step), ())
         return any(_requires_at_least(step, other) for other in failed)
 
+    def _leaves_kept(self, job: tasks_lib.Job) -> bool:
+        """Returns whether a job leaves the kept workers to drawn ones."""
+        return (
+            job.description.service in self._drawn_waiting
+            and demand_lib.is_short(job)
+            and not self.short_workers.is_drawn(job)
+        )
+
+    def _placement_class(
+        self, job: tasks_lib.Job, step: commands.StepDescription
+    ) -> PlacementClass:
+        service = job.description.service
+        return service, step.image, step.required_label, self._leaves_kept(job)
+
     def _note_failed(
         self, job: tasks_lib.Job, step: commands.StepDescription
     ) -> None:
         """Records that a task of a step fits no worker in this round."""
         if step.max_per_worker or self._is_known_to_fail(job, step):
             return
-        self._failed.setdefault(_placement_class(job, step), []).append(step)
+        placement_class = self._placement_class(job, step)
+        self._failed.setdefault(placement_class, []).append(step)
 
     def _note_overtaken(
         self,
@@ -460,12 +471,6 @@
         return run
 
 
-def _placement_class(
-    job: tasks_lib.Job, step: commands.StepDescription
-) -> PlacementClass:
-    return job.description.service, step.image, step.required_label
-
-
 def _requires_at_least(
     step: commands.StepDescription, other: commands.StepDescription
 ) -> bool:
--- a/src/galenahook/jobs/short_workers.py
+++ b/src/galenahook/jobs/short_workers.py
@@ -8,8 +8,8 @@
 as far as their steps may miss tasks, and go elsewhere.
 
 The workers with the fewest processors in use by serving tasks are chosen, so
-that each leader chooses those that the one before it has chosen. Those with
-hardware that serving tasks need go last.
+that the next leader chooses mostly those that the one before it has cleared.
+Those with hardware that serving tasks need go last.
 """
 
 from collections.abc import Set
