--- a/tests/test_jobs_short_workers.py
+++ b/tests/test_jobs_short_workers.py
@@ -37,7 +37,7 @@
 
 def shares(cores, asked=None):
     """Builds shares of short jobs beside lasting ones."""
-    made = object.__new__(queue_shares.QueueShares)
+    made = queue_shares.QueueShares(build.Site([]).inputs(), [])
     made.contended = {"desk"}
     made.serving_labels = {"scarce"}
     made.short = {
