--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -43,8 +43,10 @@
     assert served.fifth_below >= FLOOR * served.all, served
 
 
-def served_on_day(seed, lasting_share, short_share, changes_ms):
-    """Plays one day of a large site; returns the served shares by true work."""
+def served_on_day(
+    seed, lasting_share, short_share, changes_ms, workers=DAY_WORKERS
+):
+    """Plays one day of a site; returns the served shares by true work."""
     served = []
 
     async def scenario(simulation):
@@ -60,7 +62,7 @@
 
     job_simulation.run(
         scenario,
-        full_site.workers(DAY_WORKERS),
+        full_site.workers(workers),
         make=platform_sizes_site.ScatteredSimulation,
     )
     return served[0]
@@ -86,3 +88,10 @@
     served = served_on_day(seed, lasting_share, short_share, changes_ms)
     assert served.largest_tenth >= FLOOR * served.all, served
     assert served.fifth_below >= FLOOR * served.all, served
+
+
+def test_short_the_largest_jobs_are_served_on_a_small_overloaded_site():
+    """A wide job asks for most of what short jobs get on 60 workers."""
+    served = served_on_day(921, 1.1, 0.15, (), workers=WORKERS)
+    assert served.largest_tenth >= FLOOR * served.all, served
+    assert served.fifth_below >= FLOOR * served.all, served
