--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -35,6 +35,9 @@
 # Figures of the site file guild-bookings.
 BOUNDS = {"grace_s": 6, "max_hold_ms": 10_000}
 HEARTBEAT_MS = 1_100
+# `memory_mb` of a core machine in the site file, and the pause of a restart.
+MEMORY_MB = 296
+RESTART_S = 1.0
 ZONES = ("scot-central-a", "scot-central-b", "scot-central-c")
 FAILED, HELD, NOT_RUN = 1, 0, 2
 
@@ -381,6 +384,50 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def memory_mb(machine: Machine) -> float:
+    """Returns the memory that a process uses, 0 if it has ended."""
+    if machine.process is None:
+        return 0.0
+    try:
+        text = pathlib.Path(f"/proc/{machine.process.pid}/status").read_text()
+    except OSError:
+        return 0.0
+    for line in text.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+class Platform:
+    """Kills a replica that uses too much memory and starts it again."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.kills = {machine.name: 0 for machine in site.replicas}
+        self.peaks = {machine.name: 0.0 for machine in site.replicas}
+
+    async def watch(self) -> None:
+        """Watches all replicas until cancelled."""
+        await asyncio.gather(
+            *[self._watch_one(machine) for machine in self.site.replicas]
+        )
+
+    async def _watch_one(self, machine: Machine) -> None:
+        while True:
+            await asyncio.sleep(0.02)
+            used_mb = memory_mb(machine)
+            self.peaks[machine.name] = max(self.peaks[machine.name], used_mb)
+            if used_mb <= MEMORY_MB and not machine.has_ended():
+                continue
+            machine.kill()
+            self.kills[machine.name] += 1
+            self.site.record(
+                "over-memory", machine=machine.name, used_mb=round(used_mb)
+            )
+            await asyncio.sleep(RESTART_S)
+            machine.start(self.site.folder)
+
+
 def _free_network() -> str:
     """Returns the first three numbers of unused loopback addresses."""
     for _ in range(50):
