--- a/review/part-one/lib/site_run.py
+++ b/review/part-one/lib/site_run.py
@@ -133,7 +133,9 @@
         workers: int = 8,
         cpu: int = 16_000,
         mem_mb: int = 64_000,
+        max_hold_ms: int = BOUNDS["max_hold_ms"],
     ) -> None:
+        self.bounds = BOUNDS | {"max_hold_ms": max_hold_ms}
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self.record_file = (case / "record.txt").open("w", encoding="utf-8")
@@ -199,7 +201,7 @@
                     "--heartbeat-ms",
                     str(HEARTBEAT_MS),
                     "--max-hold-ms",
-                    str(BOUNDS["max_hold_ms"]),
+                    str(self.bounds["max_hold_ms"]),
                 ],
                 self.folder / f"{name}.log",
             )
@@ -252,7 +254,7 @@
             "internal_ports": [self.port + 4, self.port + 7],
             "data_dir": str(data),
             "bootstrap": True,
-            "bounds": BOUNDS,
+            "bounds": self.bounds,
             "heartbeat_ms": HEARTBEAT_MS,
         }
         settings = self.folder / f"{name}.json"
@@ -263,6 +265,22 @@
         command[-1] = str(settings)
         return Daemon(name, command, self.folder / f"{name}.log")
 
+    def leader(self) -> Daemon:
+        """Returns the replica that leads, by its metrics.
+
+        Raises:
+          CannotRunError: None leads.
+        """
+        for number, replica in enumerate(self.replicas):
+            address = f"{self.replica_ip(number)}:9464"
+            connection = http.client.HTTPConnection(address, timeout=1.0)
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                connection.request("GET", "/metrics")
+                text = connection.getresponse().read().decode()
+                if re.search(r"^\S*leads 1(\.0)?$", text, re.MULTILINE):
+                    return replica
+        raise CannotRunError("no replica leads")
+
     # --- Record ---
 
     def note(self, text: str) -> None:
