--- a/review/new-1/run.py
+++ b/review/new-1/run.py
@@ -37,7 +37,7 @@
 async def play_job(site: site_kit.Site, lasts: bool) -> str:
     """Runs one job beside the flapping executor; returns its last state."""
     job = site_kit.new_id()
-    site.work = lambda task, run: (None if lasts else TASK_S, "done")
+    site.work = lambda _task, _run: (None if lasts else TASK_S, "done")
     step = {
         "count": EXECUTORS,
         "cpu": 8000,
--- a/review/new-2/run.py
+++ b/review/new-2/run.py
@@ -29,7 +29,7 @@
 
 async def case(site: site_kit.Site) -> list[str]:
     """Runs the case; returns what was broken."""
-    site.work = lambda task, run: (None, "done")
+    site.work = lambda _task, _run: (None, "done")
     await site.put_config()
     await site.add_executors(EXECUTORS)
     await asyncio.sleep(2)
--- a/review/standins-3/site_kit.py
+++ b/review/standins-3/site_kit.py
@@ -387,14 +387,16 @@
         self, folder: pathlib.Path, replicas: int = 3, entries: int = 2
     ) -> None:
         self.record = Record(folder / "record.txt")
-        self.work = lambda name, run: (1.0, "done")
+        self.work = lambda _task, _run: (1.0, "done")
         self.heartbeat_ms = 1_500
         self.executors: list[Executor] = []
         self.version = 0
         self.host = "desk.example"
         self.prefix = "/queue/"
         self._temporary = pathlib.Path(tempfile.mkdtemp(prefix="galenahook-"))
-        self._net = f"127.{random.randrange(16, 250)}.{random.randrange(1, 250)}"
+        self._net = (
+            f"127.{random.randrange(16, 250)}.{random.randrange(1, 250)}"
+        )
         ports = _free_ports(6)
         self._control, self._front, self._ready = ports[:3]
         self.executor_port, self._peer = ports[3], ports[4]
@@ -508,13 +510,18 @@
             self.spawn(name, bootstrap=True)
         end = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < end:
-            if any(code is not None for code in map(self.exit_code, self._processes)):
+            if any(
+                code is not None
+                for code in map(self.exit_code, self._processes)
+            ):
                 break
             if await self.leader():
                 return
             await asyncio.sleep(0.2)
         for name in self._processes:
-            self.record.add("log", name=name, tail=self.log_path(name).read_text()[-500:])
+            self.record.add(
+                "log", name=name, tail=self.log_path(name).read_text()[-500:]
+            )
         raise CannotRunError("the deployment did not start")
 
     async def leader(self) -> str:
@@ -592,9 +599,7 @@
                 status, answer = await exchange(address, method, path, body)
             except (OSError, TimeoutError) as error:
                 status, answer = 0, repr(error)
-            self.record.add(
-                "operator", call=path, at=address, status=status
-            )
+            self.record.add("operator", call=path, at=address, status=status)
             if 200 <= status < 500 and status not in (408, 429):
                 return status, answer
             if time.monotonic() > end:
@@ -644,7 +649,10 @@
             except (OSError, TimeoutError) as error:
                 status, answer = 0, repr(error)
             self.record.add(
-                "consumer", call=f"{method} {ident}", status=status, answer=answer
+                "consumer",
+                call=f"{method} {ident}",
+                status=status,
+                answer=answer,
             )
             if status not in (0, 429, 502, 503, 504):
                 break
