--- a/review/standins-3/site_kit.py
+++ b/review/standins-3/site_kit.py
@@ -500,14 +500,22 @@
         self.signal(name, signal.SIGKILL)
         await asyncio.to_thread(self._processes[name].wait)
 
+    def spawn_all(self) -> None:
+        """Starts the whole system for the first time."""
+        for name in [*self.names, *self.entry_names]:
+            self.spawn(name, bootstrap=True)
+
+    def has_folder(self, name: str) -> bool:
+        """Returns whether a replica has written to its data folder."""
+        return any((self._temporary / f"data-{name}").iterdir())
+
     async def start(self) -> None:
         """Starts all processes and waits until the group has a leader.
 
         Raises:
           CannotRunError: They don't start.
         """
-        for name in [*self.names, *self.entry_names]:
-            self.spawn(name, bootstrap=True)
+        self.spawn_all()
         end = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < end:
             if any(
@@ -744,15 +752,25 @@
     return f"{random.randrange(16**16):016x}"
 
 
-def run_case(folder: pathlib.Path, case: Any, **options: Any) -> int:
-    """Runs a case; returns 1 if the rule broke, 0 if it held, else 2."""
+def run_case(
+    folder: pathlib.Path, case: Any, starts: bool = True, **options: Any
+) -> int:
+    """Runs a case; returns 1 if the rule broke, 0 if it held, else 2.
+
+    Args:
+      folder: Folder of the case.
+      case: Returns what was broken on a site.
+      starts: Whether to start the site before.
+      **options: Options of the site.
+    """
 
     async def main() -> int:
         site = Site(folder, **options)
         site.record.add("case", trouble=TROUBLE)
         try:
             async with asyncio.timeout(115):
-                await site.start()
+                if starts:
+                    await site.start()
                 findings = await case(site)
         except (CannotRunError, TimeoutError) as error:
             site.record.add("cannot-run", reason=repr(error))
