Log the incarnation of each start, end and expired lease

Change: born_ms with starts, ends and strays; the proof of an end and whether its start order may still be pending; a line when runs end with a lease.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -304,6 +304,7 @@
             task=run.task,
             run=run.run,
             worker=worker.name,
+            born_ms=worker.heartbeat.born_ms,
             zone=worker.heartbeat.availability_zone,
             waited_ms=waited_ms,
             task_waited_ms=run.waited_ms,
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -231,8 +231,11 @@
             task=run.task,
             run=run.run,
             worker=self.worker.name,
+            born_ms=self.worker.heartbeat.born_ms,
             outcome=outcome,
             detail=run.stop_reason or detail,
+            proof=detail,
+            start_pending=run.start_pending,
             blame=run.blame.value,
         )
         return commands.RunEnd(
@@ -266,7 +269,11 @@
             return
         self._stray_stops.add(stray)
         logs.warning(
-            "run:stray", task=row.task, run=row.run, worker=self.worker.name
+            "run:stray",
+            task=row.task,
+            run=row.run,
+            worker=self.worker.name,
+            born_ms=self.worker.heartbeat.born_ms,
         )
         await self._owner.spawn(self._send_stray_stop, row.task, row.run)
 
@@ -392,6 +399,8 @@
             task=run.task,
             run=run.run,
             worker=self.worker.name,
+            born_ms=self.worker.heartbeat.born_ms,
+            waited_ms=run.unanswered_ms - run.sent_ms,
             reason=reason,
         )
         await curio.sleep(clock_lib.seconds(UNANSWERED_START_WAIT_MS))
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -46,7 +46,7 @@
         if is_over:
             ends += _end_seen(link)
         if is_settled and worker.is_lease_expired(now_ms):
-            ends += _end_expired(link)
+            ends += _end_expired(link, now_ms)
             silent_ms = now_ms - max(worker.last_reply_ms, worker.clock_at_ms)
             is_over = is_over or silent_ms > WORKER_RETENTION_MS
         if is_over and not worker.runs:
@@ -115,14 +115,28 @@
     ]
 
 
-def _end_expired(link: "link_lib.Link") -> list[commands.RunEnd]:
+def _end_expired(link: "link_lib.Link", now_ms: int) -> list[commands.RunEnd]:
     """Ends the runs of a worker whose lease has expired.
 
     A worker that merely does not reply may be partitioned. If its address
     refuses connections, it has crashed.
     """
+    worker = link.worker
+    if worker.runs:
+        logs.warning(
+            "worker:lease-expired",
+            worker=worker.name,
+            born_ms=worker.heartbeat.born_ms,
+            silent_ms=now_ms - worker.last_reply_ms,
+            lease_until_ms=worker.lease_until_ms,
+            min_clock_ms=int(worker.min_clock_ms(now_ms)),
+            runs=len(worker.runs),
+            start_pending=sum(
+                run.start_pending for run in worker.runs.values()
+            ),
+        )
     if link.is_gone:
-        crashes.blame_runs(link.worker)
+        crashes.blame_runs(worker)
     return [
         link.end_run(run, "gone", "", "worker lease expired")
         for run in list(link.worker.runs.values())
--- a/src/galenahook/jobs/worker_intake.py
+++ b/src/galenahook/jobs/worker_intake.py
@@ -27,6 +27,7 @@
         born_ms=heartbeat.born_ms,
         address=heartbeat.address,
         ended=[other.name for other in ended],
+        ended_born_ms=[other.heartbeat.born_ms for other in ended],
     )
     link = link_lib.Link(
         worker,
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -110,6 +110,14 @@
             or now_ms - self.confirmed_ms < START_SETTLE_MS
         )
 
+    @property
+    def start_pending(self) -> bool:
+        """Whether its start order may not have been carried out yet.
+
+        It is neither confirmed nor listed, and may be carried out later.
+        """
+        return not self.seen and not self.confirmed_ms
+
     @property
     def is_suspect(self) -> bool:
         """Whether earlier runs of the task may have crashed their workers."""
