Soak: restart workers under their identifiers and carry out calls late

Change: restart, lateness and a longest lease of the worker; the faults restart, recut and late-calls; a check of starts after ends that were acknowledged; what the workers did is written to a file.

--- a/bench/job_soak.py
+++ b/bench/job_soak.py
@@ -7,13 +7,14 @@
 relay. While callers submit and cancel jobs on connections that they keep, and
 operators change the configuration and take a zone out of service and back,
 processes are paused, killed, stopped, reloaded and restarted, disks refuse
-writes, and links are held, delayed or cut; replies to orders are lost. Checks
-from what callers, operators and workers see that no task runs in two places,
-nothing starts that was not accepted, is completed or is in a zone out of
-service, that acknowledged changes are in force, and that every accepted job
-ends or lasts once the faults are over. The faults of a seed repeat; their
-interleaving with the processes does not. Prints the findings; exits with 1 if
-there are any.
+writes, and links are held, delayed or cut; replies to orders are lost, calls
+are carried out late, and workers restart under their identifiers. Checks from
+what callers, operators and workers see that no task runs in two places, nothing
+starts that was not accepted, is completed or is in a zone out of service, that
+acknowledged changes are in force, and that every accepted job ends or lasts
+once the faults are over. The faults of a seed repeat; their interleaving with
+the processes does not. Writes what the workers did to `workers.log`. Prints the
+findings; exits with 1 if there are any.
 
 A disk refuses writes while the limit of the file size of its process is lowered
 to 0 bytes, which needs no privileges. The output of processes is read through
@@ -53,6 +54,15 @@
 LASTING_TASKS = 2
 # Longest time for which a disk refuses writes.
 MAX_REFUSAL_S = 5.0
+# Time for which a worker that restarts is silent.
+DARK_S = 0.6
+# How late a call is carried out. Calls may also wait for a restart or a delayed
+# link, and all of it takes less than `workers.MAX_ORDER_DELAY_MS`.
+LATE_S = (2.0, 10.0)
+LATE_SHARE = 0.2
+# Time after the release of a link in which no call is late, as it may have
+# waited there.
+LATE_AFTER_RELEASE_MS = 1_000
 # Time for which a process that was restarted, or whose disk refused writes,
 # still counts as faulty, as it has to catch up.
 CATCH_UP_S = 2.0
@@ -63,11 +73,17 @@
 
     Attributes:
       relay: The relay, whose address the worker announces.
+      late_share: Share of calls that are carried out late, without a reply.
     """
 
-    def __init__(self, name: str, zone: str) -> None:
+    def __init__(self, name: str, zone: str, rng: random.Random) -> None:
         super().__init__(name, zone=zone)
         self.relay = relay_lib.TcpRelay(self._server.address)
+        self.late_share = 0.0
+        self.lateness_s = self._draw_lateness_s
+        self.max_lease_ms = soak_processes.LEASE_MS
+        self._random = rng
+        self._released_ms = 0
 
     @property
     def address(self) -> str:
@@ -80,6 +96,34 @@
             return set()
         return set(self.running)
 
+    def hold(self, directions: relay_lib.Direction) -> None:
+        """Holds all calls until `release`."""
+        self.relay.hold(directions)
+
+    def release(self) -> None:
+        """Lets held calls and later ones pass."""
+        self.relay.release()
+        self._released_ms = self._clock.monotonic_ms()
+
+    async def cut_off(self, cut_s: float) -> None:
+        """Cuts it off from all replicas for a time; its runs go on."""
+        self._record("is cut off for", f"{cut_s:.1f} s")
+        self.send_heartbeats = False
+        self.hold(relay_lib.Direction.BOTH)
+        await curio.sleep(cut_s)
+        self.release()
+        self.send_heartbeats = True
+        self._record("is reachable", "again")
+
+    def _draw_lateness_s(self, path: str) -> float:  # noqa: ARG002
+        released_ms = self._clock.monotonic_ms() - self._released_ms
+        if (
+            released_ms < LATE_AFTER_RELEASE_MS
+            or self._random.random() >= self.late_share
+        ):
+            return 0.0
+        return self._random.uniform(*LATE_S)
+
 
 @dataclasses.dataclass(slots=True)
 class CallersJob:
@@ -124,7 +168,9 @@
         self.jobs: dict[str, CallersJob] = {}
         zones = ("zone-a", soak_operators.CHANGED_ZONE)
         self.workers = [
-            RelayedWorker(f"w{n}", zones[n % len(zones)])
+            RelayedWorker(
+                f"w{n}", zones[n % len(zones)], random.Random(f"{seed} {n}")
+            )
             for n in range(WORKERS)
         ]
         self.site = soak_processes.Site(folder, soak_processes.LAYOUTS[layout])
@@ -148,15 +194,8 @@
             await operators.put_first_site()
             tasks.append(await curio.spawn(self._check_runs))
             tasks.append(await curio.spawn(operators.read_site_repeatedly))
-            users = [
-                await curio.spawn(user)
-                for user in (
-                    self._submit_jobs,
-                    operators.change_site_repeatedly,
-                    operators.change_zone_repeatedly,
-                )
-            ]
-            await self._inject_faults()
+            users = [await curio.spawn(user) for user in self.users()]
+            await self.inject_faults()
             for user in users:
                 await user.cancel()
             await operators.return_zone(RECOVERY_MS)
@@ -168,6 +207,14 @@
                 await task.cancel()
             self.site.kill()
 
+    def users(self) -> list[Callable[[], Awaitable[None]]]:
+        """Returns what callers and operators do until the faults are over."""
+        return [
+            self._submit_jobs,
+            self.operators.change_site_repeatedly,
+            self.operators.change_zone_repeatedly,
+        ]
+
     # --- Callers --------------------------------------------------------------
 
     async def _ask(
@@ -204,7 +251,8 @@
             job = self.jobs[identifier] = CallersJob(
                 lasts=number <= LASTING_JOBS
             )
-            await curio.spawn(self._submit, identifier, job, daemon=True)
+            body = self._order(job)
+            await curio.spawn(self.submit, identifier, job, body, daemon=True)
             await curio.sleep(clock_lib.seconds(SUBMIT_PERIOD_MS))
 
     def _order(self, job: CallersJob) -> bytes:
@@ -230,9 +278,11 @@
         spec = str(self.random.randint(100, 1_200))
         return json.dumps({"spec": spec, "steps": steps}).encode()
 
-    async def _submit(self, identifier: str, job: CallersJob) -> None:
+    async def submit(
+        self, identifier: str, job: CallersJob, body: bytes
+    ) -> None:
+        """Submits a job, and cancels some that were accepted."""
         target = soak_operators.PREFIX + identifier
-        body = self._order(job)
         for _ in range(4):
             response = await self._ask("POST", target, body)
             if response is not None and response.status == 200:
@@ -324,12 +374,15 @@
                         self.findings.append(
                             f"TWICE {task}: on {other} and {worker.name}"
                         )
-                for task, run in worker.started[seen[worker] :]:
-                    self._check_start(worker, task, run)
-                seen[worker] = len(worker.started)
+                for start in worker.starts[seen[worker] :]:
+                    self._check_start(worker, start)
+                seen[worker] = len(worker.starts)
             await curio.sleep(clock_lib.seconds(CHECK_PERIOD_MS))
 
-    def _check_start(self, worker: RelayedWorker, task: str, run: int) -> None:
+    def _check_start(
+        self, worker: RelayedWorker, start: platform_worker.TaskEvent
+    ) -> None:
+        task, run = start.task, start.run
         job = self.jobs.get(task.split(".")[0])
         is_out = worker.zone == soak_operators.CHANGED_ZONE
         if is_out and self.operators.is_zone_out():
@@ -341,6 +394,27 @@
                 f"TWICE {task} {run} on {worker.name}: its job is completed"
             )
 
+    def check_done(self) -> None:
+        """Checks that no task started after an end `done` that was noted."""
+        done: dict[str, platform_worker.TaskEvent] = {}
+        for worker in self.workers:
+            for end in worker.done:
+                first = done.setdefault(end.task, end)
+                if end.at_ms < first.at_ms:
+                    done[end.task] = end
+        self.findings += [
+            f"TWICE {start.task}: run {start.run} started on {worker.name}"
+            f" after run {done[start.task].run} was done"
+            for worker in self.workers
+            for start in worker.starts
+            if start.task in done and start.at_ms > done[start.task].at_ms
+        ]
+
+    def write_events(self, path: pathlib.Path) -> None:
+        """Writes what the workers did, in order of time."""
+        events = sorted(e for worker in self.workers for e in worker.events)
+        path.write_text("".join(f"{event}\n" for event in events))
+
     def check_refusals(self) -> None:
         """Checks that nothing has started of jobs that were always refused."""
         started = {
@@ -367,9 +441,12 @@
             "delay": self._delay,
             "cut": self._cut,
             "lose-replies": self._lose_replies,
+            "late-calls": self._late_calls,
+            "restart": self._restart,
+            "recut": self._recut,
         }
 
-    async def _inject_faults(self) -> None:
+    async def inject_faults(self) -> None:
         """Starts faults, which may overlap, and waits for their ends."""
         end_ms = self.clock.monotonic_ms() + 1_000 * self.seconds
         kinds = self._fault_kinds()
@@ -445,9 +522,9 @@
                 relay_lib.Direction.BACKWARD,
             )
         )
-        worker.relay.hold(directions)
+        worker.hold(directions)
         await curio.sleep(self.random.uniform(0.3, 5.0))
-        worker.relay.release()
+        worker.release()
 
     async def _delay(self) -> None:
         worker = self.random.choice(self.workers)
@@ -468,6 +545,41 @@
         await curio.sleep(self.random.uniform(0.3, 3.0))
         worker.withhold_replies = False
 
+    async def _late_calls(self) -> None:
+        worker = self.random.choice(self.workers)
+        worker.late_share = LATE_SHARE
+        await curio.sleep(self.random.uniform(1.0, 5.0))
+        worker.late_share = 0.0
+
+    def _restarting_workers(self) -> list[RelayedWorker]:
+        count = self.random.randint(1, len(self.workers) // 2)
+        return [
+            worker
+            for worker in self.random.sample(self.workers, count)
+            if not worker.is_dark
+        ]
+
+    async def _restart(self) -> None:
+        async with curio.TaskGroup() as group:
+            for worker in self._restarting_workers():
+                await group.spawn(worker.restart, DARK_S)
+
+    async def _recut(self) -> None:
+        """Restarts workers and cuts them off soon after."""
+        pause_s = self.random.uniform(0.8, 2.6)
+        cut_s = self.random.uniform(4.0, 9.0)
+        async with curio.TaskGroup() as group:
+            for worker in self._restarting_workers():
+                await group.spawn(_recut_worker, worker, pause_s, cut_s)
+
+
+async def _recut_worker(
+    worker: RelayedWorker, pause_s: float, cut_s: float
+) -> None:
+    await worker.restart(DARK_S)
+    await curio.sleep(pause_s)
+    await worker.cut_off(cut_s)
+
 
 def play(
     seed: int,
@@ -480,6 +592,8 @@
     soak = Soak(seed, seconds, folder, layout, faults)
     curio.run(soak.run)
     soak.check_refusals()
+    soak.check_done()
+    soak.write_events(folder / "workers.log")
     return soak
 
 
