--- a/bench/fakes/platform_worker.py
+++ b/bench/fakes/platform_worker.py
@@ -300,6 +300,8 @@
             return self._refuse(self.refuse_starts)
         if run <= self.highest.get(name, 0):
             return self._refuse("old")
+        if self.clock_ms() > self._deadline_ms:
+            return self._refuse("late")
         if name not in self.running:
             work_ms = float(body["spec"])
             self.running[name] = Task(run, work_ms, work_ms)
