Tests: an end of a restarted worker is acknowledged unread

A poll of an earlier incarnation that is carried out late acknowledges ends that the present one numbered anew; its runs then count as gone and start again. Change: a script that shows it.

--- a/tests/test_jobs_restarted_workers.py
+++ b/tests/test_jobs_restarted_workers.py
@@ -60,13 +60,13 @@
         await until(lambda: len(self.worker.done) == len(self.site.entries))
         await curio.sleep(0.5)
 
-    async def submit_jobs(self):
+    async def submit_jobs(self, work_ms=WORK_MS):
         """Submits jobs of one task each; returns when they are accepted."""
         for number in range(JOBS):
             identifier = f"{number + 1:016x}"
             job = self.jobs[identifier] = job_soak.CallersJob()
             await curio.spawn(
-                self.submit, identifier, job, job_body(WORK_MS), daemon=True
+                self.submit, identifier, job, job_body(work_ms), daemon=True
             )
         await until(lambda: all(job.accepted for job in self.jobs.values()))
 
@@ -181,11 +181,24 @@
     await start_in_the_dark(soak)
 
 
+async def acknowledge_late(soak):
+    polls = delay_calls(soak.worker, "hold", 1, late_s=3.0)
+    await until(lambda: polls)
+    await soak.worker.restart(job_soak.DARK_S)
+    await until(lambda: soak.worker.is_polled)
+    await soak.submit_jobs(work_ms=500)
+    await until(lambda: soak.worker.running)
+    await curio.sleep(0.1)
+    await soak.worker.cut_off(4.0)
+    soak.join_others()
+
+
 SCRIPTS = {
     "stops-confirmed-before": restart_after_confirmed_stops,
     "late-starts-after-lease": expire_before_late_starts,
     "starts-in-the-dark": start_in_the_dark,
     "late-poll": renew_late,
+    "late-acknowledgement": acknowledge_late,
     "new-leader": restart_under_a_new_leader,
 }
 
