Fence the calls that were sent to an earlier incarnation of a worker

Callers saw tasks run twice: all runs of a worker that had restarted under its identifier and was then cut off started elsewhere while they went on. Cause: its clock begins anew, so a poll or a start that was sent to its earlier incarnation and is carried out late extends its lease by a whole lease from its arrival; the leader knew only the leases of its own link. Such a poll also acknowledges ends that nobody has read. Change: each link has a fencing token of its own, higher than those of earlier links of the term. A worker that has seen it refuses earlier calls; what it took before its first reply ends a lease after that reply at latest. Nothing runs on an incarnation before its first reply but what a late start began there.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -44,6 +44,8 @@
 ROUND_DELAY_MS = 10
 # Pause after a round that failed to commit.
 ROUND_RETRY_MS = 50
+# Fencing tokens of a term, one for each link.
+FENCES_PER_TERM = 1 << 24
 # Starts in one command after which no further job is placed, so that a burst
 # does not delay other commits.
 MAX_STARTS = 200
@@ -98,6 +100,7 @@
         self.started_ms = self.now_ms()
         self.unattached = _active_runs(node)
         self.make_client = make_client
+        self._links_made = 0
         self._overdue = overdue_lib.OverdueTasks()
         self._drawn = drawn_jobs.DrawnJobs()
         self._placement_failures = placement.JobFailures()
@@ -118,6 +121,11 @@
         """Returns whether the leader lease is valid and the term unchanged."""
         return self.node.has_valid_lease() and self.node.term() == self.term
 
+    def next_fence(self) -> int:
+        """Returns a fencing token, higher than all that were in use before."""
+        self._links_made += 1
+        return self.term * FENCES_PER_TERM + self._links_made
+
     def is_zone_out(self, availability_zone: str) -> bool:
         """Returns whether operators have taken a zone out of service."""
         return availability_zone in self.node.state.site.current.zones_out
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -42,6 +42,9 @@
         or the term is over.
       lease_ms: Duration of the leases to send.
       queued_end: Number of the last end queued for its commit.
+      fence: Fencing token of its calls. A worker that has seen it refuses the
+        calls of earlier links and leaders, which it may otherwise carry out
+        although they were sent to an earlier incarnation.
       is_gone: Whether the last poll showed that the incarnation has ended: its
         address refused the connection, or another incarnation replied.
     """
@@ -59,6 +62,7 @@
         self.ended = False
         self.lease_ms = lease_ms
         self.queued_end = 0
+        self.fence = owner.next_fence()
         self._owner = owner
         self.is_gone = False
         self._is_unresponsive = False
@@ -98,13 +102,13 @@
         sent_ms = self._owner.now_ms()
         try:
             reply = await self.client.poll(
-                self._owner.term,
+                self.fence,
                 self._end_to_acknowledge(),
                 self._lease_end_to_send_ms(sent_ms),
                 0 if self._is_slow else POLL_WAIT_MS,
             )
         except worker_api.DeposedError:
-            await self._owner.note_deposed_by(worker)
+            await self._note_deposed()
             return False
         except worker_api.ReplacedError:
             self.is_gone = self._is_unresponsive = True
@@ -182,6 +186,9 @@
         worker.broken_off_ms = 0
         is_first = not worker.has_polled
         worker.has_polled = True
+        if is_first:
+            # Until now it took calls of earlier links, and their leases.
+            worker.note_inherited_lease(now_ms, self.lease_ms)
         ends: list[commands.RunEnd] = []
         try:
             self._process_finished(reply.finished, ends)
@@ -279,14 +286,22 @@
 
     async def _send_stray_stop(self, task: str, run: int) -> None:
         try:
-            await self.client.stop(task, run, self._owner.term)
+            await self.client.stop(task, run, self.fence)
         except worker_api.DeposedError:
-            await self._owner.note_deposed_by(self.worker)
+            await self._note_deposed()
         except Exception as error:
             self._log_failure("run:stop-failed", error, task, run)
         finally:
             self._stray_stops.discard((task, run))
 
+    async def _note_deposed(self) -> None:
+        """Reports that the worker has seen a later leader.
+
+        A link that has ended may have been refused because of its successor.
+        """
+        if not self.ended:
+            await self._owner.note_deposed_by(self.worker)
+
     def _log_failure(
         self, message_type: str, error: Exception, task: str, run: int
     ) -> None:
@@ -362,7 +377,7 @@
                 lease_until_ms=self.worker.lease_for_start(
                     now_ms, self.lease_ms
                 ),
-                term=self._owner.term,
+                fence=self.fence,
             )
         )
 
@@ -381,7 +396,7 @@
             case worker_api.StartAnswer.UNKNOWN:
                 await self._resolve_start(run, reason)
             case worker_api.StartAnswer.DEPOSED:
-                await self._owner.note_deposed_by(self.worker)
+                await self._note_deposed()
             case _:
                 self._owner.note_refusal(self.worker, run, answer, reason)
                 if self.worker.runs.get(run.task) is run:
@@ -420,11 +435,9 @@
 
     async def _order_stop(self, run: workers_lib.LiveRun) -> None:
         try:
-            is_confirmed = await self.client.stop(
-                run.task, run.run, self._owner.term
-            )
+            is_confirmed = await self.client.stop(run.task, run.run, self.fence)
         except worker_api.DeposedError:
-            await self._owner.note_deposed_by(self.worker)
+            await self._note_deposed()
             return
         except Exception as error:
             self._log_failure("run:stop-failed", error, run.task, run.run)
@@ -444,7 +457,7 @@
             return False
         try:
             return await self.client.throttle(
-                run.task, run.run, percent, self._owner.term
+                run.task, run.run, percent, self.fence
             )
         except Exception as error:
             self._log_failure("run:throttle-failed", error, run.task, run.run)
--- a/src/galenahook/jobs/link_owner.py
+++ b/src/galenahook/jobs/link_owner.py
@@ -11,10 +11,13 @@
 class LinkOwner:
     """What a link requires of the leader."""
 
-    term: int
     now_ms: Callable[[], int]
     may_lead: Callable[[], bool]
 
+    def next_fence(self) -> int:
+        """Returns a fencing token, higher than all that were in use before."""
+        raise NotImplementedError
+
     def is_zone_out(self, availability_zone: str) -> bool:
         """Returns whether operators have taken a zone out of service."""
         raise NotImplementedError
--- a/src/galenahook/jobs/worker_api.py
+++ b/src/galenahook/jobs/worker_api.py
@@ -93,7 +93,7 @@
       spec: The job's text for the worker.
       checkpoint: Checkpoint from which it resumes; empty for none.
       lease_until_ms: End of the lease on the worker's clock.
-      term: Term of the leader.
+      fence: Fencing token of the link.
     """
 
     task: str
@@ -101,15 +101,15 @@
     spec: str
     checkpoint: str
     lease_until_ms: int
-    term: int
+    fence: int
 
 
 class DeposedError(Exception):
-    """A worker has seen a leader of a later term."""
+    """A worker has seen a later leader, or a later link of the same one."""
 
 
 class ReplacedError(Exception):
-    """Another incarnation replied at the worker's address."""
+    """A worker with another identifier replied at the worker's address."""
 
 
 class WorkerClient(Protocol):
@@ -125,18 +125,19 @@
     async def start(self, order: StartOrder) -> tuple[StartAnswer, str]:
         """Orders a start; returns the reply and a reason for the log."""
 
-    async def stop(self, task: str, run: int, term: int) -> bool:
+    async def stop(self, task: str, run: int, fence: int) -> bool:
         """Orders a stop.
 
         Returns:
-          Whether the worker confirmed that the run can no longer start there.
+          Whether the worker confirmed that the run can no longer start on this
+          incarnation.
 
         Raises:
-          DeposedError: The worker has seen a leader of a later term.
+          DeposedError: The worker has seen a higher fencing token.
         """
 
     async def poll(
-        self, term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
+        self, fence: int, acknowledged: int, lease_until_ms: int, wait_ms: int
     ) -> PollReply:
         """Renews the lease unless it is 0, acknowledges ends and lists runs.
 
@@ -144,12 +145,12 @@
 
         Raises:
           errors.ExchangeError: The worker did not reply.
-          DeposedError: The worker has seen a leader of a later term.
-          ReplacedError: Another incarnation replied.
+          DeposedError: The worker has seen a higher fencing token.
+          ReplacedError: Another worker replied.
         """
 
     async def throttle(
-        self, task: str, run: int, percent: int, term: int
+        self, task: str, run: int, percent: int, fence: int
     ) -> bool:
         """Limits a run to a percent of full speed.
 
--- a/src/galenahook/platform/wire_workers.py
+++ b/src/galenahook/platform/wire_workers.py
@@ -193,33 +193,33 @@
         "run": order.run,
         "spec": order.spec,
         "deadline_ms": order.lease_until_ms,
-        "fencing_token": order.term,
+        "fencing_token": order.fence,
     }
     if order.checkpoint:
         body["checkpoint"] = order.checkpoint
     return msgspec.json.encode(body)
 
 
-def encode_stop(task: str, run: int, term: int) -> bytes:
+def encode_stop(task: str, run: int, fence: int) -> bytes:
     """Encodes an order to stop a run."""
     return msgspec.json.encode(
-        {"task": task, "run": run, "fencing_token": term}
+        {"task": task, "run": run, "fencing_token": fence}
     )
 
 
-def encode_throttle(task: str, run: int, percent: int, term: int) -> bytes:
+def encode_throttle(task: str, run: int, percent: int, fence: int) -> bytes:
     """Encodes an order to throttle a run."""
     return msgspec.json.encode(
-        {"task": task, "run": run, "percent": percent, "fencing_token": term}
+        {"task": task, "run": run, "percent": percent, "fencing_token": fence}
     )
 
 
 def encode_poll(
-    term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
+    fence: int, acknowledged: int, lease_until_ms: int, wait_ms: int
 ) -> bytes:
     """Encodes a poll of a worker's runs; a lease of 0 is not sent."""
     poll = {
-        "fencing_token": term,
+        "fencing_token": fence,
         "ack_cursor": acknowledged,
         "wait_ms": wait_ms,
     }
--- a/src/galenahook/platform/workers.py
+++ b/src/galenahook/platform/workers.py
@@ -76,13 +76,13 @@
         except errors.InvalidInputError as error:
             return worker_api.StartAnswer.UNKNOWN, str(error)
 
-    async def stop(self, task: str, run: int, term: int) -> bool:
+    async def stop(self, task: str, run: int, fence: int) -> bool:
         """Orders a stop; returns True if the run can no longer start there.
 
         Raises:
-          worker_api.DeposedError: The worker has seen a leader of a later term.
+          worker_api.DeposedError: The worker has seen a higher fencing token.
         """
-        body = wire_workers.encode_stop(task, run, term)
+        body = wire_workers.encode_stop(task, run, fence)
         try:
             response = await self._post(_STOP_PATH, body, ORDER_TIMEOUT_MS)
             self._check_not_deposed(response)
@@ -98,17 +98,17 @@
         return response.status == 200
 
     async def poll(
-        self, term: int, acknowledged: int, lease_until_ms: int, wait_ms: int
+        self, fence: int, acknowledged: int, lease_until_ms: int, wait_ms: int
     ) -> worker_api.PollReply:
         """Renews the lease, acknowledges ends and lists the worker's runs.
 
         Raises:
           errors.ExchangeError: The response is missing, malformed or an error.
-          worker_api.DeposedError: The worker has seen a leader of a later term.
-          worker_api.ReplacedError: Another incarnation answered.
+          worker_api.DeposedError: The worker has seen a higher fencing token.
+          worker_api.ReplacedError: Another worker answered.
         """
         body = wire_workers.encode_poll(
-            term, acknowledged, lease_until_ms, wait_ms
+            fence, acknowledged, lease_until_ms, wait_ms
         )
         timeout_ms = SLOW_POLL_TIMEOUT_MS
         if wait_ms:
@@ -127,10 +127,10 @@
             raise errors.ExchangeError(str(error), sent=True) from error
 
     async def throttle(
-        self, task: str, run: int, percent: int, term: int
+        self, task: str, run: int, percent: int, fence: int
     ) -> bool:
         """Throttles a run; returns whether the worker applied or refused it."""
-        body = wire_workers.encode_throttle(task, run, percent, term)
+        body = wire_workers.encode_throttle(task, run, percent, fence)
         try:
             response = await self._post(_THROTTLE_PATH, body, ORDER_TIMEOUT_MS)
         except errors.ExchangeError as error:
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -296,6 +296,7 @@
         await curio.sleep(0.02)
         site.dispatcher.started_ms -= 60_000
         site.worker.lease_until_ms = 1
+        site.worker.inherited_lease_until_ms = 0
         ends = await lost_runs.end_lost_runs(site.dispatcher)
         await site.dispatcher.queue_ends(ends)
         await site.dispatcher._commit_ends()
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -59,7 +59,7 @@
     """Records reports of a link; each clock reading advances by 10 ms."""
 
     def __init__(self):
-        self.term = 3
+        self.fence = 3
         self.time_ms = 1_000
         self.ends = []
         self.refusals = []
@@ -69,6 +69,10 @@
         self.time_ms += 10
         return self.time_ms
 
+    def next_fence(self):
+        self.fence += 1
+        return self.fence
+
     def may_lead(self):
         return self.leads
 
@@ -392,6 +396,39 @@
     curio.run(main)
 
 
+def test_calls_to_the_next_incarnation_fence_those_of_the_earlier_link():
+    link, _, owner, _ = link_to(lists())
+    successor = link_lib.Link(
+        build.worker(now_ms=1_000), FakeWorker(lists()), owner, 6_000
+    )
+    assert successor.fence > link.fence
+
+
+def test_an_ended_link_that_is_fenced_by_its_successor_deposes_nobody():
+    async def main():
+        link, client, owner, live = link_to(lists(), confirmed_ms=0, seen=False)
+        client.polls = [worker_api.DeposedError("w1")]
+        client.start_answer = (worker_api.StartAnswer.DEPOSED, "fence")
+        link.ended = True
+        await link._poll()
+        await link.start(live)
+        assert owner.leads
+
+    curio.run(main)
+
+
+def test_an_incarnation_may_hold_a_whole_lease_before_its_first_reply():
+    """It may have taken it from a late call of an earlier link."""
+    link, _, owner, _ = link_to(lists())
+    worker = link.worker
+    worker.has_polled = False
+    poll_once(link)
+    replied_ms = worker.last_reply_ms
+    worker.lease_until_ms = 0
+    assert not worker.is_lease_expired(replied_ms + 6_100)
+    assert worker.is_lease_expired(replied_ms + 6_200)
+
+
 def test_a_failed_poll_ends_nothing():
     link, _, owner, live = link_to(errors.ExchangeError("no reply", sent=True))
     poll_once(link)
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -172,6 +172,7 @@
         await curio.sleep(GRACE_MS * 2 / 1000)
         dispatcher.started_ms -= 60_000
         worker.lease_until_ms = 1
+        worker.inherited_lease_until_ms = 0
         await dispatcher._round()
         assert node.state.jobs.jobs[build.JOB].active == set()
         await dispatcher._round()
--- a/tests/test_jobs_random_capacity.py
+++ b/tests/test_jobs_random_capacity.py
@@ -51,8 +51,8 @@
             gpus=gpus,
         )
 
-    def stop(self, task, run, term):
-        self.check_term(term)
+    def stop(self, task, run, fence):
+        self.check_fence(fence)
         self.highest[task] = max(self.highest[task], run)
         if task in self.running and self.running[task].run <= run:
             now_ms = random_faults.CLOCK.monotonic_ms()
--- a/tests/test_jobs_random_faults.py
+++ b/tests/test_jobs_random_faults.py
@@ -99,7 +99,7 @@
         self.ends = []
         self.end_count = 0
         self.done_ms = {}
-        self.term = 0
+        self.fence = 0
         self.lease_until_ms = 0
         self.draining = False
 
@@ -154,14 +154,14 @@
         if outcome == "done":
             self.done_ms[self.end_count] = CLOCK.monotonic_ms()
 
-    def check_term(self, term):
-        if term < self.term:
+    def check_fence(self, fence):
+        if fence < self.fence:
             raise worker_api.DeposedError(self.name)
-        self.term = term
+        self.fence = fence
 
     def start(self, order, is_late):
         try:
-            self.check_term(order.term)
+            self.check_fence(order.fence)
         except worker_api.DeposedError:
             return worker_api.StartAnswer.DEPOSED, "fence"
         self.extend_lease(order.lease_until_ms)
@@ -177,15 +177,15 @@
         self.system.check_start(self, order, is_late)
         return worker_api.StartAnswer.RUNNING, ""
 
-    def stop(self, task, run, term):
-        self.check_term(term)
+    def stop(self, task, run, fence):
+        self.check_fence(fence)
         self.highest[task] = max(self.highest[task], run)
         if task in self.running and self.running[task].run <= run:
             self.end(task, "gone")
         return True
 
-    def poll(self, term, acknowledged, lease_until_ms):
-        self.check_term(term)
+    def poll(self, fence, acknowledged, lease_until_ms):
+        self.check_fence(fence)
         self.extend_lease(lease_until_ms)
         for row in self.ends:
             if row.number <= acknowledged and row.number in self.done_ms:
@@ -253,16 +253,16 @@
         )
         return answer or (worker_api.StartAnswer.UNKNOWN, "no reply")
 
-    async def stop(self, task, run, term):
+    async def stop(self, task, run, fence):
         return bool(
             await self._exchange(
-                lambda _late: self.worker.stop(task, run, term)
+                lambda _late: self.worker.stop(task, run, fence)
             )
         )
 
-    async def poll(self, term, acknowledged, lease_until_ms, wait_ms):
+    async def poll(self, fence, acknowledged, lease_until_ms, wait_ms):
         def carry_out(_late):
-            self.worker.poll(term, acknowledged, lease_until_ms)
+            self.worker.poll(fence, acknowledged, lease_until_ms)
             return True
 
         if not await self._exchange(carry_out):
