Start nothing on a worker that did not reply to its last poll

Callers saw tasks wait, or run twice, after orders to a worker that had just crashed: it counted as usable for 1.5 s after its last reply, also once its connection had closed or another incarnation had replied, and the next incarnation may carry such an order out. Change: it is usable again with its next reply; a start that was committed before is not sent, and ends as never ordered.

--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -65,7 +65,6 @@
         self.fence = owner.next_fence()
         self._owner = owner
         self.is_gone = False
-        self._is_unresponsive = False
         # Whether it accepts connections but takes long to reply.
         self._is_slow = False
         self._stray_stops: set[tuple[str, int]] = set()
@@ -111,17 +110,17 @@
             await self._note_deposed()
             return False
         except worker_api.ReplacedError:
-            self.is_gone = self._is_unresponsive = True
+            self.is_gone = self.worker.is_unresponsive = True
             return False
         except errors.ExchangeError as error:
             self._note_failure(error)
             self._log_unresponsive(str(error))
             return False
         except Exception:
-            self._is_unresponsive = True
+            self.worker.is_unresponsive = True
             raise
         self.is_gone = reply.born_ms not in (0, worker.heartbeat.born_ms)
-        self._is_unresponsive = self.is_gone
+        self.worker.is_unresponsive = self.is_gone
         if self.is_gone:
             return False
         reply_ms = self._owner.now_ms() - sent_ms
@@ -137,10 +136,12 @@
         is_closed = cause is not None and not is_timeout
         # The second poll in a row without a reply is sent on a connection that
         # was opened for it.
-        self._is_slow = self._is_unresponsive and is_timeout and error.sent
-        if is_closed and not self._is_unresponsive:
+        self._is_slow = (
+            self.worker.is_unresponsive and is_timeout and error.sent
+        )
+        if is_closed and not self.worker.is_unresponsive:
             self.worker.broken_off_ms = self._owner.now_ms()
-        self._is_unresponsive = True
+        self.worker.is_unresponsive = True
 
     def _end_to_acknowledge(self) -> int:
         """Returns the number of the end to acknowledge with a poll.
@@ -149,7 +150,7 @@
         is acknowledged until this incarnation replies again, as the number
         would also discard ends of the next incarnation.
         """
-        return 0 if self._is_unresponsive else self.worker.acknowledged
+        return 0 if self.worker.is_unresponsive else self.worker.acknowledged
 
     def _lease_end_to_send_ms(self, now_ms: int) -> int:
         """Returns the end of the lease to send with a poll; 0 for none.
@@ -158,7 +159,7 @@
         unresponsive no lease is sent, so that it expires. The last one would
         extend that of the next incarnation, whose clock has restarted.
         """
-        if self._is_unresponsive:
+        if self.worker.is_unresponsive:
             return 0
         return self.worker.extend_lease(now_ms, self.lease_ms)
 
@@ -349,6 +350,8 @@
             return "job has ended"
         if self.worker.is_leaving:
             return "worker is leaving"
+        if self.worker.is_unresponsive:
+            return "worker does not reply"
         zone = self.worker.heartbeat.availability_zone
         if self._owner.is_zone_out(zone):
             return "availability zone is out of service"
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -147,6 +147,8 @@
       has_stray_runs: Whether it last listed runs that the replicated state does
         not contain, and whose needs may not be known.
       heartbeat_period_ms: Time between two of its heartbeats.
+      is_unresponsive: Whether this incarnation did not reply to the last poll;
+        another one may have.
       broken_off_ms: When its connection closed during a poll, since its last
         reply; 0 if it did not.
       ended_batch_runs: Runs on idle processors that have just ended: time of
@@ -167,6 +169,7 @@
         "last_reply_ms",
         "heartbeat",
         "inherited_lease_until_ms",
+        "is_unresponsive",
         "lease_until_ms",
         "leaving_since_ms",
         "has_polled",
@@ -195,6 +198,7 @@
         self.has_polled = False
         self.has_stray_runs = False
         self.heartbeat_period_ms = HEARTBEAT_PERIOD_MS
+        self.is_unresponsive = False
         self.broken_off_ms = 0
         self.ended_batch_runs: list[tuple[int, str, float]] = []
         self.throttles_changed_ms = 0
@@ -313,6 +317,7 @@
         """Returns whether new runs may start on it."""
         return (
             self.has_polled
+            and not self.is_unresponsive
             and not self.has_stray_runs
             and not self.heartbeat.draining
             and not self.leaving_since_ms
