Keep a task pinned until a late start can't be running

A worker that replies to polls but to no start got the same task for ever, and an adopted run that went on kept its blame for the crash. Change: the pin ends once the worker lists no such run after the longest delay, or with the lease of the latest start; confirmations carry the incarnation; a new incarnation inherits the leases sent to the one before; after two pending starts a task waits; a run that is listed is not to blame; a link that has ended sends nothing.

--- a/src/galenahook/commands/jobs.py
+++ b/src/galenahook/commands/jobs.py
@@ -117,7 +117,7 @@
       worker: Identifier of the worker.
       born_ms: Start of the worker's incarnation in Unix milliseconds.
       machine: VM of the worker; empty if not known.
-      is_bound: Whether the worker may still carry out an earlier start of the
+      is_pinned: Whether the worker may still carry out an earlier start of the
         task.
     """
 
@@ -126,7 +126,7 @@
     worker: str
     born_ms: int
     machine: str = ""
-    is_bound: bool = False
+    is_pinned: bool = False
 
 
 class RunConfirmed(messages.Message, frozen=True, kw_only=True):
@@ -135,10 +135,13 @@
     Attributes:
       task: Task identifier.
       run: Number of the run.
+      born_ms: Incarnation of the worker that carried out the start, which may
+        be a later one than that it was sent to.
     """
 
     task: str
     run: int
+    born_ms: int
 
 
 class Blame(enum.Enum):
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -213,6 +213,7 @@
             demand=self.service_levels.demand,
             drawn=self._drawn,
             term_started_ms=self.started_ms,
+            lease_ms=self.lease_ms,
         )
 
     async def _order_throttles(self) -> None:
@@ -354,12 +355,16 @@
         """Logs that a worker has seen a leader of a later term."""
         logs.warning("leader:deposed", worker=worker.name, term=self.term)
 
-    def note_confirmed(self, run: workers_lib.LiveRun) -> None:
+    def note_confirmed(
+        self, worker: workers_lib.Worker, run: workers_lib.LiveRun
+    ) -> None:
         """Queues the confirmation of a run for a commit."""
         if not self._confirmed:
             self._confirmed_ms = self.now_ms()
         self._confirmed.append(
-            commands.RunConfirmed(task=run.task, run=run.run)
+            commands.RunConfirmed(
+                task=run.task, run=run.run, born_ms=worker.heartbeat.born_ms
+            )
         )
 
     async def queue_ends(self, ends: list[commands.RunEnd]) -> None:
@@ -420,5 +425,5 @@
         worker=worker.name,
         born_ms=worker.heartbeat.born_ms,
         machine=worker.heartbeat.machine,
-        is_bound=run.is_bound,
+        is_pinned=run.is_pinned,
     )
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -58,8 +58,8 @@
     ) -> None:
         self.worker = worker
         self.client = client
-        client.require(owner.may_lead)
         self.ended = False
+        client.require(self._may_send)
         self.lease_ms = lease_ms
         self.queued_end = 0
         self.fence = owner.next_fence()
@@ -70,6 +70,9 @@
         self._stray_stops: set[tuple[str, int]] = set()
         self._committed = notify.Signal()
 
+    def _may_send(self) -> bool:
+        return not self.ended and self._owner.may_lead()
+
     async def run(self) -> None:
         """Polls the worker until `ended` is set."""
         try:
@@ -189,7 +192,7 @@
         worker.has_polled = True
         if is_first:
             # Until now it took calls of earlier links, and their leases.
-            worker.note_inherited_lease(now_ms, self.lease_ms)
+            worker.inherit_lease(now_ms, self.lease_ms)
         ends: list[commands.RunEnd] = []
         try:
             self._process_finished(reply.finished, ends)
@@ -275,7 +278,10 @@
                 strays.append(row)
                 continue
             if not run.is_confirmed:
-                self._owner.note_confirmed(run)
+                self._owner.note_confirmed(self.worker, run)
+            if not run.seen:
+                # An adopted run did not end with its earlier incarnation.
+                run.blame = commands.Blame.NONE
             run.seen = True
             run.seen_ms = run.seen_ms or self.worker.last_reply_ms
             run.checkpoint = row.checkpoint or run.checkpoint
@@ -411,7 +417,7 @@
         match answer:
             case worker_api.StartAnswer.RUNNING:
                 if not run.is_confirmed:
-                    self._owner.note_confirmed(run)
+                    self._owner.note_confirmed(self.worker, run)
                 run.confirmed_ms = self._owner.now_ms()
             case worker_api.StartAnswer.BROKEN_OFF:
                 run.broken_off = True
--- a/src/galenahook/jobs/link_owner.py
+++ b/src/galenahook/jobs/link_owner.py
@@ -32,7 +32,9 @@
         """Handles that a worker has seen a leader of a later term."""
         raise NotImplementedError
 
-    def note_confirmed(self, run: workers_lib.LiveRun) -> None:
+    def note_confirmed(
+        self, worker: workers_lib.Worker, run: workers_lib.LiveRun
+    ) -> None:
         """Handles that a worker has confirmed a start."""
         raise NotImplementedError
 
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -134,7 +134,7 @@
     or start later, on its next incarnation, whose lease is not known.
     """
     worker = link.worker
-    are_over = pending_starts.has_certainly_ended(worker, now_ms, link.lease_ms)
+    are_over = pending_starts.has_ended_on_silent(worker, now_ms, link.lease_ms)
     expired = [
         run for run in worker.runs.values() if not run.start_pending or are_over
     ]
--- a/src/galenahook/jobs/pending_starts.py
+++ b/src/galenahook/jobs/pending_starts.py
@@ -3,40 +3,65 @@
 An order without a reply may be carried out seconds later, by whatever
 incarnation of the worker runs then. Each proof that it no longer can, such as a
 confirmed stop or a refusal of its fencing token, binds only the incarnation
-that gave it. Until the order can't be carried out any more, its task runs on no
-other worker: whatever ran on an incarnation has ended when the next one carries
-out the order.
+that gave it. Until the order can't be carried out any more, its task is pinned
+to the worker: whatever ran on an incarnation has ended when the next one
+carries out the order.
 """
 
+from galenahook.jobs import round_input
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import workers as workers_lib
 
+# Pending starts of a task after which it runs nowhere, as its worker replies to
+# no start.
+MAX_PENDING_STARTS = 2
 
-def bound_worker(
-    job: tasks_lib.Job,
-    key: tasks_lib.TaskKey,
-    now_ms: int,
-    term_started_ms: int,
-) -> str:
-    """Returns the only worker that may run a task now; empty if any may.
 
-    Args:
-      job: Job of the task.
-      key: Occurrence, step and index of the task.
-      now_ms: Monotonic time.
-      term_started_ms: When the term of this leader began, before which the
-        order of a task that was restored from a snapshot was sent.
+def pinned_worker(
+    inputs: round_input.RoundInput, job: tasks_lib.Job, key: tasks_lib.TaskKey
+) -> str | None:
+    """Returns the only worker that may run a task now.
+
+    Returns:
+      Its identifier, an empty string if no worker may run the task, or None if
+      any may.
     """
     record = job.runs.get(key)
-    if record is None or not record.bound_to:
-        return ""
-    since_ms = job.bound_ms.get(key, term_started_ms)
-    if now_ms - since_ms > workers_lib.MAX_ORDER_DELAY_MS:
-        return ""
-    return record.bound_to
+    if record is None or not record.pinned_to:
+        return None
+    # Of a task that was restored from a snapshot, the order was sent before the
+    # term.
+    since_ms = job.pinned_ms.get(key, inputs.term_started_ms)
+    if _has_ended(inputs, record.pinned_to, since_ms):
+        return None
+    is_repeated = record.pending_starts >= MAX_PENDING_STARTS
+    return "" if is_repeated else record.pinned_to
+
+
+def _has_ended(
+    inputs: round_input.RoundInput, name: str, since_ms: int
+) -> bool:
+    """Returns whether a start on a worker neither runs nor will.
+
+    Args:
+      inputs: State of the site.
+      name: The worker.
+      since_ms: When the order had been sent at the latest.
+    """
+    order_end_ms = since_ms + workers_lib.MAX_ORDER_DELAY_MS
+    if inputs.now_ms <= order_end_ms:
+        return False
+    worker = inputs.worker(name)
+    if worker is None:
+        return inputs.now_ms > _lease_end_ms(since_ms, inputs.lease_ms)
+    # A list that is older than this may have been made before the order.
+    listed_ms = order_end_ms + workers_lib.UNRESPONSIVE_AFTER_MS
+    if worker.last_reply_ms > listed_ms:
+        return not worker.has_stray_runs
+    return has_ended_on_silent(worker, inputs.now_ms, inputs.lease_ms)
 
 
-def has_certainly_ended(
+def has_ended_on_silent(
     worker: workers_lib.Worker, now_ms: int, lease_ms: int
 ) -> bool:
     """Returns whether a pending start on a silent worker can't be running.
@@ -44,9 +69,14 @@
     It may have been carried out as late as the last call that extends a lease,
     and then runs until that lease ends.
     """
-    end_ms = (
-        worker.lease_sent_ms
+    return now_ms > _lease_end_ms(worker.lease_sent_ms, lease_ms)
+
+
+def _lease_end_ms(sent_ms: int, lease_ms: int) -> float:
+    """Returns when a lease has expired that was sent at a time."""
+    return (
+        sent_ms
+        + workers_lib.MAX_SEND_DELAY_MS
         + workers_lib.MAX_ORDER_DELAY_MS
         + lease_ms / workers_lib.MIN_CLOCK_RATE
     )
-    return now_ms > end_ms
--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -182,7 +182,7 @@
 
         The first step of a round for which a worker can be reserved gets one.
         """
-        keys = self._place_bound(job, keys)
+        keys = self._place_pinned(job, keys)
         if not keys:
             return
         step_id = (job.description.job, *_step_key(keys[0]))
@@ -208,11 +208,11 @@
             keys = list(group)
             if not job.is_due(keys[0], self._inputs.now_wall_ms):
                 continue
-            keys = self._place_bound(job, keys)
+            keys = self._place_pinned(job, keys)
             if keys:
                 self._place_step(job, keys)
 
-    def _place_bound(
+    def _place_pinned(
         self, job: tasks_lib.Job, keys: list[tasks_lib.TaskKey]
     ) -> list[tasks_lib.TaskKey]:
         """Places tasks that only one worker may run; returns the others.
@@ -222,8 +222,8 @@
         """
         others = []
         for key in keys:
-            name = self._bound_worker(job, key)
-            if not name:
+            name = pending_starts.pinned_worker(self._inputs, job, key)
+            if name is None:
                 others.append(key)
                 continue
             candidates = [
@@ -232,14 +232,11 @@
                 if candidate.worker.name == name
             ]
             is_suspect = tasks_lib.is_suspect(job, key)
-            self._place_tasks(job, [key], candidates, is_isolated=is_suspect)
+            self._place_tasks(
+                job, [key], candidates, is_isolated=is_suspect, is_pinned=True
+            )
         return others
 
-    def _bound_worker(self, job: tasks_lib.Job, key: tasks_lib.TaskKey) -> str:
-        return pending_starts.bound_worker(
-            job, key, self._inputs.now_ms, self._inputs.term_started_ms
-        )
-
     def _place_step(
         self, job: tasks_lib.Job, keys: list[tasks_lib.TaskKey]
     ) -> None:
@@ -438,6 +435,7 @@
         keys: list[tasks_lib.TaskKey],
         candidates: list[free_capacity_lib.FreeCapacity],
         is_isolated: bool,
+        is_pinned: bool = False,
     ) -> bool:
         """Places tasks of one step; returns whether all of them fit.
 
@@ -447,6 +445,7 @@
           candidates: Free capacity of the workers to choose from.
           is_isolated: Whether to prefer workers on which nothing else is about
             to start.
+          is_pinned: Whether only these workers may run the tasks now.
         """
         if not keys:
             return True
@@ -466,7 +465,8 @@
                 # Reserve the capacity so that no other task uses it meanwhile.
                 chosen.reserve(step, step_id)
             else:
-                self._assign(job, key, step, chosen)
+                run = self._assign(job, key, step, chosen)
+                run.is_pinned = is_pinned
                 if step.uses_idle_cpu:
                     self._reservations.last_resort.note_placed(
                         self._inputs.now_ms
@@ -490,7 +490,6 @@
             step=step,
             ordered_ms=self._inputs.now_ms,
             checkpoint=before.checkpoint if before else "",
-            is_bound=bool(self._bound_worker(job, key)),
         )
         if step.serves:
             since_ms = job.waiting_since_ms(key)
--- a/src/galenahook/jobs/round_input.py
+++ b/src/galenahook/jobs/round_input.py
@@ -32,6 +32,7 @@
       demand: Processors that short jobs ask for.
       drawn: Short jobs that were drawn.
       term_started_ms: When the term of the leader began.
+      lease_ms: Longest lease of a worker.
     """
 
     now_ms: int
@@ -43,7 +44,12 @@
     tails: tail_latency_lib.TailLatencyControl
     demand: demand_lib.ShortDemand
     drawn: drawn_jobs.DrawnJobs
-    term_started_ms: int = 0
+    term_started_ms: int
+    lease_ms: int
+
+    def worker(self, name: str) -> workers_lib.Worker | None:
+        """Returns a worker by its identifier, or None."""
+        return next((it for it in self.workers if it.name == name), None)
 
     def usable_capacity(self) -> list[free_capacity_lib.FreeCapacity]:
         """Returns the free capacity of each worker on which runs may start."""
--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -113,7 +113,9 @@
         job, key = found
         run = job.runs.get(key)
         if run is not None and run.run == confirmed.run:
-            job.runs[key] = msgspec.structs.replace(run, confirmed=True)
+            job.runs[key] = msgspec.structs.replace(
+                run, confirmed=True, born_ms=confirmed.born_ms
+            )
 
     def _record_start(self, start: commands.RunStart, at_ms: int) -> bool:
         found = self._find(start.task)
@@ -139,7 +141,8 @@
                 checkpoint=before.checkpoint,
                 last_worker=before.last_worker,
                 suspicion=before.suspicion,
-                bound_to=before.bound_to if start.is_bound else "",
+                pinned_to=before.pinned_to if start.is_pinned else "",
+                pending_starts=before.pending_starts * start.is_pinned,
             )
         job.runs[key] = run
         job.waiting.discard(key)
@@ -165,11 +168,12 @@
             last_worker=run.worker if failed else run.last_worker,
             suspicion=_suspicion_after(run.suspicion, end.blame),
             ended_ms=at_ms,
-            bound_to=run.worker if end.start_pending else run.bound_to,
+            pinned_to=run.worker if end.start_pending else run.pinned_to,
+            pending_starts=run.pending_starts + end.start_pending,
         )
         job.runs[key] = run
         if end.start_pending:
-            job.bound_ms[key] = self.now_ms
+            job.pinned_ms[key] = self.now_ms
         job.note_failed_runs(key, run.failures)
         job.active.discard(key)
         is_given_up = not run.done and run.suspicion >= MAX_SUSPICION
--- a/src/galenahook/jobs/tasks.py
+++ b/src/galenahook/jobs/tasks.py
@@ -52,9 +52,10 @@
       ended_ms: Wall time at which its end was committed; 0 before.
       started_ms: Wall time at which its start was committed; 0 if not known.
       confirmed: Whether the worker has confirmed its start, or listed it.
-      bound_to: Worker that may still carry out the start of this run or of an
+      pinned_to: Worker that may still carry out the start of this run or of an
         earlier one; until it no longer can, the task may run on no other one.
         Empty for none.
+      pending_starts: Number of runs whose start it may still carry out.
     """
 
     task: str
@@ -71,7 +72,8 @@
     ended_ms: int = 0
     started_ms: int = 0
     confirmed: bool = False
-    bound_to: str = ""
+    pinned_to: str = ""
+    pending_starts: int = 0
 
 
 class CancellationRecord(
@@ -124,15 +126,15 @@
       began: Whether any task was ever started.
       failed_runs: Largest number of failed runs of one task, by occurrence and
         step.
-      bound_ms: Monotonic time of this replica at which the end was applied that
-        bound a task to its worker. Not replicated, and not known of tasks that
+      pinned_ms: Monotonic time of this replica at which it applied the end that
+        pinned a task to its worker. Not replicated, and not known of tasks that
         were restored from a snapshot.
     """
 
     __slots__ = (
         "active",
         "began",
-        "bound_ms",
+        "pinned_ms",
         "done",
         "failed_runs",
         "record",
@@ -148,7 +150,7 @@
         self.active: set[TaskKey] = set()
         self.began = False
         self.failed_runs: dict[StepKey, int] = {}
-        self.bound_ms: dict[TaskKey, int] = {}
+        self.pinned_ms: dict[TaskKey, int] = {}
         self.refresh_waiting()
 
     @property
--- a/src/galenahook/jobs/worker_intake.py
+++ b/src/galenahook/jobs/worker_intake.py
@@ -36,12 +36,14 @@
         dispatcher.lease_ms,
     )
     # What earlier leaders sent to the worker, and earlier links.
-    worker.lease_sent_ms = max(
-        [
-            dispatcher.started_ms,
-            *(it.lease_sent_ms for it in ended if it.name == worker.name),
-        ]
-    )
+    worker.lease_sent_ms = dispatcher.started_ms
+    for other in ended:
+        if other.name == worker.name:
+            worker.lease_sent_ms = other.lease_sent_ms
+            worker.inherit_lease(
+                other.lease_sent_ms + workers_lib.MAX_ORDER_DELAY_MS,
+                dispatcher.lease_ms,
+            )
     links = dispatcher.links
     before = {other.name: links.pop(other.name, None) for other in ended}
     links[worker.name] = link
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -12,6 +12,8 @@
 MIN_CLOCK_RATE = 0.98
 # Longest time after which a worker may still carry out an order.
 MAX_ORDER_DELAY_MS = 12_000
+# Longest time from the decision to send an order to its sending.
+MAX_SEND_DELAY_MS = 500
 # Time without a response after which nothing new starts on a worker.
 UNRESPONSIVE_AFTER_MS = 1_500
 # Period of heartbeats if the settings don't contain it.
@@ -67,7 +69,7 @@
       reported_miss_ms: That time when a miss was last logged; 0 for none.
       waited_ms: How long its task had waited when it was placed; 0 if it does
         not serve.
-      is_bound: Whether its worker may still carry out an earlier start of the
+      is_pinned: Whether its worker may still carry out an earlier start of the
         task.
       step_id: Job, occurrence and number of its step.
     """
@@ -100,7 +102,7 @@
     is_last_resort: bool = False
     reported_miss_ms: int = 0
     waited_ms: int = 0
-    is_bound: bool = False
+    is_pinned: bool = False
     step_id: StepId = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -142,10 +144,10 @@
       clock_at_ms: When that clock reading was received.
       lease_until_ms: Latest end of a lease sent to it, on its own clock.
       lease_sent_ms: When a lease was last sent to it or to an earlier
-        incarnation, by this leader or an earlier one; 0 for never.
-      inherited_lease_until_ms: When a lease that was sent to an earlier
-        incarnation and received by this one has expired, on the leader's clock;
-        0 before its first reply to this leader.
+        incarnation, by this leader or, at the latest, by an earlier one.
+      inherited_lease_until_ms: When every lease that was sent to an earlier
+        incarnation and may be received by this one has expired, on the leader's
+        clock; 0 for none.
       acknowledged: Number of the last end that is committed.
       last_processed_end: Number of the last end processed from its list.
       leaving_since_ms: When it announced that it ends; 0 before.
@@ -259,12 +261,10 @@
             return self.extend_lease(now_ms, length_ms)
         return self.lease_until_ms
 
-    def note_inherited_lease(self, now_ms: int, length_ms: int) -> None:
-        """Records that it may hold a lease that was not sent by its link."""
+    def inherit_lease(self, latest_ms: int, length_ms: int) -> None:
+        """Records until when it may take leases that its link did not send."""
         # Its clock has restarted, so only the length of the lease is known.
-        self.inherited_lease_until_ms = max(
-            self.inherited_lease_until_ms, now_ms + length_ms / MIN_CLOCK_RATE
-        )
+        self.inherited_lease_until_ms = latest_ms + length_ms / MIN_CLOCK_RATE
 
     def is_lease_expired(self, now_ms: int) -> bool:
         """Returns whether every lease that it may hold has expired."""
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -23,6 +23,7 @@
 
 JOB = "00000000000000a1"
 WALL_MS = 1_800_000_000_000
+LEASE_MS = 6_000
 # Wall time of a `Site` at its monotonic time 0.
 SITE_WALL_MS = WALL_MS + 1_000
 
@@ -82,11 +83,11 @@
 
 
 def start(
-    task: str, run: int = 1, worker: str = "w1", is_bound: bool = False
+    task: str, run: int = 1, worker: str = "w1", is_pinned: bool = False
 ) -> commands.RunStart:
     """Builds a start on a worker."""
     return commands.RunStart(
-        task=task, run=run, worker=worker, born_ms=1, is_bound=is_bound
+        task=task, run=run, worker=worker, born_ms=1, is_pinned=is_pinned
     )
 
 
@@ -113,7 +114,7 @@
 
 def confirmed(task: str, run: int = 1) -> commands.RecordRuns:
     """Builds the command that records the confirmation of a start."""
-    rows = (commands.RunConfirmed(task=task, run=run),)
+    rows = (commands.RunConfirmed(task=task, run=run, born_ms=1),)
     return commands.RecordRuns(confirmed=rows, at_ms=WALL_MS)
 
 
@@ -260,4 +261,5 @@
             demand=self.demand,
             drawn=self.drawn,
             term_started_ms=self.term_started_ms,
+            lease_ms=LEASE_MS,
         )
--- a/tests/test_jobs_link.py
+++ b/tests/test_jobs_link.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+from galenahook import commands
 from galenahook import errors
 from galenahook.jobs import link as link_lib
 from galenahook.jobs import link_owner
@@ -94,7 +95,7 @@
     def note_end(self, *_):
         pass
 
-    def note_confirmed(self, run):
+    def note_confirmed(self, _worker, run):
         self.confirmed.append(run.task)
 
     def note_refusal(self, _worker, run, answer, _reason):
@@ -429,6 +430,34 @@
     assert successor.fence > link.fence
 
 
+def test_an_adopted_run_that_goes_on_is_not_blamed_for_the_crash():
+    async def main():
+        link, _, _, live = link_to(
+            lists(), confirmed_ms=0, seen=False, ordered_ms=5, sent_ms=5
+        )
+        live.broken_off = True
+        successor, _, owner, other = link_to(lists((live.task, 1)))
+        del successor.worker.runs[other.task]
+        await link.end_incarnation(successor, "worker restarted")
+        assert live.blame is commands.Blame.LIKELY
+        await successor._poll()
+        assert live.blame is commands.Blame.NONE
+
+    curio.run(main)
+
+
+def test_nothing_is_sent_through_a_link_that_has_ended():
+    """A call may have waited for its connection while the worker restarted."""
+    client = FakeWorker(lists())
+    permissions = []
+    client.require = permissions.append
+    link = link_lib.Link(build.worker(), client, FakeOwner(), 6_000)
+    (may_send,) = permissions
+    assert may_send()
+    link.ended = True
+    assert not may_send()
+
+
 def test_an_ended_link_that_is_fenced_by_its_successor_deposes_nobody():
     async def main():
         link, client, owner, live = link_to(lists(), confirmed_ms=0, seen=False)
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -20,7 +20,7 @@
 COMMIT_TIMEOUT_S = 2.5
 LEASE_MS = 3_000
 # A start that is carried out as late as possible, and its whole lease.
-LATEST_END_MS = workers_lib.MAX_ORDER_DELAY_MS + LEASE_MS + 100
+LATEST_END_MS = workers_lib.MAX_ORDER_DELAY_MS + LEASE_MS + 1_000
 
 
 @pytest.fixture(autouse=True)
@@ -303,3 +303,63 @@
         assert len(await lost_runs.end_lost_runs(dispatcher)) != is_confirmed
 
     curio.run(main)
+
+
+async def restart_after_lease(dispatcher):
+    """Replaces a worker that was just sent a lease; returns the next one."""
+    dispatcher.links["w1"].worker.lease_sent_ms = dispatcher.now_ms()
+    await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+    return dispatcher.links["w1"].worker
+
+
+def test_a_lease_that_was_sent_to_the_earlier_incarnation_is_waited_for():
+    """The next one may take it late, before its first reply."""
+
+    async def scenario(_node, dispatcher, client):
+        client.failure = curio.TaskTimeout()
+        sent_ms = dispatcher.now_ms()
+        worker = await restart_after_lease(dispatcher)
+        worker.lease_until_ms = 0
+        late_ms = sent_ms + workers_lib.MAX_ORDER_DELAY_MS
+        assert not worker.is_lease_expired(late_ms + LEASE_MS)
+        assert worker.is_lease_expired(late_ms + LEASE_MS + 500)
+
+    run_with_worker(scenario)
+
+
+def test_a_pending_start_of_a_restarted_worker_ends_with_its_latest_lease():
+    """The next incarnation never replies, but may have carried it out."""
+
+    async def scenario(node, dispatcher, client):
+        client.failure = curio.TaskTimeout()
+        await curio.sleep(0.02)
+        run = dispatcher.links["w1"].worker.runs[TASK]
+        run.seen = False
+        worker = await restart_after_lease(dispatcher)
+        dispatcher.started_ms -= 60_000
+        worker.lease_until_ms = worker.inherited_lease_until_ms = 0
+        await dispatcher._round()
+        assert worker.runs == {TASK: run}
+        worker.lease_sent_ms -= LATEST_END_MS
+        await dispatcher._round()
+        assert node.state.jobs.jobs[build.JOB].active == set()
+
+    run_with_worker(scenario)
+
+
+def test_a_run_that_goes_on_in_a_later_incarnation_is_recorded_there():
+    """A late heartbeat of the earlier one does not attach it to that."""
+
+    async def scenario(node, dispatcher, client):
+        run = dispatcher.links["w1"].worker.runs[TASK]
+        run.seen = False
+        client.born_ms = 2
+        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+        await curio.sleep(0.05)
+        dispatcher._confirmed_ms -= dispatcher_lib.CONFIRMED_DELAY_MS
+        await dispatcher._commit_ends()
+        record = node.state.jobs.jobs[build.JOB].runs[0, 0, 0]
+        assert record.confirmed
+        assert record.born_ms == 2
+
+    run_with_worker(scenario)
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -320,21 +320,39 @@
     assert placements_of(site_with(seen=False)) == [("w2", "0.0.0")]
 
 
-def site_with_pending_start():
-    """Builds a site whose only task has a pending start on `w1`."""
+def site_with_pending_start(step=None, runs=1):
+    """Builds a site whose only task has pending starts on `w1`."""
     site = build.Site(
-        [build.worker(), build.worker("w2")], build.submit(build.step())
+        [build.worker(), build.worker("w2")],
+        build.submit(step or build.step()),
     )
     task = f"{build.JOB}.0.0.0"
-    site.table.record(build.starts(build.start(task)))
-    site.table.record(build.ends(build.pending_end(task)))
+    for run in range(1, runs + 1):
+        site.table.record(
+            build.starts(build.start(task, run, is_pinned=run > 1))
+        )
+        site.table.record(build.ends(build.pending_end(task, run)))
     return site
 
 
-def set_time(site, now_ms):
+def set_time(site, now_ms, *silent):
+    """Sets the time; all workers but the silent ones have just replied."""
     site.now_ms = now_ms
     for worker in site.workers:
-        worker.last_reply_ms = worker.clock_at_ms = now_ms
+        if worker.name not in silent:
+            worker.last_reply_ms = worker.clock_at_ms = now_ms
+
+
+# When an order sent at time 0 has been carried out, and the lease has expired
+# that the worker took with it.
+CARRIED_OUT_MS = (
+    workers_lib.MAX_ORDER_DELAY_MS + workers_lib.UNRESPONSIVE_AFTER_MS
+)
+LEASE_END_MS = (
+    workers_lib.MAX_ORDER_DELAY_MS
+    + workers_lib.MAX_SEND_DELAY_MS
+    + int(build.LEASE_MS / workers_lib.MIN_CLOCK_RATE)
+)
 
 
 def test_a_task_runs_only_where_its_pending_start_may_be_carried_out():
@@ -346,25 +364,56 @@
     site.workers[0].heartbeat = build.heartbeat("w1", born_ms=2)
     ((worker, run),) = place(site)
     assert worker.name == "w1"
-    assert run.is_bound
+    assert run.is_pinned
 
 
-def test_a_task_runs_anywhere_once_its_start_can_not_be_carried_out():
+def test_a_task_runs_anywhere_once_its_worker_lists_no_late_start():
     site = site_with_pending_start()
-    site.workers.pop(0)
-    set_time(site, workers_lib.MAX_ORDER_DELAY_MS + 1)
+    site.workers[0].heartbeat = build.heartbeat("w1", draining=True)
+    set_time(site, CARRIED_OUT_MS)
+    assert placements_of(site) == []
+    set_time(site, CARRIED_OUT_MS + 1)
+    site.workers[0].has_stray_runs = True
+    assert placements_of(site) == []
+    site.workers[0].has_stray_runs = False
     ((worker, run),) = place(site)
     assert worker.name == "w2"
-    assert not run.is_bound
+    assert not run.is_pinned
+
+
+@pytest.mark.parametrize("is_known", [False, True])
+def test_a_task_waits_for_the_lease_of_a_start_that_a_silent_worker_took(
+    is_known,
+):
+    """A start that is carried out at the last moment begins a whole lease."""
+    site = site_with_pending_start()
+    if not is_known:
+        site.workers.pop(0)
+    set_time(site, LEASE_END_MS, "w1")
+    assert placements_of(site) == []
+    set_time(site, LEASE_END_MS + 1, "w1")
+    assert placements_of(site) == [("w2", "0.0.0")]
+
+
+def test_a_task_waits_for_the_last_lease_that_a_silent_worker_was_sent():
+    site = site_with_pending_start()
+    site.workers[0].lease_sent_ms = 5_000
+    set_time(site, LEASE_END_MS + 5_000, "w1")
+    assert placements_of(site) == []
+    set_time(site, LEASE_END_MS + 5_001, "w1")
+    assert placements_of(site) == [("w2", "0.0.0")]
+
+
+def test_a_task_is_not_started_for_ever_on_a_worker_that_replies_to_no_start():
+    site = site_with_pending_start(runs=2)
+    set_time(site, CARRIED_OUT_MS)
+    assert placements_of(site) == []
+    set_time(site, CARRIED_OUT_MS + 1)
+    assert len(placements_of(site)) == 1
 
 
 def test_a_task_with_a_pending_start_gets_no_worker_reserved():
-    site = build.Site(
-        [build.worker(), build.worker("w2")], build.submit(build.serving_step())
-    )
-    task = f"{build.JOB}.0.0.0"
-    site.table.record(build.starts(build.start(task)))
-    site.table.record(build.ends(build.pending_end(task)))
+    site = site_with_pending_start(build.serving_step())
     site.workers.pop(0)
     for now_ms in range(0, workers_lib.MAX_ORDER_DELAY_MS, 100):
         set_time(site, now_ms)
@@ -380,21 +429,21 @@
     for record in site.table.snapshot_records():
         restored.table.restore_record(record)
     restored.term_started_ms = 50_000
-    latest_ms = restored.term_started_ms + workers_lib.MAX_ORDER_DELAY_MS
+    latest_ms = restored.term_started_ms + LEASE_END_MS
     set_time(restored, latest_ms)
     assert placements_of(restored) == []
     set_time(restored, latest_ms + 1)
     assert placements_of(restored) == [("w2", "0.0.0")]
 
 
-def test_a_task_stays_bound_by_an_earlier_start_after_another_run():
+def test_a_task_stays_pinned_by_an_earlier_start_after_another_run():
     site = site_with_pending_start()
     task = f"{build.JOB}.0.0.0"
-    bound = build.start(task, run=2, is_bound=True)
-    site.table.record(build.starts(bound))
+    site.table.record(build.starts(build.start(task, run=2, is_pinned=True)))
     site.table.record(build.ends(build.end(task, run=2, outcome="gone")))
     site.workers.pop(0)
     set_time(site, workers_lib.MAX_ORDER_DELAY_MS)
     assert placements_of(site) == []
     site.table.record(build.starts(build.start(task, run=3)))
-    assert site.table.jobs[build.JOB].runs[0, 0, 0].bound_to == ""
+    record = site.table.jobs[build.JOB].runs[0, 0, 0]
+    assert (record.pinned_to, record.pending_starts) == ("", 0)
--- a/tests/test_jobs_workers.py
+++ b/tests/test_jobs_workers.py
@@ -111,14 +111,14 @@
 
 def test_a_lease_received_instead_of_an_earlier_incarnation_is_waited_for():
     worker = build.worker(now_ms=1_000, clock_ms=500)
-    worker.note_inherited_lease(1_000, 6_000)
+    worker.inherit_lease(1_000, 6_000)
     assert not worker.is_lease_expired(1_000 + 6_122)
     assert worker.is_lease_expired(1_000 + 6_123)
 
 
 def test_a_later_clock_reading_does_not_shorten_an_inherited_lease():
     worker = build.worker(now_ms=1_000, clock_ms=500)
-    worker.note_inherited_lease(1_000, 6_000)
+    worker.inherit_lease(1_000, 6_000)
     worker.record_clock(90_000, 2_000)
     assert not worker.is_lease_expired(1_000 + 6_122)
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -261,6 +261,16 @@
     assert wire_workers.decode_start_response(status, body)[0] is answer
 
 
+def test_a_start_confirmed_with_an_earlier_clock_was_not_by_its_incarnation():
+    body = encode({"clock_ms": 99})
+    for min_clock_ms, answer in (
+        (99, worker_api.StartAnswer.RUNNING),
+        (100, worker_api.StartAnswer.UNKNOWN),
+    ):
+        decoded = wire_workers.decode_start_response(200, body, min_clock_ms)
+        assert decoded[0] is answer
+
+
 @pytest.mark.parametrize(("lease_until_ms", "sent"), [(9, True), (0, False)])
 def test_a_poll_without_a_lease_names_no_deadline(lease_until_ms, sent):
     poll = json.loads(wire_workers.encode_poll(7, 3, lease_until_ms, 5))
