Soak: let the disks of two replicas refuse writes by construction

Seven plays of its seed that print the draws show why. A draw is skipped while a replica has a fault, so only about two are taken in 9 s: the first at 0 s, the next at 5.4 to 6.3 s. Callers and operators draw from the same generator, so the replica of the second depends on timing: the first replica four times, the third twice, and once, in the sixth play, the one that had refused before. There only one replica logged refused writes. No promise was broken in any of them: the product is sound there, only the arrangement was left to chance. Change: a disk is drawn among those that have not refused writes yet, and among all once each has. The faults go on until the wanted number of disks has had its turn (`min_refusing`, 2 in the test). A refusal lasts for the time drawn, and then until a write was refused, for at most 5 s in all as before. The other replicas are sound meanwhile, as before. The test keeps its checks, `len(refused) >= 2` among them. The module said that the faults of a seed repeat, which the plays refute; it says so now.

--- a/bench/job_soak.py
+++ b/bench/job_soak.py
@@ -12,9 +12,10 @@
 what callers, operators and workers see that no task runs in two places, nothing
 starts that was not accepted, is completed or is in a zone out of service, that
 acknowledged changes are in force, and that every accepted job ends or lasts
-once the faults are over. The faults of a seed repeat; their interleaving with
-the processes does not. Writes what the workers did to `workers.log`. Prints the
-findings; exits with 1 if there are any.
+once the faults are over. Callers, operators and faults draw from one generator,
+so the faults of a seed differ as soon as the order of the draws does, which
+depends on the processes. Writes what the workers did to `workers.log`. Prints
+the findings; exits with 1 if there are any.
 
 A disk refuses writes while the limit of the file size of its process is lowered
 to 0 bytes, which needs no privileges. The output of processes is read through
@@ -52,8 +53,10 @@
 CANCELLED_SHARE = 0.15
 LASTING_JOBS = 2
 LASTING_TASKS = 2
-# Longest time for which a disk refuses writes.
+# Longest time for which a disk refuses writes, and the pause between two checks
+# of whether it has refused one.
 MAX_REFUSAL_S = 5.0
+REFUSAL_POLL_S = 0.05
 # Time for which a worker that restarts is silent.
 DARK_S = 0.6
 # How late a call is carried out. Calls may also wait for a restart or a delayed
@@ -161,6 +164,7 @@
         folder: pathlib.Path,
         layout: str = "small",
         faults: tuple[str, ...] = (),
+        min_refusing: int = 0,
     ) -> None:
         self.random = random.Random(seed)
         self.seconds = seconds
@@ -181,6 +185,7 @@
         self.cancelled_share = CANCELLED_SHARE
         self._folder = folder
         self._fault_names = faults or tuple(self._fault_kinds())
+        self._min_refusing = min_refusing
         self._connections: dict[str, list[web.ClientConnection]] = {}
 
     def play(self) -> None:
@@ -459,15 +464,24 @@
         }
 
     async def inject_faults(self) -> None:
-        """Starts faults, which may overlap, and waits for their ends."""
+        """Starts faults, which may overlap, and waits for their ends.
+
+        Goes on after the time is up until the disks of enough replicas were
+        made to refuse writes.
+        """
         end_ms = self.clock.monotonic_ms() + 1_000 * self.seconds
         kinds = self._fault_kinds()
         async with curio.TaskGroup() as group:
-            while self.clock.monotonic_ms() < end_ms:
+            while self.clock.monotonic_ms() < end_ms or self._lacks_refusals():
                 name = self.random.choice(self._fault_names)
                 await group.spawn(kinds[name])
                 await curio.sleep(self.random.uniform(0.3, 1.5))
 
+    def _lacks_refusals(self) -> bool:
+        """Returns whether too few disks were made to refuse writes."""
+        refusing = sum(bool(replica.refusals) for replica in self.site.replicas)
+        return refusing < self._min_refusing
+
     def _sound_daemon(
         self, daemons: list[soak_processes.Daemon] | None = None
     ) -> soak_processes.Daemon | None:
@@ -514,13 +528,27 @@
         self.random.choice(self.site.daemons).signal(signal.SIGHUP)
 
     async def _refuse_writes(self) -> None:
-        replica = self._sound_daemon(self.site.replicas)
+        """Makes a disk refuse writes, each one once before any again.
+
+        It lasts until a write was refused, but for at most `MAX_REFUSAL_S`.
+        """
+        replicas = self.site.replicas
+        unused = [replica for replica in replicas if not replica.refusals]
+        replica = self._sound_daemon(unused or replicas)
         refusal_s = self.random.uniform(0.3, MAX_REFUSAL_S)
         if replica is None:
             return
         replica.faults += 1
+        replica.refusals += 1
+        logged = replica.count_refused_writes()
+        end_ms = self.clock.monotonic_ms() + 1_000 * MAX_REFUSAL_S
         replica.refuse_writes(True)
         await curio.sleep(refusal_s)
+        while (
+            replica.count_refused_writes() == logged
+            and self.clock.monotonic_ms() < end_ms
+        ):
+            await curio.sleep(REFUSAL_POLL_S)
         replica.refuse_writes(False)
         await curio.sleep(CATCH_UP_S)
         replica.faults -= 1
@@ -600,9 +628,20 @@
     folder: pathlib.Path,
     layout: str = "small",
     faults: tuple[str, ...] = (),
+    min_refusing: int = 0,
 ) -> Soak:
-    """Plays one seed; returns the soak with its findings."""
-    soak = Soak(seed, seconds, folder, layout, faults)
+    """Plays one seed; returns the soak with its findings.
+
+    Args:
+      seed: Seed of the faults.
+      seconds: Time in which faults begin.
+      folder: Folder of the processes.
+      layout: Name of the layout.
+      faults: Kinds of faults; all of them if empty.
+      min_refusing: Replicas whose disks have to refuse writes before the faults
+        end, even if it takes longer; needs that kind of fault.
+    """
+    soak = Soak(seed, seconds, folder, layout, faults, min_refusing)
     soak.play()
     return soak
 
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -53,12 +53,14 @@
       settings: Path of its settings.
       process: The process.
       faults: Faults that act on it.
+      refusals: Times that its disk was made to refuse writes.
     """
 
     role: str
     settings: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
     faults: int = 0
+    refusals: int = 0
 
     def start(self) -> None:
         """Starts the process; its output is appended to a log file.
@@ -106,6 +108,11 @@
         soft = 0 if are_refused else hard
         resource.prlimit(self.process.pid, kind, (soft, hard))
 
+    def count_refused_writes(self) -> int:
+        """Returns how many refused writes it has logged."""
+        log = self.settings.with_suffix(".log")
+        return log.read_bytes().count(b"disk:write-refused")
+
     async def restart(self) -> None:
         """Waits for the end of the process and starts it again."""
         while self.is_running():
--- a/tests/test_job_soak.py
+++ b/tests/test_job_soak.py
@@ -20,7 +20,11 @@
 def test_no_promise_is_broken_while_disks_refuse_writes(tmp_path):
     """Guards against processes that a refused write stops for good."""
     soak = job_soak.play(
-        REFUSAL_SEED, REFUSAL_SECONDS, tmp_path, faults=("refuse-writes",)
+        REFUSAL_SEED,
+        REFUSAL_SECONDS,
+        tmp_path,
+        faults=("refuse-writes",),
+        min_refusing=2,
     )
     assert soak.findings == []
     assert any(job.accepted for job in soak.jobs.values())
