Wait for an election before a planned stop leaves its vote behind

A replica that stops waits for the next leader to remove its vote, and went without it after 0.8 s. That is less than one election timeout of the product (0.5 to 1 s), so a stop left its vote behind whenever the transfer of leadership didn't succeed at once. Seen in traces: the successor writes its own vote to a slow disk before it asks for others. If that takes over 0.25 s, the other voters time out, the successor's own timer begins a further term beside it, and several candidates split the votes. And a replica that was elected itself while it stopped led on until it gave up. Change: the stop waits for two of the longest election timeouts besides the 0.8 s, 2.8 s by default, and transfers leadership again if it is elected. A single voter, which waited in vain, doesn't wait. No bound of a test changed. Not covered: a disk that is slow for longer than the wait.

--- a/src/galenahook/replicas/joining.py
+++ b/src/galenahook/replicas/joining.py
@@ -22,6 +22,7 @@
 from galenahook import logs
 from galenahook.replicas import core as core_lib
 from galenahook.replicas import membership_changes
+from galenahook.replicas import replication
 from galenahook.replicas import transport
 from galenahook.replicas import wire
 
@@ -31,10 +32,14 @@
 _REQUEST_PERIOD_MS = 150
 _REQUEST_TIMEOUT_MS = 500
 _ADMISSION_PERIOD_MS = 100
-# Longest time that a planned stop waits for the leader, and the pause between
-# two notices.
+# Longest time that a planned stop waits for the leader besides the elections,
+# and the pause between two notices.
 _STOP_NOTICE_TIMEOUT_MS = 800
 _STOP_NOTICE_PERIOD_MS = 40
+# Longest election timeouts for which it waits besides, as the request to the
+# successor may be lost, or votes be late, and an election may end without a
+# leader.
+_STOP_ELECTION_TIMEOUTS = 2
 
 
 async def request_admission(core: core_lib.Core) -> None:
@@ -106,19 +111,27 @@
 
 
 async def announce_stop(core: core_lib.Core) -> None:
-    """Announces a planned stop until the leader lets this replica stop."""
+    """Announces a planned stop until the leader lets this replica stop.
+
+    If this replica is elected meanwhile, it transfers its leadership again.
+    """
     if not (core.settings.joins_by_itself and core.is_voter()):
         return
+    if len(core.members.voters) == 1:
+        return
+    elections_ms = core.timing.election_timeout_max_ms * _STOP_ELECTION_TIMEOUTS
+    timeout_ms = elections_ms + _STOP_NOTICE_TIMEOUT_MS
     began_ms = core.now_ms()
     while not await _may_stop(core):
         waited_ms = core.now_ms() - began_ms
-        if waited_ms >= _STOP_NOTICE_TIMEOUT_MS:
+        if waited_ms >= timeout_ms:
             logs.warning("member:stop-unanswered", waited_ms=waited_ms)
             return
         await curio.sleep(clock_lib.seconds(_STOP_NOTICE_PERIOD_MS))
 
 
 async def _may_stop(core: core_lib.Core) -> bool:
+    await replication.transfer_leadership(core)
     leader = core.members.by_name.get(core.leader)
     if leader is None or leader.name == core.name:
         return False
--- a/tests/test_replicas_election.py
+++ b/tests/test_replicas_election.py
@@ -14,6 +14,7 @@
 from galenahook import defaults
 from galenahook import errors
 from galenahook import messages
+from galenahook import settings as settings_lib
 from galenahook import web
 from galenahook.replicas import core as core_lib
 from galenahook.replicas import election
@@ -298,6 +299,85 @@
     assert not faults
 
 
+async def start_six(group):
+    await group.start("a", "b", "c")
+    await group.wait_for_leader()
+    group.may_found = False
+    await group.start_and_join("d", "e")
+    await group.start_and_join("f")
+
+
+def lose_leadership_transfers(monkeypatch, count):
+    """Makes the successors ignore the first requests; returns who got any."""
+    handle = election.handle_leadership_transfer
+    names = []
+
+    async def lose(core, request):
+        names.append(core.name)
+        if len(names) <= count:
+            return wire.LeadershipTransferReply(accepted=False)
+        return await handle(core, request)
+
+    monkeypatch.setattr(election, "handle_leadership_transfer", lose)
+    return names
+
+
+def set_election_timeouts(monkeypatch, first_ms, step_ms):
+    """Gives the replicas different timeouts; returns them by name."""
+    timeouts_ms = {
+        name: first_ms + step_ms * number
+        for number, name in enumerate("abcdef")
+    }
+    monkeypatch.setattr(
+        election, "_random_timeout_ms", lambda core: timeouts_ms[core.name]
+    )
+    return timeouts_ms
+
+
+def test_planned_stop_waits_for_the_election_after_a_lost_transfer(
+    tmp_path, monkeypatch
+):
+    """It waited for less than one election timeout of the product."""
+    group = replica_group.SelfJoiningGroup(tmp_path)
+    group.timing = settings_lib.Timing()
+    longest_ms = group.timing.election_timeout_max_ms
+    transfers = lose_leadership_transfers(monkeypatch, 1)
+    timeouts_ms = set_election_timeouts(monkeypatch, longest_ms - 200, 40)
+
+    async def main():
+        await start_six(group)
+        leader = (await group.wait_for_leader()).name
+        timeouts_ms[leader] = longest_ms
+        await group.stop(leader)
+        assert len(transfers) == 1
+        await group.wait_for_leader()
+        assert group.voters() == set("abcdef") - {leader}
+        await group.close()
+
+    replica_group.run(main)
+
+
+def test_replica_that_is_elected_while_it_stops_transfers_leadership_again(
+    tmp_path, monkeypatch
+):
+    """It led until it gave up, and left with its vote."""
+    group = replica_group.SelfJoiningGroup(tmp_path)
+    shortest_ms = group.timing.election_timeout_min_ms
+    transfers = lose_leadership_transfers(monkeypatch, 1)
+    set_election_timeouts(monkeypatch, shortest_ms + 10, shortest_ms // 2)
+
+    async def main():
+        await start_six(group)
+        assert (await group.wait_for_leader()).name == "a"
+        await group.stop("a")
+        assert len(transfers) == 2
+        await group.wait_for_leader()
+        assert group.voters() == set("bcdef")
+        await group.close()
+
+    replica_group.run(main)
+
+
 def test_follower_refuses_a_command_and_names_the_leader(tmp_path):
     group = replica_group.ReplicaGroup(tmp_path)
 
