Let a task wait for a pending start that it could be done before

Pinning only prevents runs beside each other. Change: only a serving task, which is never done, runs on its worker while an earlier start is pending; any other task waits until it can't be carried out. A job whose starts were all pending when their runs ended counts as waiting again.

--- a/src/galenahook/jobs/pending_starts.py
+++ b/src/galenahook/jobs/pending_starts.py
@@ -3,17 +3,17 @@
 An order without a reply may be carried out seconds later, by whatever
 incarnation of the worker runs then. Each proof that it no longer can, such as a
 confirmed stop or a refusal of its fencing token, binds only the incarnation
-that gave it. Until the order can't be carried out any more, its task is pinned
-to the worker: whatever ran on an incarnation has ended when the next one
-carries out the order.
+that gave it. Until the order can't be carried out any more, its task waits. A
+serving task may run meanwhile on the same worker, to which it is pinned: what
+ran on an incarnation has ended when the next one carries out the order.
 """
 
 from galenahook.jobs import round_input
 from galenahook.jobs import tasks as tasks_lib
 from galenahook.jobs import workers as workers_lib
 
-# Pending starts of a task after which it runs nowhere, as its worker replies to
-# no start.
+# Pending starts of a serving task after which it waits as well, as its worker
+# replies to no start.
 MAX_PENDING_STARTS = 2
 
 
@@ -34,8 +34,11 @@
     since_ms = job.pinned_ms.get(key, inputs.term_started_ms)
     if _has_ended(inputs, record.pinned_to, since_ms):
         return None
-    is_repeated = record.pending_starts >= MAX_PENDING_STARTS
-    return "" if is_repeated else record.pinned_to
+    # Any other task may be done there before the order is carried out.
+    may_run_there = (
+        job.step(key).serves and record.pending_starts < MAX_PENDING_STARTS
+    )
+    return record.pinned_to if may_run_there else ""
 
 
 def _has_ended(
--- a/src/galenahook/jobs/table.py
+++ b/src/galenahook/jobs/table.py
@@ -174,6 +174,7 @@
         job.runs[key] = run
         if end.start_pending:
             job.pinned_ms[key] = self.now_ms
+            job.began = any(map(_has_begun, job.runs.values()))
         job.note_failed_runs(key, run.failures)
         job.active.discard(key)
         is_given_up = not run.done and run.suspicion >= MAX_SUSPICION
@@ -251,7 +252,7 @@
         job = self.jobs[identifier]
         job.runs[key] = run
         job.note_failed_runs(key, run.failures)
-        job.began = True
+        job.began = job.began or run.active or _has_begun(run)
         if run.active or run.done:
             job.waiting.discard(key)
         if run.active:
@@ -263,6 +264,12 @@
                 job.refresh_waiting()
 
 
+def _has_begun(run: tasks_lib.RunRecord) -> bool:
+    """Returns whether a run was started, or an earlier one of its task."""
+    is_pending = run.pending_starts > 0 and not run.confirmed
+    return not is_pending or run.failures > 0
+
+
 def _suspicion_after(suspicion: int, blame: commands.Blame) -> int:
     """Returns the suspicion against a task after one more end of a run."""
     if blame is commands.Blame.CLEARED:
--- a/src/galenahook/jobs/tasks.py
+++ b/src/galenahook/jobs/tasks.py
@@ -53,8 +53,8 @@
       started_ms: Wall time at which its start was committed; 0 if not known.
       confirmed: Whether the worker has confirmed its start, or listed it.
       pinned_to: Worker that may still carry out the start of this run or of an
-        earlier one; until it no longer can, the task may run on no other one.
-        Empty for none.
+        earlier one; until it no longer can, a serving task may run on no other
+        one, and any other task waits. Empty for none.
       pending_starts: Number of runs whose start it may still carry out.
     """
 
@@ -123,7 +123,8 @@
       done: Number of tasks done, by occurrence and step.
       waiting: Tasks whose step is ready and that have no active run.
       active: Tasks that may be running.
-      began: Whether any task was ever started.
+      began: Whether any task was ever started, as far as is known: not if each
+        start was pending when its run ended.
       failed_runs: Largest number of failed runs of one task, by occurrence and
         step.
       pinned_ms: Monotonic time of this replica at which it applied the end that
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -324,7 +324,7 @@
     """Builds a site whose only task has pending starts on `w1`."""
     site = build.Site(
         [build.worker(), build.worker("w2")],
-        build.submit(step or build.step()),
+        build.submit(step or build.serving_step()),
     )
     task = f"{build.JOB}.0.0.0"
     for run in range(1, runs + 1):
@@ -355,7 +355,16 @@
 )
 
 
-def test_a_task_runs_only_where_its_pending_start_may_be_carried_out():
+def test_a_task_that_may_be_done_before_a_late_start_waits_for_it():
+    """The start would be carried out after the task was done."""
+    site = site_with_pending_start(build.step())
+    set_time(site, CARRIED_OUT_MS)
+    assert placements_of(site) == []
+    set_time(site, CARRIED_OUT_MS + 1)
+    assert len(placements_of(site)) == 1
+
+
+def test_a_serving_task_runs_only_where_its_pending_start_may_be_carried_out():
     """Its worker may restart and carry the start out beside another run."""
     site = site_with_pending_start()
     site.workers[0].heartbeat = build.heartbeat("w1", draining=True)
@@ -413,7 +422,7 @@
 
 
 def test_a_task_with_a_pending_start_gets_no_worker_reserved():
-    site = site_with_pending_start(build.serving_step())
+    site = site_with_pending_start()
     site.workers.pop(0)
     for now_ms in range(0, workers_lib.MAX_ORDER_DELAY_MS, 100):
         set_time(site, now_ms)
--- a/tests/test_jobs_table.py
+++ b/tests/test_jobs_table.py
@@ -48,6 +48,30 @@
     assert table.open == {}
 
 
+def test_a_job_whose_only_start_is_pending_has_not_begun(table):
+    """It counts among the waiting jobs of its queue."""
+    table.submit(build.submit())
+    table.record(build.starts(build.start(FIRST)))
+    table.record(build.ends(build.pending_end(FIRST)))
+    assert the_job(table).state() == "queued"
+    restored = table_lib.JobTable()
+    for record in table.snapshot_records():
+        restored.restore_record(record)
+    assert the_job(restored).state() == "queued"
+    table.record(build.starts(build.start(FIRST, run=2)))
+    table.record(build.ends(build.end(FIRST, run=2, outcome="failed")))
+    assert the_job(table).state() == "running"
+
+
+def test_a_job_that_has_begun_stays_so_beside_a_pending_start(table):
+    table.submit(build.submit(build.step(tasks=2)))
+    other = f"{build.JOB}.0.0.1"
+    table.record(build.starts(build.start(FIRST), build.start(other)))
+    table.record(build.confirmed(other))
+    table.record(build.ends(build.pending_end(FIRST)))
+    assert the_job(table).state() == "running"
+
+
 def test_a_start_is_refused_while_a_run_may_be_active(table):
     table.submit(build.submit())
     table.record(build.starts(build.start(FIRST)))
