--- a/src/galenahook/jobs/worker_intake.py
+++ b/src/galenahook/jobs/worker_intake.py
@@ -26,6 +26,8 @@
         worker=worker.name,
         born_ms=heartbeat.born_ms,
         address=heartbeat.address,
+        machine=heartbeat.machine,
+        service=heartbeat.service,
         ended=[other.name for other in ended],
         ended_born_ms=[other.heartbeat.born_ms for other in ended],
     )
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -22,6 +22,8 @@
 MAX_HEARTBEAT_DELAY_MS = 2_500
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
+# Shortest time between two lines about ignored announcements beside a worker.
+IGNORED_LOG_PERIOD_MS = 10_000
 # Time after the confirmation of a start in which it still counts as starting,
 # since a task that crashes its worker may do so only then.
 START_SETTLE_MS = 50
@@ -166,6 +168,8 @@
         the end, image and processor use.
       throttles_changed_ms: When a throttle of its runs last changed; 0 before.
       throttles_reviewed_ms: When these throttles were last reviewed; 0 before.
+      ignored_logged_ms: When an announcement that was ignored because of this
+        worker was last logged; 0 before.
     """
 
     __slots__ = (
@@ -179,6 +183,7 @@
         "last_done_ms",
         "last_reply_ms",
         "heartbeat",
+        "ignored_logged_ms",
         "inherited_lease_until_ms",
         "is_unresponsive",
         "lease_sent_ms",
@@ -216,6 +221,7 @@
         self.ended_batch_runs: list[tuple[int, str, float]] = []
         self.throttles_changed_ms = 0
         self.throttles_reviewed_ms = 0
+        self.ignored_logged_ms = 0
 
     @property
     def name(self) -> str:
@@ -393,11 +399,12 @@
 
     def _is_outdated(self, heartbeat: calls.WorkerHeartbeat) -> bool:
         """Returns whether a later worker on the same VM is known already."""
-        return any(
-            _replaces(worker.heartbeat, heartbeat)
-            for worker in self.workers.values()
-            if worker.heartbeat.worker != heartbeat.worker
-        )
+        for worker in self.workers.values():
+            is_other = worker.heartbeat.worker != heartbeat.worker
+            if is_other and _replaces(worker.heartbeat, heartbeat):
+                _log_ignored(worker, heartbeat, self._clock.monotonic_ms())
+                return True
+        return False
 
     def remove(self, worker: Worker) -> None:
         """Removes an incarnation that has ended."""
@@ -405,6 +412,30 @@
             del self.workers[worker.name]
 
 
+def _log_ignored(
+    worker: Worker, heartbeat: calls.WorkerHeartbeat, now_ms: int
+) -> None:
+    """Logs an announcement that was ignored because of a known worker."""
+    if (
+        worker.ignored_logged_ms
+        and now_ms - worker.ignored_logged_ms < IGNORED_LOG_PERIOD_MS
+    ):
+        return
+    worker.ignored_logged_ms = now_ms
+    logs.warning(
+        "worker:announcement-ignored",
+        worker=heartbeat.worker,
+        born_ms=heartbeat.born_ms,
+        address=heartbeat.address,
+        machine=heartbeat.machine,
+        service=heartbeat.service,
+        known=worker.name,
+        known_born_ms=worker.heartbeat.born_ms,
+        known_address=worker.heartbeat.address,
+        known_service=worker.heartbeat.service,
+    )
+
+
 def _log_capacity_change(
     before: calls.WorkerHeartbeat, after: calls.WorkerHeartbeat
 ) -> None:
--- a/tests/test_jobs_workers.py
+++ b/tests/test_jobs_workers.py
@@ -1,5 +1,6 @@
 """Workers of a term: incarnations, late heartbeats and leases."""
 
+import eliot
 import pytest
 
 from galenahook import clock as clock_lib
@@ -70,6 +71,32 @@
     assert list(pool.workers) == ["w2"]
 
 
+@pytest.fixture
+def ignored():
+    lines = []
+
+    def record(message):
+        if message["message_type"] == "worker:announcement-ignored":
+            lines.append(message)
+
+    eliot.add_destinations(record)
+    # The first destination receives messages of earlier tests.
+    lines.clear()
+    yield lines
+    eliot.remove_destination(record)
+
+
+def test_an_ignored_announcement_is_logged_once_in_a_while(pool, ignored):
+    """Without the line nobody sees why a worker gets no work."""
+    pool.handle_heartbeat(build.heartbeat("w2", machine="m", born_ms=2))
+    for sequence in range(3):
+        pool.handle_heartbeat(
+            build.heartbeat("w1", machine="m", sequence=sequence)
+        )
+    (line,) = ignored
+    assert (line["worker"], line["known"]) == ("w1", "w2")
+
+
 def test_a_lease_expires_only_when_the_slowest_clock_has_passed_it():
     worker = build.worker(now_ms=1_000)
     worker.record_clock(50_000, 1_000)
