End runs only once the successor of their worker has replied

Callers saw: a task runs twice. Cause: any announcement with the VM or the identifier of a worker and a newer start was taken as a proof that the worker had ended, by a leader that knows it and by a new one that has only the state. Nobody asked the process that was announced. Change: an announcement makes a candidate. Its process is asked on a link of its own which incarnation it is; only its reply establishes it, and only if the worker before it has not replied since. Heartbeats of an established incarnation can't change what it is, nor the clock by which its lease expires. WorkerPool.handle_heartbeat, _replaces and _is_outdated are gone. A first poll no longer waits for ends. Fake workers in tests say which incarnation they are, and no longer reply after their successor has started.

--- a/bench/fakes/platform_worker.py
+++ b/bench/fakes/platform_worker.py
@@ -52,6 +52,11 @@
     at_ms: int
 
 
+def heartbeat_target(name: str) -> str:
+    """Returns the path of the heartbeats under an identifier."""
+    return f"/galenahook/instances/{name}/heartbeat"
+
+
 def _on_time(path: str) -> float:  # noqa: ARG001
     return 0.0
 
@@ -60,6 +65,8 @@
     """A worker, which may restart under its identifier.
 
     Attributes:
+      name: Identifier; one that is changed holds for the next incarnation.
+      machine: VM that it runs on.
       incarnation: Number of its restarts.
       running: Running tasks by name.
       finished: Rows of ends that have not been acknowledged.
@@ -82,6 +89,7 @@
         self, name: str, service: str = "desk", zone: str = "zone-a"
     ) -> None:
         self.name = name
+        self.machine = f"m-{name}"
         self.service = service
         self.zone = zone
         self.incarnation = 0
@@ -172,11 +180,9 @@
                     break
             await curio.sleep(0.2)
 
-    async def _send_heartbeat(
-        self, client: web.ControlClient, control: str
-    ) -> bool:
-        self._sequence += 1
-        body = {
+    def heartbeat_body(self) -> dict[str, Any]:
+        """Returns the body of its latest heartbeat."""
+        return {
             "backend": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -184,14 +190,21 @@
             "seq": self._sequence,
             "capacity": {"cpu": 8000, "mem_mb": 32000, "gpu": 0},
             "labels": ["a", "r1"],
-            "machine": f"m-{self.name}",
+            "machine": self.machine,
             "born": self.born_ms,
             "clock_ms": self.clock_ms(),
             "drain_remaining_ms": 1000,
         }
-        target = f"/galenahook/instances/{self.name}/heartbeat"
+
+    async def _send_heartbeat(
+        self, client: web.ControlClient, control: str
+    ) -> bool:
+        self._sequence += 1
+        target = heartbeat_target(self.name)
         try:
-            response = await client.post(control, target, body, 900)
+            response = await client.post(
+                control, target, self.heartbeat_body(), 900
+            )
         except Exception:  # The next control address is tried.
             return False
         return response.status == 200
--- a/src/galenahook/jobs/calls.py
+++ b/src/galenahook/jobs/calls.py
@@ -1,5 +1,7 @@
 """Calls about jobs that entries and control listeners send to the leader."""
 
+import dataclasses
+
 from galenahook import commands
 from galenahook import messages
 
@@ -87,6 +89,29 @@
     ticket: str = ""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WorkerIdentity:
+    """What never changes during an incarnation of a worker.
+
+    Attributes:
+      worker: Identifier of the worker.
+      born_ms: Start of its incarnation, Unix milliseconds.
+      machine: VM that it runs on.
+      address: `host:port` of its own listener.
+      availability_zone: Availability zone of the VM.
+      service: Pool that it belongs to.
+      labels: Its kind and its rack.
+    """
+
+    worker: str
+    born_ms: int
+    machine: str
+    address: str
+    availability_zone: str
+    service: str
+    labels: tuple[str, ...]
+
+
 class WorkerHeartbeat(
     messages.Message, frozen=True, kw_only=True, tag="worker-heartbeat"
 ):
@@ -124,6 +149,19 @@
     gpus: int
     labels: tuple[str, ...]
 
+    @property
+    def identity(self) -> WorkerIdentity:
+        """What every heartbeat of the same incarnation says."""
+        return WorkerIdentity(
+            worker=self.worker,
+            born_ms=self.born_ms,
+            machine=self.machine,
+            address=self.address,
+            availability_zone=self.availability_zone,
+            service=self.service,
+            labels=self.labels,
+        )
+
 
 class WorkerLeft(
     messages.Message, frozen=True, kw_only=True, tag="worker-left"
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -15,6 +15,7 @@
 from galenahook import job_metrics
 from galenahook import logs
 from galenahook.jobs import calls
+from galenahook.jobs import candidates as candidates_lib
 from galenahook.jobs import contention as contention_lib
 from galenahook.jobs import drawn_jobs
 from galenahook.jobs import health as health_lib
@@ -35,6 +36,7 @@
 from galenahook.jobs import waiting
 from galenahook.jobs import worker_api
 from galenahook.jobs import worker_intake
+from galenahook.jobs import worker_pool
 from galenahook.jobs import workers as workers_lib
 from galenahook.replicas import node as node_lib
 from galenahook.replicas import notify
@@ -65,9 +67,12 @@
     Attributes:
       term: Term of this leader.
       started_ms: When the term began here.
-      pool: Workers that sent a heartbeat.
-      links: Link to each worker by its identifier.
-      unattached: Runs of earlier terms whose worker sent no heartbeat yet.
+      heartbeat_period_ms: Time between two heartbeats of a worker; None for
+        the default.
+      candidates: Workers that sent a heartbeat and are not established.
+      pool: Established workers.
+      links: Link to each established worker by its identifier.
+      unattached: Runs of earlier terms whose worker is not established yet.
       health: Excludes workers that fail runs.
       tails: Throttles batch tasks that slow serving tasks.
       run_times: Estimated run times of tasks.
@@ -90,7 +95,9 @@
         self.term = node.term()
         self.lease_ms = lease_ms
         self.metrics = metrics
-        self.pool = workers_lib.WorkerPool(clock, heartbeat_period_ms)
+        self.heartbeat_period_ms = heartbeat_period_ms
+        self.candidates = candidates_lib.Candidates()
+        self.pool = worker_pool.WorkerPool(clock)
         self.links: dict[str, link_lib.Link] = {}
         self.health = health_lib.WorkerHealth()
         self.tails = tail_latency_lib.TailLatencyControl()
@@ -131,6 +138,10 @@
         self._links_made += 1
         return self.term * FENCES_PER_TERM + self._links_made
 
+    def latest_fence(self) -> int:
+        """Returns the highest fencing token that is in use."""
+        return self.term * FENCES_PER_TERM + self._links_made
+
     def is_zone_out(self, availability_zone: str) -> bool:
         """Returns whether operators have taken a zone out of service."""
         return availability_zone in self.node.state.site.current.zones_out
@@ -180,10 +191,13 @@
         """Ends every link."""
         for link in self.links.values():
             link.ended = True
+        for candidate in self.candidates.by_identity.values():
+            candidate.link.ended = True
 
     async def _round(self) -> None:
         if not self.node.is_leader():
             return
+        self.candidates.drop_silent(self.now_ms())
         self._ends += await lost_runs.end_lost_runs(self)
         # Stops need no commit, which may take seconds.
         await lost_runs.stop_ended_and_draining(self)
@@ -343,7 +357,7 @@
     # --- Workers --------------------------------------------------------------
 
     async def handle_heartbeat(self, heartbeat: calls.WorkerHeartbeat) -> None:
-        """Records a heartbeat and opens a link to a new incarnation."""
+        """Records a heartbeat; asks the process of a new incarnation."""
         await worker_intake.handle_heartbeat(self, heartbeat)
 
     async def leave(self, message: calls.WorkerLeft) -> None:
--- a/src/galenahook/jobs/link.py
+++ b/src/galenahook/jobs/link.py
@@ -6,6 +6,8 @@
 there.
 """
 
+import enum
+
 import curio
 
 from galenahook import clock as clock_lib
@@ -21,6 +23,8 @@
 # Longest wait of a poll. An end completes it at once; tail latency and
 # processor use are updated at this period.
 POLL_WAIT_MS = 500
+# Wait of a poll whose reply is needed at once, and whose timeout is short.
+SHORTEST_WAIT_MS = 1
 # Reply time, without any wait for ends, of a worker that counts as slow.
 SLOW_REPLY_MS = 600
 # Pause after a failed poll, so that a worker that is down costs little.
@@ -33,6 +37,14 @@
 UNANSWERED_START_WAIT_MS = 700
 
 
+class Identification(enum.Enum):
+    """Which incarnation replied at the address of an announced worker."""
+
+    ANNOUNCED = "announced"
+    OTHER = "other"
+    UNKNOWN = "unknown"
+
+
 class Link:
     """Polls one worker and sends it orders.
 
@@ -82,6 +94,36 @@
         finally:
             await self.client.close()
 
+    async def identify(self, fence: int) -> Identification:
+        """Asks which incarnation listens at the worker's address.
+
+        The poll carries no lease and acknowledges nothing.
+
+        Args:
+          fence: Fencing token that a worker which is in use has seen already.
+        """
+        try:
+            reply = await self.client.poll(fence, 0, 0, self._short_wait_ms())
+        except worker_api.DeposedError:
+            await self._note_deposed()
+            return Identification.UNKNOWN
+        except worker_api.ReplacedError:
+            return Identification.OTHER
+        except errors.ExchangeError as error:
+            self._note_failure(error)
+            return Identification.UNKNOWN
+        if reply.born_ms != self.worker.heartbeat.born_ms:
+            return Identification.OTHER
+        now_ms = self._owner.now_ms()
+        self.worker.begin_clock(reply.clock_ms, now_ms)
+        self.worker.last_reply_ms = now_ms
+        self.worker.broken_off_ms = 0
+        self.is_gone = self.worker.is_unresponsive = False
+        return Identification.ANNOUNCED
+
+    def _short_wait_ms(self) -> int:
+        return 0 if self._is_slow else SHORTEST_WAIT_MS
+
     async def note_committed(self, number: int) -> None:
         """Acknowledges ends up to a number with the next poll."""
         self.worker.acknowledged = max(self.worker.acknowledged, number)
@@ -107,7 +149,7 @@
                 self.fence,
                 self._end_to_acknowledge(),
                 self._lease_end_to_send_ms(sent_ms),
-                0 if self._is_slow else POLL_WAIT_MS,
+                self._wait_ms(),
             )
         except worker_api.DeposedError:
             await self._note_deposed()
@@ -131,6 +173,15 @@
         await self._apply_reply(reply, sent_ms)
         return True
 
+    def _wait_ms(self) -> int:
+        """Returns how long the next poll waits for an end.
+
+        Nothing starts on a worker before its first reply.
+        """
+        if self._is_slow or not self.worker.has_polled:
+            return self._short_wait_ms()
+        return POLL_WAIT_MS
+
     def _note_failure(self, error: errors.ExchangeError) -> None:
         """Records that a poll got no reply."""
         cause = error.__cause__
--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -14,8 +14,8 @@
     from galenahook.jobs import dispatcher as dispatcher_lib
     from galenahook.jobs import link as link_lib
 
-# Added to the longest lease before the runs of a worker that sent no heartbeat
-# in this term are ended.
+# Added to the longest lease before the runs of a worker that was not
+# established in this term are ended.
 LEASE_MARGIN_MS = 500
 # Least time from the announcement of a worker that it ends to the end of its
 # runs. It may run on for longer, for example if the reply to it was lost.
@@ -77,7 +77,7 @@
 def _end_unattached(
     dispatcher: "dispatcher_lib.Dispatcher", now_ms: int
 ) -> list[commands.RunEnd]:
-    """Ends runs of earlier terms whose worker sent no heartbeat in this term.
+    """Ends runs of earlier terms whose worker is not established in this term.
 
     A start that was never confirmed may be carried out late, by a later
     incarnation that holds a lease from then on.
@@ -88,7 +88,7 @@
         + workers_lib.MAX_ORDER_DELAY_MS
     )
     return [
-        _end_record(record, "worker sent no heartbeat in this term")
+        _end_record(record, "worker did not reply in this term")
         for record in dispatcher.unattached.take_all(may_be_pending)
     ]
 
--- a/src/galenahook/jobs/unattached.py
+++ b/src/galenahook/jobs/unattached.py
@@ -8,7 +8,7 @@
 
 
 class UnattachedRuns:
-    """Runs of earlier terms whose worker sent no heartbeat in this term.
+    """Runs of earlier terms whose worker is not established in this term.
 
     Runs are found by worker and VM, so that the heartbeats after an election do
     not each compare all of them.
--- a/src/galenahook/jobs/worker_intake.py
+++ b/src/galenahook/jobs/worker_intake.py
@@ -2,9 +2,13 @@
 
 from typing import TYPE_CHECKING
 
+import curio
+
+from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import logs
 from galenahook.jobs import calls
+from galenahook.jobs import candidates as candidates_lib
 from galenahook.jobs import link as link_lib
 from galenahook.jobs import lost_runs
 from galenahook.jobs import tasks as tasks_lib
@@ -17,10 +21,114 @@
 async def handle_heartbeat(
     dispatcher: "dispatcher_lib.Dispatcher", heartbeat: calls.WorkerHeartbeat
 ) -> None:
-    """Records a heartbeat and opens a link to a new incarnation."""
-    worker, ended = dispatcher.pool.handle_heartbeat(heartbeat)
-    if worker is None:
+    """Records a heartbeat; asks the process of a new incarnation who it is."""
+    if dispatcher.pool.record(heartbeat):
         return
+    now_ms = dispatcher.now_ms()
+    candidate = dispatcher.candidates.record(heartbeat, now_ms)
+    if candidate is None:
+        candidate = dispatcher.candidates.add(
+            _make_link(dispatcher, heartbeat), now_ms
+        )
+        await dispatcher.spawn(_follow, dispatcher, candidate)
+
+
+def _make_link(
+    dispatcher: "dispatcher_lib.Dispatcher", heartbeat: calls.WorkerHeartbeat
+) -> link_lib.Link:
+    worker = workers_lib.Worker(heartbeat, dispatcher.now_ms())
+    if dispatcher.heartbeat_period_ms is not None:
+        worker.heartbeat_period_ms = dispatcher.heartbeat_period_ms
+    return link_lib.Link(
+        worker,
+        dispatcher.make_client(heartbeat),
+        dispatcher,
+        dispatcher.lease_ms,
+    )
+
+
+async def _follow(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    candidate: candidates_lib.Candidate,
+) -> None:
+    """Asks a candidate until it is established or dropped; then polls it."""
+    link = candidate.link
+    try:
+        while not link.ended:
+            if dispatcher.may_lead() and await _try_establish(
+                dispatcher, candidate
+            ):
+                break
+            await curio.sleep(clock_lib.seconds(link_lib.POLL_RETRY_MS))
+    finally:
+        if link.ended:
+            await link.client.close()
+    if not link.ended:
+        await link.run()
+
+
+async def _try_establish(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    candidate: candidates_lib.Candidate,
+) -> bool:
+    """Asks a candidate once; an unexpected exception counts as no reply."""
+    try:
+        return await _establish_if_up(dispatcher, candidate)
+    except Exception as error:
+        logs.failure(
+            "worker:not-established", error, worker=candidate.link.worker.name
+        )
+        return False
+
+
+async def _establish_if_up(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    candidate: candidates_lib.Candidate,
+) -> bool:
+    """Asks a candidate who it is and establishes it if its reply proves it."""
+    link = candidate.link
+    heartbeat = link.worker.heartbeat
+    incumbent = dispatcher.links.get(link.worker.name)
+    # A higher fencing token would shut out the link of a worker that is up.
+    fence = dispatcher.latest_fence() if incumbent is None else incumbent.fence
+    asked_ms = dispatcher.now_ms()
+    identification = await link.identify(fence)
+    if link.ended or identification is link_lib.Identification.UNKNOWN:
+        return False
+    known = dispatcher.pool.workers.get(link.worker.name)
+    is_known = known is not None and (
+        known.heartbeat.born_ms == heartbeat.born_ms
+    )
+    if identification is link_lib.Identification.OTHER or is_known:
+        logs.warning(
+            "worker:announcement-refuted",
+            worker=heartbeat.worker,
+            born_ms=heartbeat.born_ms,
+            address=heartbeat.address,
+            machine=heartbeat.machine,
+            service=heartbeat.service,
+        )
+        dispatcher.candidates.drop(candidate)
+        return False
+    rivals = dispatcher.pool.rivals(heartbeat)
+    now_ms = dispatcher.now_ms()
+    for rival in rivals:
+        if not candidates_lib.proves_end(link.worker, rival, asked_ms, now_ms):
+            dispatcher.pool.log_ignored(rival, heartbeat)
+            return False
+    dispatcher.candidates.remove(candidate)
+    await _establish(dispatcher, link, rivals)
+    return True
+
+
+async def _establish(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    link: link_lib.Link,
+    ended: list[workers_lib.Worker],
+) -> None:
+    """Establishes a worker and ends the runs of those that it succeeds."""
+    worker = link.worker
+    heartbeat = worker.heartbeat
     logs.info(
         "worker:joined",
         worker=worker.name,
@@ -31,12 +139,8 @@
         ended=[other.name for other in ended],
         ended_born_ms=[other.heartbeat.born_ms for other in ended],
     )
-    link = link_lib.Link(
-        worker,
-        dispatcher.make_client(heartbeat),
-        dispatcher,
-        dispatcher.lease_ms,
-    )
+    # Higher than the tokens with which its process was asked.
+    link.fence = dispatcher.next_fence()
     # What earlier leaders sent to the worker, and earlier links.
     worker.lease_sent_ms = dispatcher.started_ms
     for other in ended:
@@ -46,21 +150,19 @@
                 other.lease_sent_ms + workers_lib.MAX_ORDER_DELAY_MS,
                 dispatcher.lease_ms,
             )
-    links = dispatcher.links
-    before = {other.name: links.pop(other.name, None) for other in ended}
-    links[worker.name] = link
+    before = [dispatcher.links.pop(other.name, None) for other in ended]
+    for other in ended:
+        dispatcher.pool.remove(other)
+    dispatcher.pool.add(worker)
+    dispatcher.links[worker.name] = link
     _attach(dispatcher, worker)
     ends = lost_runs.end_replaced(dispatcher, heartbeat)
-    for other in ended:
-        other_link = before[other.name]
-        if other.name != worker.name:
-            dispatcher.pool.remove(other)
+    for other_link in before:
         if other_link is not None:
-            successor = link if other.name == worker.name else None
+            is_same = other_link.worker.name == worker.name
             ends += await other_link.end_incarnation(
-                successor, "worker restarted"
+                link if is_same else None, "worker restarted"
             )
-    await dispatcher.spawn(link.run)
     if ends:
         await dispatcher.queue_ends(ends)
 
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -2,9 +2,7 @@
 
 import dataclasses
 
-from galenahook import clock as clock_lib
 from galenahook import commands
-from galenahook import logs
 from galenahook.jobs import calls
 from galenahook.jobs import tasks as tasks_lib
 
@@ -22,8 +20,6 @@
 MAX_HEARTBEAT_DELAY_MS = 2_500
 # Measured tail latencies are means over this time.
 MEASUREMENT_WINDOW_MS = 500
-# Shortest time between two lines about ignored announcements beside a worker.
-IGNORED_LOG_PERIOD_MS = 10_000
 # Time after the confirmation of a start in which it still counts as starting,
 # since a task that crashes its worker may do so only then.
 START_SETTLE_MS = 50
@@ -238,6 +234,14 @@
         """Rack of the worker, the last of its labels."""
         return self.heartbeat.labels[-1] if self.heartbeat.labels else ""
 
+    def begin_clock(self, clock_ms: int, now_ms: int) -> None:
+        """Records the first reading of the clock that the worker itself gave.
+
+        The clock in its heartbeats may be that of another writer.
+        """
+        self.clock_ms = clock_ms
+        self.clock_at_ms = now_ms
+
     def record_clock(self, clock_ms: int, now_ms: int) -> None:
         """Records a reading of the worker's clock if it raises the bound."""
         if clock_ms >= self.min_clock_ms(now_ms):
@@ -344,125 +348,3 @@
             and now_ms >= self.excluded_until_ms
             and not self.is_heartbeat_outdated(now_ms)
         )
-
-
-class WorkerPool:
-    """Workers that sent this leader a heartbeat.
-
-    Attributes:
-      workers: Current incarnation of each worker by identifier.
-    """
-
-    __slots__ = ("_clock", "_heartbeat_period_ms", "workers")
-
-    def __init__(
-        self,
-        clock: clock_lib.Clock,
-        heartbeat_period_ms: int | None = None,
-    ) -> None:
-        self._clock = clock
-        self._heartbeat_period_ms = heartbeat_period_ms
-        self.workers: dict[str, Worker] = {}
-
-    def handle_heartbeat(
-        self, heartbeat: calls.WorkerHeartbeat
-    ) -> tuple[Worker | None, list[Worker]]:
-        """Records a heartbeat.
-
-        Returns:
-          The worker if its incarnation is new, else None; and the incarnations
-          that this one proves to have ended.
-        """
-        now_ms = self._clock.monotonic_ms()
-        known = self.workers.get(heartbeat.worker)
-        if known is not None and known.heartbeat.born_ms == heartbeat.born_ms:
-            if heartbeat.sequence > known.heartbeat.sequence:
-                _log_capacity_change(known.heartbeat, heartbeat)
-                known.heartbeat = heartbeat
-                known.record_clock(heartbeat.clock_ms, now_ms)
-            return None, []
-        if known is not None and known.heartbeat.born_ms > heartbeat.born_ms:
-            return None, []
-        if self._is_outdated(heartbeat):
-            return None, []
-        ended = [
-            worker
-            for worker in self.workers.values()
-            if worker.heartbeat.worker == heartbeat.worker
-            or _replaces(heartbeat, worker.heartbeat)
-        ]
-        worker = Worker(heartbeat, now_ms)
-        if self._heartbeat_period_ms is not None:
-            worker.heartbeat_period_ms = self._heartbeat_period_ms
-        self.workers[heartbeat.worker] = worker
-        return worker, ended
-
-    def _is_outdated(self, heartbeat: calls.WorkerHeartbeat) -> bool:
-        """Returns whether a later worker on the same VM is known already."""
-        for worker in self.workers.values():
-            is_other = worker.heartbeat.worker != heartbeat.worker
-            if is_other and _replaces(worker.heartbeat, heartbeat):
-                _log_ignored(worker, heartbeat, self._clock.monotonic_ms())
-                return True
-        return False
-
-    def remove(self, worker: Worker) -> None:
-        """Removes an incarnation that has ended."""
-        if self.workers.get(worker.name) is worker:
-            del self.workers[worker.name]
-
-
-def _log_ignored(
-    worker: Worker, heartbeat: calls.WorkerHeartbeat, now_ms: int
-) -> None:
-    """Logs an announcement that was ignored because of a known worker."""
-    if (
-        worker.ignored_logged_ms
-        and now_ms - worker.ignored_logged_ms < IGNORED_LOG_PERIOD_MS
-    ):
-        return
-    worker.ignored_logged_ms = now_ms
-    logs.warning(
-        "worker:announcement-ignored",
-        worker=heartbeat.worker,
-        born_ms=heartbeat.born_ms,
-        address=heartbeat.address,
-        machine=heartbeat.machine,
-        service=heartbeat.service,
-        known=worker.name,
-        known_born_ms=worker.heartbeat.born_ms,
-        known_address=worker.heartbeat.address,
-        known_service=worker.heartbeat.service,
-    )
-
-
-def _log_capacity_change(
-    before: calls.WorkerHeartbeat, after: calls.WorkerHeartbeat
-) -> None:
-    """Logs the new capacity of a worker if it has changed."""
-    if (before.cpu_millis, before.memory_mb, before.gpus) != (
-        after.cpu_millis,
-        after.memory_mb,
-        after.gpus,
-    ):
-        logs.info(
-            "worker:capacity",
-            worker=after.worker,
-            cpu_millis=after.cpu_millis,
-            memory_mb=after.memory_mb,
-            gpus=after.gpus,
-            cpu_millis_before=before.cpu_millis,
-            memory_mb_before=before.memory_mb,
-            gpus_before=before.gpus,
-        )
-
-
-def _replaces(
-    newer: calls.WorkerHeartbeat, older: calls.WorkerHeartbeat
-) -> bool:
-    """Returns whether a worker was started on the VM of an older one."""
-    return bool(
-        newer.machine
-        and newer.machine == older.machine
-        and newer.born_ms > older.born_ms
-    )
--- /dev/null
+++ b/tests/announced_workers.py
@@ -0,0 +1,43 @@
+"""Fake workers that reply once asked which incarnation they are."""
+
+import curio
+
+from galenahook import errors
+from galenahook.jobs import worker_api
+
+TIMEOUT_S = 5.0
+
+
+class AnnouncedClient(worker_api.WorkerClient):
+    """A worker that replies to its first poll, as it was announced."""
+
+    def __init__(self, heartbeat):
+        self.heartbeat = heartbeat
+        self.is_identified = False
+
+    def require(self, _may_order):
+        """Does nothing."""
+
+    async def poll(self, *_arguments):
+        """Replies once, without any run."""
+        if self.is_identified:
+            return await self.poll_again()
+        self.is_identified = True
+        return worker_api.PollReply(
+            self.heartbeat.born_ms, self.heartbeat.clock_ms, [], [], True
+        )
+
+    async def poll_again(self):
+        """Gets no reply."""
+        raise errors.ExchangeError("no reply", sent=False)
+
+    async def close(self):
+        """Does nothing."""
+
+
+async def join(dispatcher, heartbeat):
+    """Sends a heartbeat; returns once its worker is established."""
+    await dispatcher.handle_heartbeat(heartbeat)
+    async with curio.timeout_after(TIMEOUT_S):
+        while heartbeat.identity in dispatcher.candidates.by_identity:
+            await curio.sleep(0)
--- a/tests/observed_room.py
+++ b/tests/observed_room.py
@@ -4,6 +4,7 @@
 
 import curio
 
+import announced_workers
 import full_site
 from galenahook import job_metrics
 from galenahook.jobs import dispatcher as dispatcher_lib
@@ -21,13 +22,16 @@
 CALM_MS = 4_000
 
 
-class SilentClient(job_simulation.RunningClient):
-    """A worker whose polls get no reply; the simulation reports its runs."""
+class SilentClient(
+    announced_workers.AnnouncedClient, job_simulation.RunningClient
+):
+    """A worker that replies once; the simulation reports its runs."""
 
-    def require(self, _may_order):
-        """Does nothing."""
+    def __init__(self, heartbeat):
+        announced_workers.AnnouncedClient.__init__(self, heartbeat)
+        job_simulation.RunningClient.__init__(self)
 
-    async def poll(self, *_arguments):
+    async def poll_again(self):
         """Waits until the link is cancelled."""
         await curio.Event().wait()
 
@@ -60,12 +64,14 @@
     simulation.dispatcher = dispatcher_lib.Dispatcher(
         simulation.node,
         simulation.clock,
-        lambda _heartbeat: SilentClient(),
+        SilentClient,
         before.lease_ms,
         job_metrics.JobMetrics(),
     )
     for link in before.links.values():
-        await simulation.dispatcher.handle_heartbeat(link.worker.heartbeat)
+        await announced_workers.join(
+            simulation.dispatcher, link.worker.heartbeat
+        )
         worker = simulation.worker(link.worker.name)
         worker.has_polled = True
         for run in worker.runs.values():
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+import announced_workers
 from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import errors
@@ -48,16 +49,20 @@
     """A worker that runs everything but one task, which may crash it.
 
     Attributes:
+      born_ms: Its incarnation.
       answer: What the leader is told of the start that crashes it; None if the
         task does no harm.
       listed: Whether it lists its runs.
       failure: Why polls get no reply; None if they do.
       is_silent: Whether it does nothing, and its connections close only when it
         crashes.
+      is_replaced: Whether another worker replies at its address.
     """
 
-    def __init__(self, answer, listed):
+    def __init__(self, answer, listed, born_ms):
+        self.born_ms = born_ms
         self.is_silent = False
+        self.is_replaced = False
         self.answer = answer
         self.listed = listed
         self.started = []
@@ -83,6 +88,8 @@
         await curio.sleep(0.002)
         while self.is_silent and self.failure is None:
             await curio.sleep(0.01)
+        if self.is_replaced:
+            raise worker_api.ReplacedError("w")
         if self.failure is not None:
             raise errors.ExchangeError("no reply", False) from self.failure
         rows = [
@@ -90,7 +97,9 @@
             for task, run in self.running.items()
             if self.listed
         ]
-        return worker_api.PollReply(0, 10_000, rows, [], complete=True)
+        return worker_api.PollReply(
+            self.born_ms, 10_000, rows, [], complete=True
+        )
 
     async def close(self):
         pass
@@ -112,8 +121,10 @@
             job_metrics.JobMetrics(),
         )
 
-    def _connect(self, _heartbeat):
-        self.clients.append(FakeWorker(self.answer, self.listed))
+    def _connect(self, heartbeat):
+        self.clients.append(
+            FakeWorker(self.answer, self.listed, heartbeat.born_ms)
+        )
         return self.clients[-1]
 
     @property
@@ -125,6 +136,7 @@
         return self.dispatcher.links[f"w{len(self.clients)}"].worker
 
     async def restart_worker(self, **changes):
+        self.end_worker()
         born_ms = len(self.clients) + 1
         values = {"born_ms": born_ms, "machine": "m-1", **changes}
         await self.dispatcher.handle_heartbeat(
@@ -132,6 +144,10 @@
         )
         await curio.sleep(0.02)
 
+    def end_worker(self):
+        for client in self.clients:
+            client.is_replaced = True
+
     async def round(self):
         await self.dispatcher._round()
         await curio.sleep(0.02)
@@ -272,8 +288,10 @@
         await site.round()
         assert site.starts_of(TASK) == 1
         run = site.worker.runs[TASK]
-        await site.dispatcher.handle_heartbeat(
-            build.heartbeat("w1", born_ms=9, machine="m-1")
+        site.end_worker()
+        await announced_workers.join(
+            site.dispatcher,
+            build.heartbeat("w1", born_ms=9, machine="m-1"),
         )
         assert run.blame is commands.Blame.POSSIBLE
         await curio.sleep(0.1)
@@ -329,8 +347,9 @@
         await site.round()
         later = Site(node=site.node)
         assert site.jobs[build.JOB].active == {(0, 0, 0)}
-        await later.dispatcher.handle_heartbeat(
-            build.heartbeat("w2", born_ms=2, machine="m-1")
+        await announced_workers.join(
+            later.dispatcher,
+            build.heartbeat("w2", born_ms=2, machine="m-1"),
         )
         await later.dispatcher._commit_ends()
         assert site.jobs[build.JOB].waiting == {(0, 0, 0)}
@@ -350,7 +369,8 @@
         await site.round()
         later = Site(node=site.node)
         values = {"born_ms": 2, "machine": "m-1", **changes}
-        await later.dispatcher.handle_heartbeat(build.heartbeat("w2", **values))
+        beat = build.heartbeat("w2", **values)
+        await announced_workers.join(later.dispatcher, beat)
         await later.dispatcher._commit_ends()
         assert site.jobs[build.JOB].active == {(0, 0, 0)}
         await later.dispatcher.close()
--- a/tests/test_jobs_dispatcher.py
+++ b/tests/test_jobs_dispatcher.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+import announced_workers
 from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import errors
@@ -40,24 +41,11 @@
         return self.state.apply(command)
 
 
-class FakeClient:
-    """A client of a worker that never replies."""
-
-    def require(self, _may_order):
-        """Does nothing."""
-
-    async def poll(self, *_arguments):
-        raise errors.ExchangeError("no reply", sent=False)
-
-    async def close(self):
-        """Does nothing."""
-
-
 def make(node):
     return dispatcher_lib.Dispatcher(
         node,
         clock_lib.Clock(),
-        lambda _heartbeat: FakeClient(),
+        announced_workers.AnnouncedClient,
         3_000,
         job_metrics.JobMetrics(),
     )
@@ -75,7 +63,7 @@
     dispatcher = make(node)
 
     async def main():
-        await dispatcher.handle_heartbeat(build.heartbeat())
+        await announced_workers.join(dispatcher, build.heartbeat())
         await dispatcher.close()
 
     curio.run(main)
@@ -141,9 +129,9 @@
     dispatcher = make(node)
 
     async def main():
-        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=1))
+        await announced_workers.join(dispatcher, build.heartbeat(born_ms=1))
         assert dispatcher.links["w1"].worker.runs == {}
-        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+        await announced_workers.join(dispatcher, build.heartbeat(born_ms=2))
         await curio.sleep(0.02)
         run = dispatcher.links["w1"].worker.runs[TASK]
         assert not run.stopping
@@ -174,7 +162,8 @@
 
     async def main():
         values = {"born_ms": 2, "machine": "m-w1", **changes}
-        await dispatcher.handle_heartbeat(build.heartbeat("w2", **values))
+        beat = build.heartbeat("w2", **values)
+        await announced_workers.join(dispatcher, beat)
         await dispatcher._round()
         assert (not node.state.jobs.jobs[build.JOB].active) is ended
         await dispatcher.close()
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+import announced_workers
 from galenahook import clock as clock_lib
 from galenahook import errors
 from galenahook import job_metrics
@@ -104,6 +105,14 @@
     curio.run(main)
 
 
+async def restart(dispatcher, client, **changes):
+    """Restarts the worker; returns once the next incarnation has joined."""
+    client.born_ms = 2
+    await announced_workers.join(
+        dispatcher, build.heartbeat(born_ms=2, **changes)
+    )
+
+
 def leave():
     return calls.WorkerLeft(worker="w1", born_ms=1)
 
@@ -160,7 +169,7 @@
         await curio.sleep(GRACE_MS * 2 / 1000)
         await dispatcher._round()
         assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
-        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+        await restart(dispatcher, client)
         assert dispatcher.links["w1"].worker.runs == {TASK: run}
 
     run_with_worker(scenario)
@@ -203,9 +212,8 @@
 
 @pytest.mark.parametrize("born_ms", [0, 1])
 def test_a_late_leave_notice_does_not_end_the_next_incarnation(born_ms):
-    async def scenario(_node, dispatcher, _client):
-        restarted = build.heartbeat(born_ms=2)
-        await dispatcher.handle_heartbeat(restarted)
+    async def scenario(_node, dispatcher, client):
+        await restart(dispatcher, client)
         await dispatcher.leave(calls.WorkerLeft(worker="w1", born_ms=born_ms))
         await dispatcher._round()
         await curio.sleep(0.02)
@@ -232,13 +240,12 @@
 def test_an_adopted_start_goes_on_before_the_first_poll_of_its_worker():
     """Its worker was sent no lease yet, but may hold that of the start."""
 
-    async def scenario(node, dispatcher, _client):
+    async def scenario(node, dispatcher, client):
         run = dispatcher.links["w1"].worker.runs[TASK]
         run.ordered_ms, run.seen = dispatcher.now_ms(), False
         # The leases of earlier leaders have expired.
         dispatcher.started_ms -= 60_000
-        restarted = build.heartbeat(born_ms=2, clock_ms=20)
-        await dispatcher.handle_heartbeat(restarted)
+        await restart(dispatcher, client, clock_ms=20)
         assert await lost_runs.end_lost_runs(dispatcher) == []
         assert dispatcher.links["w1"].worker.runs == {TASK: run}
         assert node.state.jobs.jobs[build.JOB].active == {(0, 0, 0)}
@@ -254,7 +261,6 @@
         node.state.apply(build.confirmed(TASK))
         clock = scheduling_model.ManualClock()
         client = FakeClient()
-        client.failure = TimeoutError("no power")
         dispatcher = dispatcher_lib.Dispatcher(
             node,
             clock,
@@ -262,7 +268,8 @@
             LEASE_MS,
             job_metrics.JobMetrics(),
         )
-        await dispatcher.handle_heartbeat(build.heartbeat())
+        await announced_workers.join(dispatcher, build.heartbeat())
+        client.failure = TimeoutError("no power")
         link = dispatcher.links["w1"]
         await curio.sleep(0.02)
         clock.now_ms += 10_000
@@ -305,10 +312,12 @@
     curio.run(main)
 
 
-async def restart_after_lease(dispatcher):
+async def restart_after_lease(dispatcher, client):
     """Replaces a worker that was just sent a lease; returns the next one."""
     dispatcher.links["w1"].worker.lease_sent_ms = dispatcher.now_ms()
-    await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+    client.failure = None
+    await restart(dispatcher, client)
+    client.failure = curio.TaskTimeout()
     return dispatcher.links["w1"].worker
 
 
@@ -318,7 +327,7 @@
     async def scenario(_node, dispatcher, client):
         client.failure = curio.TaskTimeout()
         sent_ms = dispatcher.now_ms()
-        worker = await restart_after_lease(dispatcher)
+        worker = await restart_after_lease(dispatcher, client)
         worker.lease_until_ms = 0
         late_ms = sent_ms + workers_lib.MAX_ORDER_DELAY_MS
         assert not worker.is_lease_expired(late_ms + LEASE_MS)
@@ -335,7 +344,7 @@
         await curio.sleep(0.02)
         run = dispatcher.links["w1"].worker.runs[TASK]
         run.seen = False
-        worker = await restart_after_lease(dispatcher)
+        worker = await restart_after_lease(dispatcher, client)
         dispatcher.started_ms -= 60_000
         worker.lease_until_ms = worker.inherited_lease_until_ms = 0
         await dispatcher._round()
@@ -353,8 +362,7 @@
     async def scenario(node, dispatcher, client):
         run = dispatcher.links["w1"].worker.runs[TASK]
         run.seen = False
-        client.born_ms = 2
-        await dispatcher.handle_heartbeat(build.heartbeat(born_ms=2))
+        await restart(dispatcher, client)
         await curio.sleep(0.05)
         dispatcher._confirmed_ms -= dispatcher_lib.CONFIRMED_DELAY_MS
         await dispatcher._commit_ends()
--- a/tests/test_jobs_unattached.py
+++ b/tests/test_jobs_unattached.py
@@ -2,6 +2,7 @@
 
 import curio
 
+import announced_workers
 from galenahook.jobs import unattached
 import job_builders as build
 from test_jobs_dispatcher import FakeNode
@@ -79,7 +80,7 @@
     CountedRecord.reads = 0
 
     async def main():
-        await dispatcher.handle_heartbeat(build.heartbeat("w7"))
+        await announced_workers.join(dispatcher, build.heartbeat("w7"))
         await dispatcher.close()
 
     curio.run(main)
--- a/tests/test_jobs_workers.py
+++ b/tests/test_jobs_workers.py
@@ -4,6 +4,7 @@
 import pytest
 
 from galenahook import clock as clock_lib
+from galenahook.jobs import worker_pool
 from galenahook.jobs import workers as workers_lib
 import job_builders as build
 
@@ -22,53 +23,55 @@
 
 @pytest.fixture
 def pool():
-    return workers_lib.WorkerPool(ManualClock())
+    return worker_pool.WorkerPool(ManualClock())
+
+
+def add(pool, name="w1", **changes):
+    worker = workers_lib.Worker(build.heartbeat(name, **changes), 1_000)
+    pool.add(worker)
+    return worker
 
 
 def test_a_late_heartbeat_is_ignored(pool):
-    worker, _ = pool.handle_heartbeat(
-        build.heartbeat(sequence=5, draining=True)
-    )
-    pool.handle_heartbeat(build.heartbeat(sequence=4, draining=False))
+    worker = add(pool, sequence=5, draining=True)
+    assert pool.record(build.heartbeat(sequence=4, draining=False))
     assert worker.heartbeat.draining
     assert pool.workers["w1"] is worker
 
 
-def test_a_new_incarnation_ends_the_old_one(pool):
-    first, _ = pool.handle_heartbeat(build.heartbeat(born_ms=1))
-    second, ended = pool.handle_heartbeat(build.heartbeat(born_ms=2))
-    assert ended == [first]
-    assert pool.workers["w1"] is second
-
-
-def test_a_heartbeat_of_an_ended_incarnation_is_ignored(pool):
-    pool.handle_heartbeat(build.heartbeat(born_ms=2))
-    assert pool.handle_heartbeat(build.heartbeat(born_ms=1, sequence=99)) == (
-        None,
-        [],
-    )
-    assert pool.workers["w1"].heartbeat.born_ms == 2
-
-
-def test_a_newer_worker_on_a_vm_ends_the_older_one(pool):
-    first, _ = pool.handle_heartbeat(
-        build.heartbeat("w1", machine="m", born_ms=1)
-    )
-    _, ended = pool.handle_heartbeat(
-        build.heartbeat("w2", machine="m", born_ms=2)
-    )
-    assert ended == [first]
-
-
-def test_an_older_worker_on_a_vm_is_ignored(pool):
-    pool.handle_heartbeat(build.heartbeat("w2", machine="m", born_ms=2))
-    assert pool.handle_heartbeat(
-        build.heartbeat("w1", machine="m", born_ms=1)
-    ) == (
-        None,
-        [],
-    )
-    assert list(pool.workers) == ["w2"]
+def test_a_heartbeat_of_another_incarnation_is_not_recorded(pool):
+    worker = add(pool, born_ms=2)
+    for born_ms in (1, 3):
+        assert not pool.record(build.heartbeat(born_ms=born_ms, sequence=99))
+    assert pool.workers["w1"] is worker
+    assert worker.heartbeat.born_ms == 2
+
+
+def test_the_clock_of_a_heartbeat_does_not_expire_a_lease(pool):
+    """Guards against runs that another writer's clock ends."""
+    worker = add(pool)
+    worker.begin_clock(10_000, 1_000)
+    worker.extend_lease(1_000, 6_000)
+    pool.record(build.heartbeat(sequence=2, clock_ms=90_000_000))
+    assert not worker.is_lease_expired(1_000)
+
+
+def test_workers_of_the_identifier_or_on_the_vm_are_rivals(pool):
+    first = add(pool, "w1", machine="m-1")
+    second = add(pool, "w2", machine="m-2")
+    add(pool, "w3", machine="")
+    beats = {
+        "m-1": [first],
+        "m-2": [first, second],
+        "m-9": [first],
+        "": [first],
+    }
+    for machine, rivals in beats.items():
+        beat = build.heartbeat("w1", machine=machine, born_ms=2)
+        assert pool.rivals(beat) == rivals
+    assert pool.rivals(build.heartbeat("w9", machine="")) == []
+    pool.remove(second)
+    assert pool.rivals(build.heartbeat("w9", machine="m-2")) == []
 
 
 @pytest.fixture
@@ -88,13 +91,11 @@
 
 def test_an_ignored_announcement_is_logged_once_in_a_while(pool, ignored):
     """Without the line nobody sees why a worker gets no work."""
-    pool.handle_heartbeat(build.heartbeat("w2", machine="m", born_ms=2))
-    for sequence in range(3):
-        pool.handle_heartbeat(
-            build.heartbeat("w1", machine="m", sequence=sequence)
-        )
+    add(pool)
+    for sequence in range(2, 5):
+        assert pool.record(build.heartbeat(machine="m", sequence=sequence))
     (line,) = ignored
-    assert (line["worker"], line["known"]) == ("w1", "w2")
+    assert (line["machine"], line["known_machine"]) == ("m", "m-w1")
 
 
 def test_a_lease_expires_only_when_the_slowest_clock_has_passed_it():
@@ -151,8 +152,8 @@
 
 
 def test_a_worker_with_rare_heartbeats_stays_usable_between_them():
-    pool = workers_lib.WorkerPool(ManualClock(), heartbeat_period_ms=10_000)
-    worker, _ = pool.handle_heartbeat(build.heartbeat(clock_ms=1_000))
+    worker = workers_lib.Worker(build.heartbeat(clock_ms=1_000), 1_000)
+    worker.heartbeat_period_ms = 10_000
     worker.record_clock(13_000, 1_000)
     assert not worker.is_heartbeat_outdated(1_000)
     worker.record_clock(14_000, 1_000)
