Establish workers of known services only

Callers saw: a worker that is up gets no work. Cause: nothing asked whether the service of an announcement is one that anybody uses. Change: a candidate is asked once its service is known, by the configuration or by an open job. It is kept meanwhile, so that a worker that announces itself before its service is configured joins with the configuration, and one whose service was dropped keeps its runs under a new leader.

--- a/bench/restarts.py
+++ b/bench/restarts.py
@@ -23,7 +23,6 @@
 
 DARK_S = 0.3
 EARLY_S = 3.0
-JOB = "00000000000000f0"
 TIMEOUT_S = 30.0
 
 
@@ -57,17 +56,7 @@
             await curio.sleep(EARLY_S)
             await self.operators.put_first_site()
             since_ms = self.clock.monotonic_ms()
-            step = {
-                "count": len(self.workers),
-                "cpu": 500,
-                "mem_mb": 100,
-                "long_running": True,
-                "anti_affinity": int(self.is_spread),
-            }
-            body = json.dumps({"spec": "-1", "steps": [step]}).encode()
-            self.jobs[JOB] = job_soak.CallersJob(lasts=True)
-            await self._submit(body)
-            await self._wait_until_all_run()
+            await self._replace_job()
             self.times_ms["first starts"] = [
                 start.at_ms - since_ms
                 for worker in self.workers
@@ -81,24 +70,48 @@
                 await task.cancel()
             self.site.kill()
 
-    async def _submit(self, body: bytes) -> None:
-        target = soak_operators.PREFIX + JOB
+    async def _replace_job(self) -> None:
+        """Runs a new job, as one is given up after several restarts."""
+        if self.jobs:
+            target = soak_operators.PREFIX + list(self.jobs)[-1]
+            await self._ask("DELETE", target)
+        identifier = f"{len(self.jobs) + 1:016x}"
+        self.jobs[identifier] = job_soak.CallersJob(lasts=True)
+        step = {
+            "count": len(self.workers),
+            "cpu": 500,
+            "mem_mb": 100,
+            "long_running": True,
+            "anti_affinity": int(self.is_spread),
+        }
+        body = json.dumps({"spec": "-1", "steps": [step]}).encode()
+        target = soak_operators.PREFIX + identifier
         while True:
             response = await self._ask("POST", target, body)
             if response is not None and response.status == 200:
-                return
+                break
             await curio.sleep(0.02)
+        await self._wait_until_all_run()
 
     async def _wait_until_all_run(self) -> None:
+        """Waits until all tasks of the newest job run."""
+        prefix = f"{list(self.jobs)[-1]}."
         async with curio.timeout_after(TIMEOUT_S):
-            while self._running() < len(self.workers):
+            while True:
+                running = [
+                    task
+                    for worker in self.workers
+                    for task in worker.running
+                    if task.startswith(prefix)
+                ]
+                if len(running) == len(self.workers):
+                    return
                 await curio.sleep(0.002)
 
-    def _running(self) -> int:
-        return sum(len(worker.running) for worker in self.workers)
-
     async def _restart(self, kind: str, number: int, suffix: str) -> None:
         """Restarts a worker that runs tasks."""
+        await self._replace_job()
+        await curio.sleep(0.5)
         used = [worker for worker in self.workers if worker.running]
         worker = used[number % len(used)]
         if suffix:
@@ -109,7 +122,6 @@
         self.times_ms.setdefault(kind, []).append(
             self.clock.monotonic_ms() - up_ms
         )
-        await curio.sleep(1.0)
 
 
 def main() -> None:
--- a/src/galenahook/jobs/candidates.py
+++ b/src/galenahook/jobs/candidates.py
@@ -1,10 +1,10 @@
 """Workers that have announced themselves and are not established yet.
 
 Anybody can send an announcement, and a delayed one may be of a worker that has
-ended. So an announcement changes nothing by itself: the process at its address
-is asked first, on a link of its own, which incarnation it is. Its reply
-establishes the worker, unless another one is established under its identifier
-or on its VM and may still be up.
+ended. So an announcement changes nothing by itself: once its service is known,
+the process at its address is asked, on a link of its own, which incarnation it
+is. Its reply establishes the worker, unless another one is established under
+its identifier or on its VM and may still be up.
 """
 
 import dataclasses
@@ -26,10 +26,12 @@
     Attributes:
       link: Link to it, through which it is sent neither a lease nor orders.
       announced_ms: When its last announcement arrived.
+      is_asked: Whether a task asks its process which incarnation it is.
     """
 
     link: link_lib.Link
     announced_ms: int
+    is_asked: bool = False
 
 
 class Candidates:
@@ -67,6 +69,14 @@
         self.by_identity[link.worker.heartbeat.identity] = candidate
         return candidate
 
+    def unasked(self) -> list[Candidate]:
+        """Returns the candidates that no task asks yet."""
+        return [
+            candidate
+            for candidate in self.by_identity.values()
+            if not candidate.is_asked
+        ]
+
     def drop(self, candidate: Candidate) -> None:
         """Ends a candidate; its next announcement adds it again."""
         candidate.link.ended = True
--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -197,7 +197,7 @@
     async def _round(self) -> None:
         if not self.node.is_leader():
             return
-        self.candidates.drop_silent(self.now_ms())
+        await worker_intake.review_candidates(self)
         self._ends += await lost_runs.end_lost_runs(self)
         # Stops need no commit, which may take seconds.
         await lost_runs.stop_ended_and_draining(self)
--- a/src/galenahook/jobs/worker_intake.py
+++ b/src/galenahook/jobs/worker_intake.py
@@ -21,7 +21,7 @@
 async def handle_heartbeat(
     dispatcher: "dispatcher_lib.Dispatcher", heartbeat: calls.WorkerHeartbeat
 ) -> None:
-    """Records a heartbeat; asks the process of a new incarnation who it is."""
+    """Records a heartbeat; asks a new incarnation of a known service."""
     if dispatcher.pool.record(heartbeat):
         return
     now_ms = dispatcher.now_ms()
@@ -30,6 +30,42 @@
         candidate = dispatcher.candidates.add(
             _make_link(dispatcher, heartbeat), now_ms
         )
+    if not candidate.is_asked:
+        await _ask_if_known(dispatcher, candidate, _known_services(dispatcher))
+
+
+async def review_candidates(dispatcher: "dispatcher_lib.Dispatcher") -> None:
+    """Drops silent candidates; asks those whose service has become known."""
+    dispatcher.candidates.drop_silent(dispatcher.now_ms())
+    unasked = dispatcher.candidates.unasked()
+    if unasked:
+        services = _known_services(dispatcher)
+        for candidate in unasked:
+            await _ask_if_known(dispatcher, candidate, services)
+
+
+def _known_services(dispatcher: "dispatcher_lib.Dispatcher") -> set[str]:
+    """Returns the services of the configuration and of all open jobs.
+
+    A configuration may drop a service whose jobs still run.
+    """
+    services = {
+        pool.name for pool in dispatcher.node.state.site.current.services
+    }
+    services.update(
+        job.description.service for job in dispatcher.table.open.values()
+    )
+    return services
+
+
+async def _ask_if_known(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    candidate: candidates_lib.Candidate,
+    services: set[str],
+) -> None:
+    """Starts asking a candidate which incarnation it is."""
+    if candidate.link.worker.heartbeat.service in services:
+        candidate.is_asked = True
         await dispatcher.spawn(_follow, dispatcher, candidate)
 
 
--- a/tests/test_jobs_candidates.py
+++ b/tests/test_jobs_candidates.py
@@ -5,10 +5,12 @@
 """
 
 import curio
+import msgspec
 import pytest
 
 import announced_workers
 from galenahook import clock as clock_lib
+from galenahook import commands
 from galenahook import errors
 from galenahook import job_metrics
 from galenahook import state as state_lib
@@ -406,6 +408,62 @@
     run(scenario)
 
 
+def test_a_worker_of_an_unknown_service_does_not_hold_a_vm():
+    """Guards against a VM that another system's process takes from its worker.
+
+    It replies at its address, and the leader hears of it first.
+    """
+
+    async def scenario(site):
+        other = site.processes[OTHER_ADDRESS] = Process("x", 2)
+        later = await site.lead_again()
+        stranger = {"service": "other", "address": OTHER_ADDRESS, "born_ms": 2}
+        for _ in range(3):
+            await later.announce("x", **stranger)
+            await later.announce()
+            await later.round()
+        check_goes_on(later)
+        assert other.fence == 0
+        await later.dispatcher.close()
+
+    run(scenario)
+
+
+def test_a_worker_joins_once_a_configuration_names_its_service():
+    """Guards against a worker that announced itself too early."""
+
+    async def scenario(site):
+        site.processes[OTHER_ADDRESS] = Process("w2")
+        beat = {"service": "new", "address": OTHER_ADDRESS, "machine": "m-2"}
+        await site.announce("w2", **beat)
+        await site.round()
+        assert set(site.dispatcher.links) == {"w1"}
+        command = build.put_site(2)
+        services = (*command.services, commands.ServicePool(name="new"))
+        site.node.state.apply(
+            msgspec.structs.replace(command, services=services)
+        )
+        await site.round()
+        assert set(site.dispatcher.links) == {"w1", "w2"}
+
+    run(scenario)
+
+
+def test_a_worker_that_runs_jobs_of_a_dropped_service_joins_a_new_leader():
+    """Guards against runs that are lost with the service of their worker."""
+
+    async def scenario(site):
+        command = build.put_site(2, queues=())
+        site.node.state.apply(msgspec.structs.replace(command, services=()))
+        later = await site.lead_again()
+        await later.announce()
+        await later.round()
+        check_goes_on(later)
+        await later.dispatcher.close()
+
+    run(scenario)
+
+
 def test_a_silent_candidate_is_dropped(monkeypatch):
     monkeypatch.setattr(candidates_lib, "RETENTION_MS", 30)
 
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -99,7 +99,7 @@
 
     def __init__(self, *applied, **workers):
         self.node = FakeNode()
-        for command in applied:
+        for command in (build.put_site(), *applied):
             self.node.state.apply(command)
         self.workers = workers or {"w1": FakeWorker()}
         self.dispatcher = dispatcher_lib.Dispatcher(
