Keep a worker in use after another writer's notice that it ends

A notice of leaving with the identifier and the incarnation of a worker stopped all its runs, which started elsewhere, and kept new ones away from it for good, though it went on and announced itself as ready. Change: a notice stops runs only on a worker that drains, as every worker does before its end. The next heartbeat without a drain withdraws it.

--- a/src/galenahook/jobs/lost_runs.py
+++ b/src/galenahook/jobs/lost_runs.py
@@ -169,9 +169,11 @@
 async def stop_ended_and_draining(
     dispatcher: "dispatcher_lib.Dispatcher",
 ) -> None:
-    """Stops runs of ended jobs, and runs on draining or leaving workers.
+    """Stops runs of ended jobs, and runs on draining workers.
 
-    On a draining worker, a run that is expected to be done in time goes on.
+    A run that is expected to be done in time goes on, until its worker
+    announces its end. Such a notice stops nothing on a worker that does not
+    drain.
     """
     now_ms = dispatcher.now_ms()
     for link in list(dispatcher.links.values()):
@@ -183,7 +185,7 @@
             if run.job.ended:
                 outcome = run.job.record.outcome.value
                 await dispatcher.spawn(link.stop, run, f"job {outcome}")
-            elif is_leaving:
+            elif is_leaving and is_draining:
                 await dispatcher.spawn(link.stop, run, "worker leaving")
             elif is_draining and not _ends_in_time(link.worker, run, now_ms):
                 await dispatcher.spawn(link.stop, run, "worker draining")
--- a/src/galenahook/jobs/worker_intake.py
+++ b/src/galenahook/jobs/worker_intake.py
@@ -240,9 +240,10 @@
 ) -> None:
     """Records that a worker announced its end.
 
-    The notice may arrive after the next incarnation of the worker. Without an
-    incarnation it counts only if the worker drains, as every worker does before
-    it announces its end.
+    The notice may arrive after the next incarnation of the worker, or be of
+    another writer. Without an incarnation it counts only if the worker drains,
+    as every worker does before it announces its end. It ends no run by itself,
+    and the next heartbeat of a worker that does not drain withdraws it.
     """
     worker = dispatcher.pool.workers.get(message.worker)
     if worker is None or worker.leaving_since_ms:
--- a/src/galenahook/jobs/worker_pool.py
+++ b/src/galenahook/jobs/worker_pool.py
@@ -27,7 +27,8 @@
         """Records the heartbeat of an established incarnation.
 
         One that contradicts what the incarnation said of itself before it was
-        established is of another writer and has no effect.
+        established is of another writer and has no effect. One of a worker that
+        does not drain withdraws a notice that it ends.
 
         Returns:
           Whether the heartbeat names an established incarnation.
@@ -40,6 +41,9 @@
         elif heartbeat.sequence > known.heartbeat.sequence:
             _log_capacity_change(known.heartbeat, heartbeat)
             known.heartbeat = heartbeat
+            if known.leaving_since_ms and not heartbeat.draining:
+                logs.info("worker:stays", worker=known.name)
+                known.leaving_since_ms = 0
         return True
 
     def rivals(
--- a/tests/test_jobs_candidates.py
+++ b/tests/test_jobs_candidates.py
@@ -14,6 +14,7 @@
 from galenahook import errors
 from galenahook import job_metrics
 from galenahook import state as state_lib
+from galenahook.jobs import calls
 from galenahook.jobs import candidates as candidates_lib
 from galenahook.jobs import dispatcher as dispatcher_lib
 from galenahook.jobs import worker_api
@@ -521,3 +522,31 @@
         assert set(site.dispatcher.links) == {"w1", "w2"}
 
     run(scenario)
+
+
+def test_a_worker_stays_in_use_after_a_notice_of_another_writer():
+    """Guards against runs that are moved, and a worker shut out, for one."""
+
+    async def scenario(site):
+        await site.dispatcher.leave(calls.WorkerLeft(worker="w1", born_ms=1))
+        assert not site.worker.is_usable(site.dispatcher.now_ms())
+        await site.round()
+        await site.announce(sequence=10)
+        await site.round()
+        check_goes_on(site)
+        assert not site.worker.is_leaving
+
+    run(scenario)
+
+
+def test_a_notice_holds_until_a_later_heartbeat_without_a_drain():
+    """A delayed heartbeat or one of a drain does not bring a worker back."""
+
+    async def scenario(site):
+        await site.announce(sequence=10, draining=True)
+        await site.dispatcher.leave(calls.WorkerLeft(worker="w1", born_ms=1))
+        for changes in ({"sequence": 9}, {"sequence": 11, "draining": True}):
+            await site.announce(**changes)
+            assert site.worker.leaving_since_ms
+
+    run(scenario)
