Soak: another writer names workers in use; complete a lacking announcement

Callers saw nothing of it yet. A new leader that hears of a worker first by another writer's copy without VM or labels would know it so for good, now that heartbeats can't change what established an incarnation: no task that requires a label would start there. A heartbeat may add a VM or labels that were missing. The soak gets a fault, other-writer: announcements of other workers on the VM or under the identifier of one in use, with missing fields, other types, unknown services and states or unreadable bytes, and notices of leaving, beside all other faults.

--- a/bench/job_soak.py
+++ b/bench/job_soak.py
@@ -8,7 +8,8 @@
 operators change the configuration and take a zone out of service and back,
 processes are paused, killed, stopped, reloaded and restarted, disks refuse
 writes, and links are held, delayed or cut; replies to orders are lost, calls
-are carried out late, and workers restart under their identifiers. Checks from
+are carried out late, workers restart under their identifiers, and another
+writer announces them and others on their VMs. Checks from
 what callers, operators and workers see that no task runs in two places, nothing
 starts that was not accepted, is completed or is in a zone out of service, that
 acknowledged changes are in force, and that every accepted job ends or lasts
@@ -42,6 +43,7 @@
 from galenahook import web
 import soak_operators
 import soak_processes
+import soak_writer
 
 WORKERS = 4
 CHECK_PERIOD_MS = 10
@@ -59,6 +61,10 @@
 REFUSAL_POLL_S = 0.05
 # Time for which a worker that restarts is silent.
 DARK_S = 0.6
+# Longest time for which another writer writes, and the longest pause between
+# two of its messages.
+MAX_WRITING_S = 5.0
+MAX_WRITING_PAUSE_S = 0.4
 # How late a call is carried out. Calls may also wait for a restart or a delayed
 # link, and all of it takes less than `workers.MAX_ORDER_DELAY_MS`.
 LATE_S = (2.0, 10.0)
@@ -154,6 +160,7 @@
       findings: Broken promises.
       jobs: Jobs by identifier.
       operators: Operators of the site.
+      other_writer: Sends announcements that name workers.
       cancelled_share: Share of accepted jobs that callers cancel.
     """
 
@@ -182,6 +189,9 @@
         self.operators = soak_operators.Operators(
             self.site.controls, self.random, self.findings
         )
+        self.other_writer = soak_writer.OtherWriter(
+            self.site.controls, self.random
+        )
         self.cancelled_share = CANCELLED_SHARE
         self._folder = folder
         self._fault_names = faults or tuple(self._fault_kinds())
@@ -461,6 +471,7 @@
             "late-calls": self._late_calls,
             "restart": self._restart,
             "recut": self._recut,
+            "other-writer": self._write_beside,
         }
 
     async def inject_faults(self) -> None:
@@ -591,6 +602,15 @@
         await curio.sleep(self.random.uniform(1.0, 5.0))
         worker.late_share = 0.0
 
+    async def _write_beside(self) -> None:
+        """Lets another writer send messages about workers for a time."""
+        left_s = self.random.uniform(1.0, MAX_WRITING_S)
+        while left_s > 0:
+            await self.other_writer.write(self.random.choice(self.workers))
+            pause_s = self.random.uniform(0.0, MAX_WRITING_PAUSE_S)
+            await curio.sleep(pause_s)
+            left_s -= pause_s
+
     def _restarting_workers(self) -> list[RelayedWorker]:
         """Draws workers that neither restart already nor are cut off."""
         count = self.random.randint(1, len(self.workers) // 2)
--- a/src/galenahook/jobs/calls.py
+++ b/src/galenahook/jobs/calls.py
@@ -111,6 +111,14 @@
     service: str
     labels: tuple[str, ...]
 
+    def completes(self, other: "WorkerIdentity") -> bool:
+        """Returns whether it says the same, or names a VM or labels as well."""
+        return other == dataclasses.replace(
+            self,
+            machine=self.machine if other.machine else "",
+            labels=self.labels if other.labels else (),
+        )
+
 
 class WorkerHeartbeat(
     messages.Message, frozen=True, kw_only=True, tag="worker-heartbeat"
--- a/src/galenahook/jobs/worker_pool.py
+++ b/src/galenahook/jobs/worker_pool.py
@@ -26,9 +26,9 @@
     def record(self, heartbeat: calls.WorkerHeartbeat) -> bool:
         """Records the heartbeat of an established incarnation.
 
-        One that contradicts what the incarnation said of itself before it was
-        established is of another writer and has no effect. One of a worker that
-        does not drain withdraws a notice that it ends.
+        One that contradicts what established the incarnation is of another
+        writer and has no effect, but a VM or labels that were missing are added.
+        A heartbeat without a drain withdraws a notice that the worker ends.
 
         Returns:
           Whether the heartbeat names an established incarnation.
@@ -36,11 +36,13 @@
         known = self.workers.get(heartbeat.worker)
         if known is None or known.heartbeat.born_ms != heartbeat.born_ms:
             return False
-        if known.heartbeat.identity != heartbeat.identity:
+        if not heartbeat.identity.completes(known.heartbeat.identity):
             self.log_ignored(known, heartbeat)
         elif heartbeat.sequence > known.heartbeat.sequence:
             _log_capacity_change(known.heartbeat, heartbeat)
             known.heartbeat = heartbeat
+            if heartbeat.machine not in self._by_machine:
+                self.add(known)
             if known.leaving_since_ms and not heartbeat.draining:
                 logs.info("worker:stays", worker=known.name)
                 known.leaving_since_ms = 0
--- a/tests/test_jobs_candidates.py
+++ b/tests/test_jobs_candidates.py
@@ -550,3 +550,24 @@
             assert site.worker.leaving_since_ms
 
     run(scenario)
+
+
+def test_a_worker_whose_first_announcement_lacked_fields_is_known_in_full():
+    """Guards against a worker without labels, as another writer left them out.
+
+    A new leader hears of the copy first.
+    """
+
+    async def scenario(site):
+        later = await site.lead_again()
+        await later.announce(machine="", labels=(), sequence=8)
+        await later.announce()
+        check_goes_on(later)
+        assert later.worker.heartbeat.labels == ("a", "r1")
+        await later.announce(machine="", labels=(), sequence=10)
+        assert later.worker.heartbeat.machine == "m-1"
+        successor = build.heartbeat("w2", machine="m-1", born_ms=2)
+        assert later.dispatcher.pool.rivals(successor) == [later.worker]
+        await later.dispatcher.close()
+
+    run(scenario)
