--- a/src/galenahook/jobs/worker_pool.py
+++ b/src/galenahook/jobs/worker_pool.py
@@ -27,8 +27,8 @@
         """Records the heartbeat of an established incarnation.
 
         One that contradicts what established the incarnation is of another
-        writer and has no effect, but a VM or labels that were missing are added.
-        A heartbeat without a drain withdraws a notice that the worker ends.
+        writer and has no effect, but a VM or labels that were missing are
+        added. One without a drain withdraws a notice that the worker ends.
 
         Returns:
           Whether the heartbeat names an established incarnation.
