--- a/src/galenahook/jobs/worker_intake.py
+++ b/src/galenahook/jobs/worker_intake.py
@@ -31,40 +31,36 @@
             _make_link(dispatcher, heartbeat), now_ms
         )
     if not candidate.is_asked:
-        await _ask_if_known(dispatcher, candidate, _known_services(dispatcher))
+        await _ask_known(dispatcher, [candidate])
 
 
 async def review_candidates(dispatcher: "dispatcher_lib.Dispatcher") -> None:
     """Drops silent candidates; asks those whose service has become known."""
     dispatcher.candidates.drop_silent(dispatcher.now_ms())
-    unasked = dispatcher.candidates.unasked()
-    if unasked:
-        services = _known_services(dispatcher)
-        for candidate in unasked:
-            await _ask_if_known(dispatcher, candidate, services)
+    await _ask_known(dispatcher, dispatcher.candidates.unasked())
 
 
-def _known_services(dispatcher: "dispatcher_lib.Dispatcher") -> set[str]:
-    """Returns the services of the configuration and of all open jobs.
+async def _ask_known(
+    dispatcher: "dispatcher_lib.Dispatcher",
+    unasked: list[candidates_lib.Candidate],
+) -> None:
+    """Starts asking the candidates whose service is known.
 
-    A configuration may drop a service whose jobs still run.
+    It is known if the configuration names it, or if open jobs run there, as a
+    configuration may drop the service of jobs that go on.
     """
-    services = {
+    configured = {
         pool.name for pool in dispatcher.node.state.site.current.services
     }
-    services.update(
-        job.description.service for job in dispatcher.table.open.values()
-    )
-    return services
-
-
-async def _ask_if_known(
-    dispatcher: "dispatcher_lib.Dispatcher",
-    candidate: candidates_lib.Candidate,
-    services: set[str],
-) -> None:
-    """Starts asking a candidate which incarnation it is."""
-    if candidate.link.worker.heartbeat.service in services:
+    in_use: set[str] | None = None
+    for candidate in unasked:
+        service = candidate.link.worker.heartbeat.service
+        if service not in configured:
+            if in_use is None:
+                jobs = dispatcher.table.open.values()
+                in_use = {job.description.service for job in jobs}
+            if service not in in_use:
+                continue
         candidate.is_asked = True
         await dispatcher.spawn(_follow, dispatcher, candidate)
 
