Replace a worker of the older path only by one that announces itself again

Where workers announce themselves through entries, a delayed announcement that a new leader got after the restarted worker's ended that one's attempts as 'worker restarted' and had its own announcements refused; if it came first, likewise. Change: an incarnation that would replace a known one, or one that holds attempts in the state, is asked to announce itself again, by a field that exists. It counts with that second announcement, if the other one has announced nothing in between. Evidence: test_delayed_announcement_after_an_election_ends_no_attempt fails on the commit before, in both orders. A worker that is up replies to the request at once, so that its restart is known a round trip later.

--- a/src/galenahook/upstreams/workers.py
+++ b/src/galenahook/upstreams/workers.py
@@ -18,6 +18,7 @@
 from galenahook import settings
 from galenahook.scheduling import task_table
 from galenahook.scheduling import tasks as tasks_lib
+from galenahook.upstreams import successors as successors_lib
 
 MAX_RETIRED_INCARNATIONS = 8
 # A worker is usable once it has announced itself this often.
@@ -75,6 +76,8 @@
       changed: Names of workers whose free capacity may have changed.
       fenced: Names of workers whose leases are not renewed until the attempts
         that they hold have ended.
+      successors: Incarnations that have announced themselves once beside
+        another one of their name.
     """
 
     def __init__(self, clock: clock_lib.Clock, timing: settings.Timing) -> None:
@@ -83,6 +86,7 @@
         self.workers: dict[str, Worker] = {}
         self.changed: set[str] = set()
         self.fenced: set[str] = set()
+        self.successors = successors_lib.Successors(clock)
         self._elected_ms = clock.monotonic_ms()
 
     def reset_for_term(self) -> None:
@@ -90,6 +94,7 @@
         self.workers.clear()
         self.changed.clear()
         self.fenced.clear()
+        self.successors.clear()
         self._elected_ms = self.clock.monotonic_ms()
 
     def announce(
@@ -106,6 +111,9 @@
         worker = self.workers.get(announcement.name)
         if worker and announcement.incarnation in worker.retired:
             return _refuse(announcement, announcement.attempts)
+        if self._may_be_outdated(worker, announcement, tasks):
+            # A process that is up announces itself again at once.
+            return _request_attempts(announcement)
         if announcement.attempts_as_of:
             if not _has_attempts(worker, announcement):
                 return _request_attempts(announcement)
@@ -128,6 +136,30 @@
             stop=_outdated_attempts(announcement, tasks),
         )
 
+    def _may_be_outdated(
+        self,
+        worker: Worker | None,
+        announcement: messages.WorkerAnnouncement,
+        tasks: task_table.TaskTable,
+    ) -> bool:
+        """Returns whether an incarnation may not be the latest of its name.
+
+        Another one is known, or has held attempts since an earlier term.
+        """
+        name, incarnation = announcement.name, announcement.incarnation
+        if worker is not None:
+            is_known = worker.announcement.incarnation == incarnation
+            other_ms = worker.announced_at_ms
+        else:
+            is_known = all(
+                tasks.records[task].incarnation == incarnation
+                for task in tasks.held.get(name, ())
+            )
+            other_ms = self._elected_ms
+        return not is_known and not self.successors.confirm(
+            announcement, other_ms
+        )
+
     def _fence_if_expired(self, name: str, tasks: task_table.TaskTable) -> bool:
         """Fences a worker whose lease expired while it held attempts.
 
@@ -236,6 +268,7 @@
     def remove(self, name: str) -> None:
         """Removes a worker whose lease has ended and that holds no attempts."""
         self.workers.pop(name, None)
+        self.successors.forget(name)
         self.changed.add(name)
 
     def is_usable(self, name: str) -> bool:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -92,6 +92,76 @@
     assert known == site.workers["w0"].incarnation
 
 
+@pytest.mark.parametrize("is_first", [False, True])
+def test_delayed_announcement_after_an_election_ends_no_attempt(
+    site: model.ModelSite, is_first: bool
+) -> None:
+    """Guards against a restarted worker that a new leader shuts out.
+
+    The leader may hear of the earlier incarnation before the later one.
+    """
+    delayed = announced(site)
+    site.workers["w0"].restart()
+    site.pass_time(2_000)
+    attempt = site.record(TASK).attempt
+    assert site.workers_running(TASK) == ["w0"]
+    site.elect()
+    site.round()
+    if not is_first:
+        site.pass_time(500)
+    reply = site.registry.announce(delayed, site.tasks)
+    assert (reply.lease_ms, reply.stop) == (0, ())
+    site.pass_time(2_000)
+    assert site.workers_running(TASK) == ["w0"]
+    assert site.record(TASK).attempt == attempt
+    assert site.registry.is_usable("w0")
+
+
+@pytest.mark.parametrize("is_led_anew", [False, True])
+def test_new_incarnation_counts_once_it_has_announced_itself_again(
+    site: model.ModelSite, is_led_anew: bool
+) -> None:
+    site.workers["w0"].restart()
+    if is_led_anew:
+        site.elect()
+        site.round()
+    reply = site.registry.announce(announced(site), site.tasks)
+    assert reply.send_attempts
+    assert site.record(TASK).phase is tasks_lib.Phase.HELD
+    reply = site.registry.announce(announced(site), site.tasks)
+    assert reply.lease_ms == site.timing.worker_lease_ms
+    site.round()
+    assert site.record(TASK).phase is not tasks_lib.Phase.HELD
+
+
+def test_new_incarnation_does_not_count_beside_one_that_is_up(
+    site: model.ModelSite,
+) -> None:
+    for number in range(4):
+        site.pass_time(500)
+        other = announced(site, incarnation="other", sequence=number + 1)
+        assert site.registry.announce(other, site.tasks).send_attempts
+        site.clock.now_ms += 1
+    site.pass_time(500)
+    assert site.workers_running(TASK) == ["w0"]
+    assert site.record(TASK).attempt == 1
+
+
+def test_second_announcement_that_quotes_no_reply_to_the_first_does_not_count(
+    site: model.ModelSite,
+) -> None:
+    for sequence, answered, counts in (
+        (8, 7, False),
+        (9, 7, False),
+        (9, 8, True),
+    ):
+        other = announced(
+            site, incarnation="other", sequence=sequence, answered=answered
+        )
+        reply = site.registry.announce(other, site.tasks)
+        assert bool(reply.lease_ms) is counts
+
+
 def test_delayed_announcement_does_not_end_a_running_attempt(
     site: model.ModelSite,
 ) -> None:
