Tests of joining workers wait for their replies, not for 20 ms

Trace: both failed in their first lines, where a worker joins and a task is placed 20 ms later; joining takes two exchanges now, and no run had started. The fake clients count polls, and the tests wait until a worker has replied; what they check is as before.

--- a/tests/announced_workers.py
+++ b/tests/announced_workers.py
@@ -35,9 +35,22 @@
         """Does nothing."""
 
 
+async def until(condition):
+    """Waits until a condition holds."""
+    async with curio.timeout_after(TIMEOUT_S):
+        while not condition():
+            await curio.sleep(0)
+
+
 async def join(dispatcher, heartbeat):
     """Sends a heartbeat; returns once its worker is established."""
     await dispatcher.handle_heartbeat(heartbeat)
-    async with curio.timeout_after(TIMEOUT_S):
-        while heartbeat.identity in dispatcher.candidates.by_identity:
-            await curio.sleep(0)
+    candidates = dispatcher.candidates.by_identity
+    await until(lambda: heartbeat.identity not in candidates)
+
+
+async def join_and_reply(dispatcher, heartbeat):
+    """Sends a heartbeat; returns once its worker has replied to a poll."""
+    await join(dispatcher, heartbeat)
+    worker = dispatcher.links[heartbeat.worker].worker
+    await until(lambda: worker.has_polled)
--- a/tests/test_jobs_candidates.py
+++ b/tests/test_jobs_candidates.py
@@ -86,6 +86,7 @@
         self.worker = heartbeat.worker
         self.address = heartbeat.address
         self.processes = processes
+        self.polls = 0
 
     def require(self, _may_order):
         pass
@@ -99,6 +100,7 @@
 
     async def poll(self, fence, acknowledged, lease_until_ms, _wait_ms):
         await curio.sleep(0.002)
+        self.polls += 1
         process = self.process(fence)
         process.acknowledged = max(process.acknowledged, acknowledged)
         process.lease_until_ms = max(process.lease_until_ms, lease_until_ms)
@@ -154,9 +156,22 @@
         return self.dispatcher.links["w1"].worker
 
     async def announce(self, name="w1", **changes):
-        """Sends a heartbeat and leaves its worker time to reply."""
+        """Sends a heartbeat; returns once its worker was asked and polled."""
         values = {"machine": "m-1", "sequence": 9, **changes}
-        await self.dispatcher.handle_heartbeat(build.heartbeat(name, **values))
+        heartbeat = build.heartbeat(name, **values)
+        await self.dispatcher.handle_heartbeat(heartbeat)
+        candidates = self.dispatcher.candidates.by_identity
+        candidate = candidates.get(heartbeat.identity)
+        if candidate is not None and candidate.is_asked:
+            link = candidate.link
+            before = link.client.polls
+            await announced_workers.until(lambda: link.client.polls > before)
+            await curio.sleep(0.005)
+            if heartbeat.identity not in candidates and not link.ended:
+                worker = link.worker
+                await announced_workers.until(
+                    lambda: worker.has_polled or worker.is_unresponsive
+                )
         await curio.sleep(0.02)
 
     async def round(self):
@@ -179,6 +194,7 @@
         site.node.state.apply(build.submit())
         await site.announce(sequence=1)
         await site.round()
+        await announced_workers.until(lambda: site.process.running)
         assert site.process.running == {TASK: 1}
         await scenario(site, *arguments)
         await site.dispatcher.close()
@@ -466,13 +482,13 @@
 
 
 def test_a_silent_candidate_is_dropped(monkeypatch):
-    monkeypatch.setattr(candidates_lib, "RETENTION_MS", 30)
+    monkeypatch.setattr(candidates_lib, "RETENTION_MS", 300)
 
     async def scenario(site):
         await site.announce("x", address=OTHER_ADDRESS)
         await site.round()
         assert len(site.dispatcher.candidates.by_identity) == 1
-        await curio.sleep(0.05)
+        await curio.sleep(0.35)
         await site.round()
         assert site.dispatcher.candidates.by_identity == {}
 
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -4,6 +4,7 @@
 import eliot
 import pytest
 
+import announced_workers
 from galenahook import clock as clock_lib
 from galenahook import commands
 from galenahook import job_metrics
@@ -111,7 +112,9 @@
         )
 
     async def announce(self, name="w1", **changes):
-        await self.dispatcher.handle_heartbeat(build.heartbeat(name, **changes))
+        await announced_workers.join_and_reply(
+            self.dispatcher, build.heartbeat(name, **changes)
+        )
         await curio.sleep(0.02)
 
     async def place(self):
@@ -465,11 +468,11 @@
 
         worker.poll = poll_late
         await leader.place()
-        await leader.announce()
+        await leader.dispatcher.handle_heartbeat(build.heartbeat())
         await leader.place()
         assert worker.started == []
         await replied.set()
-        await curio.sleep(0.02)
+        await leader.announce()
         await leader.place()
         assert worker.started == [TASK]
 
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -139,8 +139,8 @@
         self.end_worker()
         born_ms = len(self.clients) + 1
         values = {"born_ms": born_ms, "machine": "m-1", **changes}
-        await self.dispatcher.handle_heartbeat(
-            build.heartbeat(f"w{born_ms}", **values)
+        await announced_workers.join_and_reply(
+            self.dispatcher, build.heartbeat(f"w{born_ms}", **values)
         )
         await curio.sleep(0.02)
 
--- a/tests/test_jobs_lost_runs.py
+++ b/tests/test_jobs_lost_runs.py
@@ -97,7 +97,7 @@
             LEASE_MS,
             job_metrics.JobMetrics(),
         )
-        await dispatcher.handle_heartbeat(build.heartbeat())
+        await announced_workers.join_and_reply(dispatcher, build.heartbeat())
         await curio.sleep(0.02)
         await scenario(node, dispatcher, client)
         await dispatcher.close()
