Log what keeps the longest waiting serving task, and unusable workers

The logs could not tell whether a serving task waits because too few workers are freed for it, or because the leader does not use workers that are up. queue:waiting names the obstacles of the oldest job of a queue only, and never showed reservations.

serving:waiting names the task that has waited longest with its obstacles, reservations and pins; workers:free counts the unusable workers by reason.

--- a/src/galenahook/jobs/dispatcher.py
+++ b/src/galenahook/jobs/dispatcher.py
@@ -208,7 +208,7 @@
             self.now_ms()
         ):
             await self._order_stop(worker, run, reason)
-        self._waiting_report.log(self._round_input())
+        self._waiting_report.log(self._round_input(), self.reservations)
         if (
             self.now_ms() - self._model_stored_ms
             >= learned_model.STORE_PERIOD_MS
--- a/src/galenahook/jobs/reservations.py
+++ b/src/galenahook/jobs/reservations.py
@@ -207,6 +207,13 @@
             if not reservation.step.serves:
                 reservation.candidate.reserved_for = reservation.step_id
 
+    def mark(self, candidates: list[free_capacity_lib.FreeCapacity]) -> None:
+        """Marks the candidates that are reserved, for whatever step."""
+        for candidate in candidates:
+            reservation = self._by_worker.get(candidate.worker.name)
+            if reservation is not None:
+                candidate.reserved_for = reservation.step_id
+
     def candidates_of(
         self, step_id: workers_lib.StepId
     ) -> list[free_capacity_lib.FreeCapacity]:
--- a/src/galenahook/jobs/round_input.py
+++ b/src/galenahook/jobs/round_input.py
@@ -4,6 +4,7 @@
 replica, a network or a clock.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
@@ -51,11 +52,24 @@
         """Returns a worker by its identifier, or None."""
         return next((it for it in self.workers if it.name == name), None)
 
+    def unusable_workers(self) -> collections.Counter[str]:
+        """Returns the number of workers on which no run may start by reason."""
+        reasons: collections.Counter[str] = collections.Counter()
+        for worker in self.workers:
+            reason = worker.unusable_reason(self.now_ms)
+            if not reason and self._is_zone_out(worker):
+                reason = "zone-out"
+            if reason:
+                reasons[reason] += 1
+        return reasons
+
+    def _is_zone_out(self, worker: workers_lib.Worker) -> bool:
+        return worker.heartbeat.availability_zone in self.zones_out
+
     def usable_capacity(self) -> list[free_capacity_lib.FreeCapacity]:
         """Returns the free capacity of each worker on which runs may start."""
         return [
             free_capacity_lib.free_capacity_of(worker, self.tails, self.now_ms)
             for worker in self.workers
-            if worker.is_usable(self.now_ms)
-            and worker.heartbeat.availability_zone not in self.zones_out
+            if worker.is_usable(self.now_ms) and not self._is_zone_out(worker)
         ]
--- a/src/galenahook/jobs/waiting.py
+++ b/src/galenahook/jobs/waiting.py
@@ -12,6 +12,7 @@
 from galenahook.jobs import ordering
 from galenahook.jobs import overdue as overdue_lib
 from galenahook.jobs import queue_shares
+from galenahook.jobs import reservations as reservations_lib
 from galenahook.jobs import round_input
 from galenahook.jobs import tasks as tasks_lib
 
@@ -30,8 +31,15 @@
     def __init__(self, now_ms: int) -> None:
         self._reported_ms = now_ms
 
-    def log(self, inputs: round_input.RoundInput) -> None:
-        """Logs a line for each queue with tasks that have waited for long."""
+    def log(
+        self,
+        inputs: round_input.RoundInput,
+        reservations: reservations_lib.Reservations,
+    ) -> None:
+        """Logs a line for each queue with tasks that have waited for long.
+
+        One more line is about the serving task that has waited longest.
+        """
         if inputs.now_ms - self._reported_ms < REPORT_PERIOD_MS:
             return
         self._reported_ms = inputs.now_ms
@@ -43,13 +51,16 @@
         if not queues:
             return
         candidates = inputs.usable_capacity()
+        reservations.mark(candidates)
         free = [candidate.cpu_millis for candidate in candidates]
         logs.info(
             "workers:free",
             workers=len(free),
             cpu_millis=sum(free),
             largest_cpu_millis=max(free, default=0),
+            unusable=inputs.unusable_workers(),
         )
+        _log_longest_serving_wait(inputs, reservations, candidates, queues)
         reserved = _reserved_cpu_millis(inputs)
         shares = queue_shares.QueueShares(inputs, candidates).short
         for queue, jobs in sorted(
@@ -80,6 +91,49 @@
             )
 
 
+def _log_longest_serving_wait(
+    inputs: round_input.RoundInput,
+    reservations: reservations_lib.Reservations,
+    candidates: list[free_capacity_lib.FreeCapacity],
+    queues: Mapping[str, list[tasks_lib.Job]],
+) -> None:
+    """Logs why the serving task that has waited longest does not start."""
+    waits = [
+        (job.waiting_since_ms(key), job.description.job, key)
+        for jobs in queues.values()
+        for job in filter(ordering.serves, jobs)
+        for key in job.waiting
+        if job.is_due(key, inputs.now_wall_ms)
+    ]
+    if not waits:
+        return
+    since_ms, identifier, key = min(waits)
+    job = inputs.open_jobs[identifier]
+    step = job.step(key)
+    record = job.runs.get(key)
+    logs.info(
+        "serving:waiting",
+        job=identifier,
+        task=tasks_lib.task_name(identifier, key),
+        run=record.run if record else 0,
+        waited_ms=inputs.now_wall_ms - since_ms,
+        waiting=len(waits),
+        cpu_millis=step.cpu_millis,
+        memory_mb=step.memory_mb,
+        max_per_worker=step.max_per_worker,
+        is_suspect=tasks_lib.is_suspect(job, key),
+        pinned_to=record.pinned_to if record else "",
+        reserved=[
+            candidate.worker.name
+            for candidate in reservations.candidates_of((identifier, *key[:2]))
+        ],
+        obstacles=collections.Counter(
+            obstacle(inputs.tails.model, job, key, candidate)
+            for candidate in candidates
+        ),
+    )
+
+
 def obstacle(
     model: headroom_lib.HeadroomModel,
     job: tasks_lib.Job,
--- a/src/galenahook/jobs/workers.py
+++ b/src/galenahook/jobs/workers.py
@@ -338,13 +338,22 @@
 
     def is_usable(self, now_ms: int) -> bool:
         """Returns whether new runs may start on it."""
-        return (
-            self.has_polled
-            and not self.is_unresponsive
-            and not self.has_stray_runs
-            and not self.heartbeat.draining
-            and not self.leaving_since_ms
-            and now_ms - self.last_reply_ms < UNRESPONSIVE_AFTER_MS
-            and now_ms >= self.excluded_until_ms
-            and not self.is_heartbeat_outdated(now_ms)
-        )
+        return not self.unusable_reason(now_ms)
+
+    def unusable_reason(self, now_ms: int) -> str:
+        """Returns why no new run may start on it; empty if one may."""
+        if not self.has_polled:
+            return "not-polled"
+        if self.is_unresponsive:
+            return "unresponsive"
+        if self.has_stray_runs:
+            return "stray-runs"
+        if self.is_leaving:
+            return "leaving"
+        if now_ms - self.last_reply_ms >= UNRESPONSIVE_AFTER_MS:
+            return "silent"
+        if now_ms < self.excluded_until_ms:
+            return "excluded"
+        if self.is_heartbeat_outdated(now_ms):
+            return "heartbeat-outdated"
+        return ""
--- a/tests/test_jobs_waiting.py
+++ b/tests/test_jobs_waiting.py
@@ -49,8 +49,8 @@
     workers = [build.worker("w1"), build.worker("w2")]
     site = build.Site(workers, build.submit(build.step(cpu_millis=12_000)))
     report = waiting.WaitingReport(-waiting.REPORT_PERIOD_MS)
-    report.log(site.inputs())
-    report.log(site.inputs())
+    report.log(site.inputs(), site.reservations)
+    report.log(site.inputs(), site.reservations)
     free, queue = lines
     assert (free["cpu_millis"], free["largest_cpu_millis"]) == (16_000, 8_000)
     assert (queue["tasks"], queue["obstacles"]) == (1, {"cpu": 2})
@@ -64,7 +64,9 @@
         build.submit(build.serving_step(cpu_millis=12_000, tasks=2)),
     )
     site.now_ms = overdue.OVERDUE_AFTER_MS
-    waiting.WaitingReport(-waiting.REPORT_PERIOD_MS).log(site.inputs())
+    waiting.WaitingReport(-waiting.REPORT_PERIOD_MS).log(
+        site.inputs(), site.reservations
+    )
     (queue,) = [line for line in lines if "queue" in line]
     assert queue["serving_overdue"] == 2
     waited_ms = build.SITE_WALL_MS + site.now_ms - build.WALL_MS
@@ -78,3 +80,20 @@
     candidate.reserved_for = ("00000000000000e1", 0, 0)
     key = min(job.waiting)
     assert waiting.obstacle(site.tails.model, job, key, candidate) == "reserved"
+
+
+def test_the_longest_wait_of_a_serving_task_is_explained(lines):
+    site = build.Site(
+        [build.worker("w1"), build.worker("w2")],
+        build.submit(build.serving_step(cpu_millis=12_000, tasks=2)),
+    )
+    site.workers[0].has_stray_runs = True
+    waiting.WaitingReport(-waiting.REPORT_PERIOD_MS).log(
+        site.inputs(), site.reservations
+    )
+    (free,) = [line for line in lines if "unusable" in line]
+    assert free["unusable"] == {"stray-runs": 1}
+    (longest,) = [line for line in lines if "reserved" in line]
+    assert longest["task"].endswith(".0.0.0")
+    assert longest["obstacles"] == {"cpu": 1}
+    assert longest["waiting"] == 2
