Give places of runs at work to the lasting tasks that wait longest

On a site that lost a part of its workers, the places of runs at work are nearly the only room. Rotation gave them out in the order of jobs, largest tasks first, and none from a step that missed a third of its tasks. Where the site misses more than that, few runs could be spared, and the largest tasks took each of them, so that the wait of the others had no bound: the overdue tasks went first for free pieces only.

Now overdue tasks take the places first, the longest wait before others, and steps that permit any number spare one more task for them while one stays at work.

--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -189,13 +189,15 @@
         candidates = self._candidates_for(job, job.step(keys[0]), step_id)
         if candidates and self._place_keys(job, keys, candidates):
             return
-        self._note_failed(job, job.step(keys[0]))
+        step = job.step(keys[0])
+        self._note_failed(job, step)
         if self._may_reserve_for_overdue:
             self._reservations.request(
                 self._inputs, self.candidates, job, step_id
             )
             if self._reservations.candidates_of(step_id):
                 self._may_reserve_for_overdue = False
+        self._rotate(job, keys, step, step_id, is_overdue=True)
 
     def place_job(self, job: tasks_lib.Job) -> None:
         """Places the waiting tasks of a job that are due and fit."""
@@ -252,8 +254,7 @@
             self._reservations.request(
                 self._inputs, self.candidates, job, step_id
             )
-            if self.short_workers.are_kept_for(job.description.service):
-                self._rotate(job, keys, step, step_id)
+            self._rotate(job, keys, step, step_id, is_overdue=False)
             return
         if not step.uses_idle_cpu and self._is_owed_room(job, step, step_id):
             self._short_waiting.add(job.description.service)
@@ -298,8 +299,11 @@
         keys: list[tasks_lib.TaskKey],
         step: commands.StepDescription,
         step_id: workers_lib.StepId,
+        is_overdue: bool,
     ) -> None:
         """Lets tasks that wait for long take the places of runs of others."""
+        if not self.short_workers.are_kept_for(job.description.service):
+            return
         reserved = len(self._reservations.candidates_of(step_id))
         since_ms = sorted(
             self._overdue.since_ms(job, key)
@@ -313,7 +317,9 @@
                 return
             if not self._reservations.may_reserve(len(self.candidates)):
                 return
-            replacement = self._rotation.choose(job.description, step, step_id)
+            replacement = self._rotation.choose(
+                job.description, step, step_id, is_overdue
+            )
             if replacement is None:
                 return
             self._reservations.replace(
--- a/src/galenahook/jobs/rotation.py
+++ b/src/galenahook/jobs/rotation.py
@@ -22,7 +22,8 @@
 # work. The leader before may have ordered its stop just before the election.
 MAX_STOP_MS = 1_000
 # Rotation makes at most one of so many tasks of a step unavailable, but always
-# one, if the step permits any number.
+# one, if the step permits any number. For overdue tasks it makes more of them
+# unavailable where no other run can be spared.
 TASKS_PER_UNAVAILABLE = 3
 # Unreserved processors that a replacement may leave on a worker if that keeps
 # tasks of one image together.
@@ -31,10 +32,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Replacement:
-    """A run whose worker has room for another task once it has ended."""
+    """A run whose worker has room for another task once it has ended.
+
+    Attributes:
+      candidate: Free capacity of its worker.
+      run: The run.
+      is_last_choice: Whether so many tasks of its step are unavailable already
+        that it is spared for overdue tasks only.
+    """
 
     candidate: free_capacity_lib.FreeCapacity
     run: workers_lib.LiveRun
+    is_last_choice: bool
 
 
 class Rotation:
@@ -67,6 +76,7 @@
                 break
             if (
                 item.candidate is candidate
+                and not item.is_last_choice
                 and item.run.step_id not in self._chosen
             ):
                 self._chosen.add(item.run.step_id)
@@ -79,21 +89,33 @@
         description: commands.JobDescription,
         step: commands.StepDescription,
         step_id: workers_lib.StepId,
+        is_overdue: bool = False,
     ) -> Replacement | None:
         """Returns the run to stop for a task of a step, or None.
 
         The run is not more urgent and needs no hardware that the task does not.
 
-        Of the runs that have been at work for long, prefers those that leave
-        few unreserved processors, then those of the same image, then the one
-        that leaves the fewest, then the oldest.
+        Of the runs that have been at work for long, prefers those whose step
+        misses few tasks, then those that leave few unreserved processors, then
+        those of the same image, then the one that leaves the fewest, then the
+        oldest.
+
+        Args:
+          description: Job of the task.
+          step: Step of the task.
+          step_id: Its job, occurrence and number.
+          is_overdue: Whether the task is overdue, so that steps that miss many
+            tasks spare one more.
         """
         best: tuple[tuple[int, ...], Replacement] | None = None
         for item in self._spared_runs():
+            if item.is_last_choice and not is_overdue:
+                continue
             candidate, run = item.candidate, item.run
             left = candidate.cpu_millis + run.step.cpu_millis
             left -= step.cpu_millis
             rank = (
+                int(item.is_last_choice),
                 int(left > MAX_LEFT_CPU_MILLIS),
                 int(run.step.image != step.image),
                 left,
@@ -120,27 +142,38 @@
         if self._spared is not None:
             return self._spared
         at_work = [
-            Replacement(candidate, run)
+            (candidate, run)
             for candidate in self._candidates
             for run in candidate.worker.runs.values()
             if _is_at_work(run, self._now_ms)
         ]
-        counts = collections.Counter(item.run.step_id for item in at_work)
-        self._spared = [
-            item
-            for item in at_work
-            if _worked_ms(item.run, self._now_ms) >= MIN_WORK_MS
-            and _may_miss_one_more(item.run.step, counts[item.run.step_id])
-        ]
+        counts = collections.Counter(run.step_id for _, run in at_work)
+        self._spared = []
+        for candidate, run in at_work:
+            if _worked_ms(run, self._now_ms) < MIN_WORK_MS:
+                continue
+            missing = run.step.tasks - counts[run.step_id]
+            if missing < _max_missing(run.step):
+                is_last_choice = missing >= _usual_missing(run.step)
+                self._spared.append(Replacement(candidate, run, is_last_choice))
         return self._spared
 
 
-def _may_miss_one_more(step: commands.StepDescription, at_work: int) -> bool:
-    """Returns whether a step with so many tasks at work can spare one."""
-    limit = step.max_unavailable
-    if limit < 0:
-        limit = max(1, step.tasks // TASKS_PER_UNAVAILABLE)
-    return step.tasks - at_work < limit
+def _usual_missing(step: commands.StepDescription) -> int:
+    """Returns how many tasks of a step rotation makes unavailable as a rule."""
+    if step.max_unavailable >= 0:
+        return step.max_unavailable
+    return max(1, step.tasks // TASKS_PER_UNAVAILABLE)
+
+
+def _max_missing(step: commands.StepDescription) -> int:
+    """Returns how many tasks of a step rotation makes unavailable at most.
+
+    One stays at work where the step permits any number.
+    """
+    if step.max_unavailable >= 0:
+        return step.max_unavailable
+    return max(1, step.tasks - 1)
 
 
 def _is_at_work(run: workers_lib.LiveRun, now_ms: int) -> bool:
--- a/tests/test_jobs_rotation.py
+++ b/tests/test_jobs_rotation.py
@@ -38,7 +38,7 @@
     return run
 
 
-def choose(*workers, priority=0, **step):
+def choose(*workers, priority=0, is_overdue=False, **step):
     """Returns the task of the run that gives its place, or None."""
     site = build.Site(list(workers))
     candidates = site.inputs().usable_capacity()
@@ -46,6 +46,7 @@
         build.description(priority=priority),
         build.serving_step(**{"cpu_millis": 6_000, **step}),
         STEP_ID,
+        is_overdue,
     )
     return replacement and replacement.run.task
 
@@ -74,6 +75,38 @@
     assert choose(worker_with(serving_run(**changes))) is None
 
 
+def runs_of_a_step_that_misses_many(**step):
+    """Builds workers with two of four tasks of a step at work."""
+    runs = [serving_run(tasks=4, **step), serving_run(tasks=4, **step)]
+    runs[1].task = f"{runs[1].job.description.job}.0.0.1"
+    return [
+        worker_with(run, name=f"w{number}") for number, run in enumerate(runs)
+    ]
+
+
+def test_a_step_that_misses_many_tasks_spares_one_more_for_an_overdue_task():
+    workers = runs_of_a_step_that_misses_many()
+    assert choose(*workers) is None
+    assert choose(*workers, is_overdue=True) is not None
+
+
+def test_an_overdue_task_takes_the_place_of_a_step_that_misses_few_first():
+    workers = runs_of_a_step_that_misses_many()
+    other = serving_run("00000000000000f2", cpu_millis=7_500)
+    workers.append(worker_with(other, name="w2"))
+    assert choose(*workers, is_overdue=True) == other.task
+
+
+def test_a_declared_limit_holds_beside_overdue_tasks():
+    workers = runs_of_a_step_that_misses_many(max_unavailable=2)
+    assert choose(*workers, is_overdue=True) is None
+
+
+def test_the_last_run_of_a_step_keeps_its_place_beside_overdue_tasks():
+    run = serving_run(tasks=2)
+    assert choose(worker_with(run), is_overdue=True) is None
+
+
 def test_a_run_of_an_earlier_term_gives_its_place_once_it_is_not_stopping():
     """The leader before may have stopped it, or another one of its step."""
     run = serving_run(age_ms=rotation.MAX_STOP_MS - 1)
