Reserve workers for tasks that may run there, not for pinned ones

Serving tasks waited for up to 13.5 s beside workers with room, overdue ones too: a worker was reserved for each waiting task of a step, also for those that may run on no worker, or on one only, until a start without a reply can no longer be carried out. Nothing else may start on a reserved worker, and the reservation of a serving step has no end of its own.

Failed before: test_a_serving_task_does_not_wait_beside_workers_held_for_ pinned_tasks (waited for 19,950 ms, 7,600 ms of it overdue beside room without a break). Pinned tasks are no longer counted, neither when a worker is reserved nor when the reservation is reviewed.

--- a/src/galenahook/jobs/reservations.py
+++ b/src/galenahook/jobs/reservations.py
@@ -15,6 +15,7 @@
 from galenahook import logs
 from galenahook.jobs import free_capacity as free_capacity_lib
 from galenahook.jobs import last_resort
+from galenahook.jobs import pending_starts
 from galenahook.jobs import rotation
 from galenahook.jobs import round_input
 from galenahook.jobs import shortages
@@ -504,12 +505,20 @@
 def _waiting_counts(
     inputs: round_input.RoundInput, step_ids: set[workers_lib.StepId]
 ) -> dict[workers_lib.StepId, int]:
-    """Returns the number of waiting tasks of each of some steps."""
+    """Returns how many tasks of each of some steps a reserved worker may run.
+
+    Those that may run on no worker, or on only one, use no reservation.
+    """
     counts = {}
     for step_id in step_ids:
         job = inputs.open_jobs.get(step_id[0])
-        waiting = job.waiting if job is not None else ()
-        counts[step_id] = sum(key[:2] == step_id[1:] for key in waiting)
+        counts[step_id] = 0
+        if job is not None:
+            counts[step_id] = sum(
+                key[:2] == step_id[1:]
+                and pending_starts.pinned_worker(inputs, job, key) is None
+                for key in job.waiting
+            )
     return counts
 
 
