Let no search that finds no worker delay those that would

A serving task waited without a bound beside workers that batch runs filled: one search for a worker to reserve was made in 50 ms for the whole site, and steps that fit on no worker took each turn, as larger ones are searched for first and again after 300 ms. From six such steps on, a task that fitted 1.5 s later otherwise was not started in 40 s.

Failed before: test_a_task_gets_a_worker_beside_larger_ones_for_which_ none_is_found[8]. A search for a serving step compares capacities only, so that one which finds none need not be limited.

--- a/src/galenahook/jobs/reservations.py
+++ b/src/galenahook/jobs/reservations.py
@@ -29,7 +29,9 @@
 # Time after which a step that is no longer found to fit no worker counts as
 # not waiting.
 WAIT_RETENTION_MS = 500
-# Least time between two searches for a worker to reserve.
+# Least time between two searches for a worker to reserve. One for a serving
+# step that finds none is cheap and delays no other, or steps that fit nowhere
+# would take the turns of those that fit.
 SEARCH_PERIOD_MS = 50
 # At most one of so many usable workers is reserved, but always one.
 WORKERS_PER_RESERVATION = 8
@@ -362,7 +364,6 @@
         waiting = _waiting_counts(inputs, {step_id})[step_id]
         if len(self.candidates_of(step_id)) >= waiting:
             return
-        self._searched_ms = now_ms
         step = job.description.steps[step_id[2]]
         model = inputs.tails.model
         found = shortages.soonest(
@@ -380,6 +381,8 @@
             ],
             step,
         )
+        if found is not None or not step.serves:
+            self._searched_ms = now_ms
         if found is None:
             wait.search_ms = now_ms + RESERVATION_RETRY_MS
             return
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -470,3 +470,41 @@
         for job in (short_job, overtaken_job)
     ]
     assert held == [4, 1]
+
+
+@pytest.mark.parametrize("larger", [0, 8])
+def test_a_task_gets_a_worker_beside_larger_ones_for_which_none_is_found(
+    larger,
+):
+    """Each worker has room for the task once batch runs there are stopped."""
+    wide = build.submit(
+        build.serving_step(
+            tasks=20, cpu_millis=46_000, max_per_worker=1, max_unavailable=0
+        ),
+        job="00000000000000d1",
+        queue="racks",
+    )
+    batch = build.submit(
+        build.step(cpu_millis=6_000, tasks=60, estimate_ms=60_000),
+        job="00000000000000c1",
+    )
+
+    def lasting(job, cpu_millis):
+        step = build.serving_step(
+            cpu_millis=cpu_millis, memory_mb=26_000, image=job
+        )
+        return build.submit(step, job=job, queue="racks")
+
+    async def scenario(simulation):
+        await simulation.advance(2_000)
+        simulation.submit(batch)
+        await simulation.advance(500)
+        for number in range(larger):
+            simulation.submit(lasting(f"{0xB000 + number:016x}", 20_000))
+        await simulation.advance(500)
+        simulation.submit(lasting("00000000000000e1", 18_000))
+        await simulation.advance(3_000)
+        assert "00000000000000e1.0.0.0" in simulation.started
+
+    workers = job_simulation.workers(20, cpu_millis=64_000, memory_mb=256_000)
+    job_simulation.run(scenario, workers, wide)
