Place pinned serving tasks before those that may run anywhere

Failed before: test_no_other_serving_task_takes_the_place_of_a_pinned_one. Tasks that only one worker may run now choose first. That they run on no other worker until the start can't be carried out stays as it was.

--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -84,6 +84,7 @@
     reservations.begin_round(inputs, candidates)
     shares = queue_shares_lib.QueueShares(inputs, candidates)
     search = _PlacementRound(inputs, reservations, shares, overdue, candidates)
+    _place_pinned(inputs, failures, waiting, search)
     _place_overdue(inputs, overdue, failures, waiting, search)
     reservations.hold_for_short_jobs()
     search.short_workers.close()
@@ -100,6 +101,24 @@
     return search.placed
 
 
+def _place_pinned(
+    inputs: round_input.RoundInput,
+    failures: JobFailures,
+    waiting: list[tasks_lib.Job],
+    search: "_PlacementRound",
+) -> None:
+    """Places serving tasks that only one worker may run.
+
+    They go before others, which would take the place that the end of their last
+    run has just left there, and may run elsewhere.
+    """
+    for job in filter(ordering.serves, waiting):
+        try:
+            search.place_pinned(job)
+        except Exception as error:
+            failures.note(job, error, inputs.now_ms)
+
+
 def _place_overdue(
     inputs: round_input.RoundInput,
     overdue: overdue_lib.OverdueTasks,
@@ -175,6 +194,26 @@
         self._placed_tasks: set[tuple[str, tasks_lib.TaskKey]] = set()
         self._failed: dict[PlacementClass, list[commands.StepDescription]] = {}
 
+    def place_pinned(self, job: tasks_lib.Job) -> None:
+        """Places the waiting tasks of a job that only one worker may run.
+
+        One that does not fit there waits without a reservation, as it may soon
+        run elsewhere.
+        """
+        for key in sorted(job.waiting):
+            name = pending_starts.pinned_worker(self._inputs, job, key)
+            if not name:
+                continue
+            candidates = [
+                candidate
+                for candidate in self.candidates
+                if candidate.worker.name == name
+            ]
+            is_suspect = tasks_lib.is_suspect(job, key)
+            self._place_tasks(
+                job, [key], candidates, is_isolated=is_suspect, is_pinned=True
+            )
+
     def place_overdue(
         self, job: tasks_lib.Job, keys: list[tasks_lib.TaskKey]
     ) -> None:
@@ -182,7 +221,7 @@
 
         The first step of a round for which a worker can be reserved gets one.
         """
-        keys = self._place_pinned(job, keys)
+        keys = self._unpinned(job, keys)
         if not keys:
             return
         step_id = (job.description.job, *_step_key(keys[0]))
@@ -210,34 +249,19 @@
             keys = list(group)
             if not job.is_due(keys[0], self._inputs.now_wall_ms):
                 continue
-            keys = self._place_pinned(job, keys)
+            keys = self._unpinned(job, keys)
             if keys:
                 self._place_step(job, keys)
 
-    def _place_pinned(
+    def _unpinned(
         self, job: tasks_lib.Job, keys: list[tasks_lib.TaskKey]
     ) -> list[tasks_lib.TaskKey]:
-        """Places tasks that only one worker may run; returns the others.
-
-        One that does not fit there waits without a reservation, as it may soon
-        run elsewhere.
-        """
-        others = []
-        for key in keys:
-            name = pending_starts.pinned_worker(self._inputs, job, key)
-            if name is None:
-                others.append(key)
-                continue
-            candidates = [
-                candidate
-                for candidate in self.candidates
-                if candidate.worker.name == name
-            ]
-            is_suspect = tasks_lib.is_suspect(job, key)
-            self._place_tasks(
-                job, [key], candidates, is_isolated=is_suspect, is_pinned=True
-            )
-        return others
+        """Returns the tasks that any worker may run."""
+        return [
+            key
+            for key in keys
+            if pending_starts.pinned_worker(self._inputs, job, key) is None
+        ]
 
     def _place_step(
         self, job: tasks_lib.Job, keys: list[tasks_lib.TaskKey]
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -376,6 +376,17 @@
     assert run.is_pinned
 
 
+def test_no_other_serving_task_takes_the_place_of_a_pinned_one():
+    """Larger tasks go first elsewhere, and the other worker has room."""
+    site = site_with_pending_start(build.serving_step(cpu_millis=6_000))
+    larger = build.serving_step(cpu_millis=8_000, tasks=2)
+    site.submit(build.submit(larger, job="00000000000000f1"))
+    set_time(site, workers_lib.UNRESPONSIVE_AFTER_MS)
+    pinned, other = place(site)
+    assert (pinned[0].name, pinned[1].is_pinned) == ("w1", True)
+    assert other[0].name == "w2"
+
+
 def test_a_task_runs_anywhere_once_its_worker_lists_no_late_start():
     site = site_with_pending_start()
     site.workers[0].heartbeat = build.heartbeat("w1", draining=True)
