Start no pinned task before its occurrence is due

Placing pinned tasks first left out the check of the start time that both earlier paths made: with the wall clock set back, a task of a job with a start time that is pinned to a worker started before it (ORDER).

The test of pinned tasks has an overdue rival as well now.

--- a/src/galenahook/jobs/placement.py
+++ b/src/galenahook/jobs/placement.py
@@ -202,7 +202,7 @@
         """
         for key in sorted(job.waiting):
             name = pending_starts.pinned_worker(self._inputs, job, key)
-            if not name:
+            if not name or not job.is_due(key, self._inputs.now_wall_ms):
                 continue
             candidates = [
                 candidate
--- a/src/galenahook/jobs/rotation.py
+++ b/src/galenahook/jobs/rotation.py
@@ -169,7 +169,7 @@
 def _max_missing(step: commands.StepDescription) -> int:
     """Returns how many tasks of a step rotation makes unavailable at most.
 
-    One stays at work where the step permits any number.
+    One stays at work where the step permits any number and has several tasks.
     """
     if step.max_unavailable >= 0:
         return step.max_unavailable
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -6,6 +6,7 @@
 from galenahook import commands
 from galenahook.jobs import free_capacity
 from galenahook.jobs import headroom
+from galenahook.jobs import overdue
 from galenahook.jobs import placement
 from galenahook.jobs import workers as workers_lib
 import job_builders as build
@@ -376,17 +377,39 @@
     assert run.is_pinned
 
 
-def test_no_other_serving_task_takes_the_place_of_a_pinned_one():
-    """Larger tasks go first elsewhere, and the other worker has room."""
+@pytest.mark.parametrize("waited_ms", [0, overdue.OVERDUE_AFTER_MS])
+def test_no_other_serving_task_takes_the_place_of_a_pinned_one(waited_ms):
+    """Larger tasks and overdue ones may use the other worker."""
     site = site_with_pending_start(build.serving_step(cpu_millis=6_000))
     larger = build.serving_step(cpu_millis=8_000, tasks=2)
-    site.submit(build.submit(larger, job="00000000000000f1"))
+    command = build.submit(larger, job="00000000000000f1")
+    site.submit(
+        msgspec.structs.replace(command, at_ms=build.SITE_WALL_MS - waited_ms)
+    )
     set_time(site, workers_lib.UNRESPONSIVE_AFTER_MS)
     pinned, other = place(site)
     assert (pinned[0].name, pinned[1].is_pinned) == ("w1", True)
     assert other[0].name == "w2"
 
 
+def test_a_pinned_task_does_not_start_before_its_occurrence_is_due():
+    """The wall clock may have been set back since its last start."""
+    now_ms = workers_lib.UNRESPONSIVE_AFTER_MS
+    submitted = build.submit(
+        build.serving_step(),
+        first_start_ms=build.SITE_WALL_MS + now_ms + 1,
+        interval_ms=1_000,
+    )
+    site = build.Site([build.worker(), build.worker("w2")], submitted)
+    task = f"{build.JOB}.0.0.0"
+    site.table.record(build.starts(build.start(task)))
+    site.table.record(build.ends(build.pending_end(task)))
+    set_time(site, now_ms)
+    assert placements_of(site) == []
+    set_time(site, now_ms + 1)
+    assert placements_of(site) == [("w1", "0.0.0")]
+
+
 def test_a_task_runs_anywhere_once_its_worker_lists_no_late_start():
     site = site_with_pending_start()
     site.workers[0].heartbeat = build.heartbeat("w1", draining=True)
