--- a/tests/test_jobs_rotation.py
+++ b/tests/test_jobs_rotation.py
@@ -243,3 +243,27 @@
     to_stop = rounds_without_orders(20, max_unavailable=1)
     assert any(to_stop)
     assert all(len(runs) <= 1 for runs in to_stop)
+
+
+def test_the_longest_wait_gets_the_only_place_although_a_larger_task_waits():
+    run = serving_run(age_ms=rotation.MIN_WORK_MS)
+    worker = worker_with(run)
+    site = build.Site([worker])
+    site.now_ms = NOW_MS
+    worker.last_reply_ms = worker.clock_at_ms = NOW_MS
+    wall_ms = build.SITE_WALL_MS + NOW_MS
+
+    def submit(job, step, waited_ms):
+        command = build.submit(step, job=job)
+        site.submit(msgspec.structs.replace(command, at_ms=wall_ms - waited_ms))
+
+    larger, smaller = "00000000000000b1", "00000000000000b2"
+    submit(larger, build.serving_step(cpu_millis=7_000), 7_000)
+    submit(smaller, build.serving_step(cpu_millis=6_500), 8_000)
+    # Rotation frees places only where processors are kept for short jobs.
+    submit("00000000000000b3", build.step(cpu_millis=500), 100)
+    placement.place_waiting(
+        site.inputs(), site.reservations, site.overdue, site.failures, 100
+    )
+    assert site.reservations.candidates_of((smaller, 0, 0))
+    assert not site.reservations.candidates_of((larger, 0, 0))
