--- a/src/galenahook/jobs/waiting.py
+++ b/src/galenahook/jobs/waiting.py
@@ -103,7 +103,7 @@
         for jobs in queues.values()
         for job in filter(ordering.serves, jobs)
         for key in job.waiting
-        if job.is_due(key, inputs.now_wall_ms)
+        if job.step(key).serves and job.is_due(key, inputs.now_wall_ms)
     ]
     if not waits:
         return
